--- /dev/null
+++ b/programs/dn_node.cc
@@ -0,0 +1,18 @@
+// dn-node. Schedules jobs on the platform's workers.
+#include "node/node.h"
+#include "platform/platform.h"
+
+int main(int argc, char** argv) {
+  namespace platform = dn::platform;
+  const dn::NodeAdapter adapter{.settings_path = platform::SettingsPath(),
+                                .settings = platform::DecodeSettings,
+                                .store = platform::Store(),
+                                .workers = platform::Workers(),
+                                .jobs = platform::Jobs(),
+                                .operator_records = platform::OperatorRecords(),
+                                .worker_records = platform::WorkerRecords(),
+                                .catalogue_key = std::string(platform::CatalogueKey()),
+                                .catalogue = platform::DecodeCatalogue,
+                                .worker = platform::DecodeWorker};
+  return dn::RunNode(argc, argv, adapter);
+}
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -11,6 +11,7 @@
 #include "core/internal/message_head.h"
 #include "core/internal/messages.h"
 #include "core/internal/names.h"
+#include "core/internal/node_settings.h"
 #include "core/internal/records.h"
 #include "core/internal/request.h"
 #include "core/internal/time.h"
--- /dev/null
+++ b/src/instance_link/instance_link.h
@@ -0,0 +1,4 @@
+// The other instances of this deployment.
+#pragma once
+
+#include "instance_link/internal/instance_link.h"
--- /dev/null
+++ b/src/instance_link/internal/instance_link.cc
@@ -0,0 +1,118 @@
+// Calls between instances.
+#include "instance_link/internal/instance_link.h"
+
+#include <charconv>
+
+namespace dn {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr std::string_view kJobs = "/jobs";
+constexpr std::string_view kJob = "/jobs/";
+constexpr std::string_view kQueue = "/queues/";
+// Longest call: a lost owner must not use up a caller's patience.
+constexpr Duration kCallLimit{900};
+// Time that the called instance has: callers of instances wait a little longer.
+constexpr Duration kServeLimit{800};
+
+constexpr std::array<std::pair<SubmitOutcome, int>, 3> kSubmitStatus = {
+    {{SubmitOutcome::kAccepted, kOk},
+     {SubmitOutcome::kRefused, kUnavailable},
+     {SubmitOutcome::kUnknown, kGatewayTimeout}}};
+
+std::optional<std::string> After(std::string_view prefix, const std::string& path) {
+  if (path.substr(0, prefix.size()) != prefix) return std::nullopt;
+  return path.substr(prefix.size());
+}
+
+ShownState StateNamed(std::string_view name) {
+  for (const auto& entry : EnumNames<ShownState>::kNames) {
+    if (entry.name == name) return entry.value;
+  }
+  return ShownState::kUnknown;
+}
+
+}  // namespace
+
+Task<HttpReply> InstanceServer::Answer(HttpCall call) {
+  const Time deadline = Now() + kServeLimit;
+  if (call.method == HttpMethod::kPost && call.path == kJobs) {
+    auto job = DecodeAcceptedJob(call.body);
+    if (!job) co_return HttpReply{.status = kNotFound};
+    const SubmitOutcome outcome = co_await local_.Submit(job.value(), deadline);
+    for (const auto& [from, status] : kSubmitStatus) {
+      if (from == outcome) co_return HttpReply{.status = status};
+    }
+  }
+  if (const auto text = After(kJob, call.path)) {
+    const auto id = ParseJobId(*text);
+    if (!id) co_return HttpReply{.status = kNotFound};
+    if (call.method == HttpMethod::kDelete) {
+      const auto cancelled = co_await local_.Cancel(id.value(), deadline);
+      if (!cancelled) co_return HttpReply{.status = kUnavailable};
+      co_return HttpReply{.status = cancelled.value() ? kOk : kGone};
+    }
+    const auto state = co_await local_.StateOf(id.value(), deadline);
+    if (!state) co_return HttpReply{.status = kUnavailable};
+    co_return HttpReply{.status = kOk, .body = std::string(NameOf(state.value()))};
+  }
+  if (const auto queue = After(kQueue, call.path)) {
+    const auto waiting = co_await local_.WaitingOf(*queue, deadline);
+    if (!waiting) co_return HttpReply{.status = kUnavailable};
+    co_return HttpReply{.status = kOk, .body = std::to_string(waiting.value())};
+  }
+  co_return HttpReply{.status = kNotFound};
+}
+
+Task<Result<HttpReply>> RemoteInstance::Call(HttpMethod method, std::string path, std::string body,
+                                             Time deadline) {
+  const Duration rest = std::min(kCallLimit, deadline - Now());
+  if (rest <= Duration(0)) co_return Errc::kUnavailable;
+  HttpCall call{.method = method, .path = std::move(path), .query = {}, .body = std::move(body)};
+  co_return co_await http_.Call(address_, std::move(call), rest, TrafficKind::kSibling);
+}
+
+Task<SubmitOutcome> RemoteInstance::Submit(AcceptedJob job, Time deadline) {
+  auto reply =
+      co_await Call(HttpMethod::kPost, std::string(kJobs), EncodeAcceptedJob(job), deadline);
+  if (!reply) {
+    const bool sent = reply.error() != Errc::kUnreachable && reply.error() != Errc::kUnavailable;
+    co_return sent ? SubmitOutcome::kUnknown : SubmitOutcome::kRefused;
+  }
+  for (const auto& [outcome, status] : kSubmitStatus) {
+    if (status == reply.value().status) co_return outcome;
+  }
+  co_return SubmitOutcome::kRefused;
+}
+
+Task<Result<ShownState>> RemoteInstance::StateOf(JobId id, Time deadline) {
+  auto reply = co_await Call(HttpMethod::kGet, std::string(kJob) + FormatJobId(id), {}, deadline);
+  if (!reply) co_return reply.error();
+  if (reply.value().status != kOk) co_return Errc::kUnavailable;
+  co_return StateNamed(reply.value().body);
+}
+
+Task<Result<bool>> RemoteInstance::Cancel(JobId id, Time deadline) {
+  auto reply =
+      co_await Call(HttpMethod::kDelete, std::string(kJob) + FormatJobId(id), {}, deadline);
+  if (!reply) co_return reply.error();
+  if (reply.value().status == kOk) co_return true;
+  if (reply.value().status == kGone) co_return false;
+  co_return Errc::kUnavailable;
+}
+
+Task<Result<std::int64_t>> RemoteInstance::WaitingOf(std::string queue, Time deadline) {
+  auto reply = co_await Call(HttpMethod::kGet, std::string(kQueue) + queue, {}, deadline);
+  if (!reply) co_return reply.error();
+  std::int64_t waiting = 0;
+  const std::string& text = reply.value().body;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), waiting);
+  if (reply.value().status != kOk || error != std::errc()) co_return Errc::kUnavailable;
+  co_return waiting;
+}
+
+}  // namespace dn
--- /dev/null
+++ b/src/instance_link/internal/instance_link.h
@@ -0,0 +1,42 @@
+// Calls between instances: the one that a caller reached asks the owner of the
+// job's shard. Protocol of our own:
+//   POST   /jobs            an accepted job (record format)   200, 503, 504
+//   GET    /jobs/<id>       200 with the state's name, 503
+//   DELETE /jobs/<id>       200, 410, 503
+//   GET    /queues/<name>   200 with the number of waiting jobs, 503
+#pragma once
+
+#include "job_client/job_client.h"
+
+namespace dn {
+
+// Serves calls of other instances with this instance's own knowledge.
+class InstanceServer {
+ public:
+  explicit InstanceServer(JobService& local) : local_(local) {}
+  Task<HttpReply> Answer(HttpCall call);
+
+ private:
+  JobService& local_;
+};
+
+// The same service at another instance. A call that reaches no owner there
+// returns kUnavailable; kTimeout and kBroken leave its effect unknown.
+class RemoteInstance {
+ public:
+  RemoteInstance(Endpoint address, HttpClient& http) : address_(std::move(address)), http_(http) {}
+
+  Task<SubmitOutcome> Submit(AcceptedJob job, Time deadline);
+  Task<Result<ShownState>> StateOf(JobId id, Time deadline);
+  Task<Result<bool>> Cancel(JobId id, Time deadline);
+  Task<Result<std::int64_t>> WaitingOf(std::string queue, Time deadline);
+
+ private:
+  Task<Result<HttpReply>> Call(HttpMethod method, std::string path, std::string body,
+                               Time deadline);
+
+  const Endpoint address_;
+  HttpClient& http_;
+};
+
+}  // namespace dn
--- /dev/null
+++ b/src/node/internal/shard_membership.h
@@ -0,0 +1,56 @@
+// Which shards this node owns, and who owns the others.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+
+#include "node/internal/shards.h"
+
+namespace dn {
+
+class ShardMembership {
+ public:
+  struct Events {
+    // The shard was dealt to this node; `token` is above that of any earlier
+    // owner.
+    std::function<void(int shard, FencingToken token)> gained;
+    std::function<void(int shard)> lost;
+  };
+
+  ShardMembership(StoreClient& store, Endpoint own_address, Duration time_to_live, Events events);
+
+  // Keeps the membership until Leave.
+  Task<> Run();
+  // Gives all shards up at once.
+  Task<> Leave();
+  // A later owner was met although the group still shows this node: joins anew,
+  // so that the next deal brings a higher token.
+  void Renew();
+  // Address of the shard's owner; kNotFound: nobody owns it. The answer may be
+  // `kOwnerAge` old.
+  Task<Result<Endpoint>> OwnerOf(int shard);
+  void ForgetOwners();
+
+ private:
+  struct Table {
+    std::string member;
+    std::int64_t generation = 0;
+    std::set<int> held;
+    std::map<int, std::string> owners;
+    Time owners_read{};
+    bool leaving = false;
+    bool renew = false;
+  };
+
+  Join JoinOf(const Table& table) const;
+  void Apply(const Membership& membership);
+
+  StoreClient& store_;
+  const Endpoint own_address_;
+  const Duration time_to_live_;
+  const Events events_;
+  Shared<Table, LockRank::kMembership> table_;
+};
+
+}  // namespace dn
--- /dev/null
+++ b/src/node/internal/shard_owner.cc
@@ -0,0 +1,341 @@
+// Take-over, and the loops of an owner.
+#include "node/internal/shard_owner.h"
+
+#include <chrono>
+
+namespace dn {
+namespace {
+
+// Longest time without a plan: pace and waiting tasks depend on time.
+constexpr Duration kPlanPeriod{50};
+// Shortest time between plans, so that one plan serves many events.
+constexpr Duration kPlanPause{8};
+// Pause between attempts of a take-over step.
+constexpr Duration kRetryPause{100};
+// Workers register every 1.5 s; their records are collected this long.
+constexpr Duration kWorkerPause{350};
+constexpr Duration kFollowWait{1'000};
+// Recording has no deadline: nothing may be forgotten. This is longer than any
+// process lives between two looks at it.
+constexpr Duration kNoDeadline{24 * 3'600'000};
+
+std::int64_t WallMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
+ShardOwner::ShardOwner(Context context, int shard, FencingToken token)
+    : context_(std::move(context)),
+      shard_(shard),
+      token_(token),
+      table_(Table{.shard = Shard(context_.policy, token), .links = {}}),
+      progress_(std::make_shared<RecordWriter>(context_.store, ProgressOf(shard), "owner", token)),
+      job_cleaner_(std::make_shared<RecordWriter>(context_.store, JobsOf(shard),
+                                                  "cleaner-" + std::to_string(token), 0)),
+      jobs_(context_.store, JobsOf(shard), {.wait = kFollowWait, .pause = Duration(0)},
+            [this](const auto& records, bool) { HandleJobs(records); }),
+      workers_(context_.store, context_.adapter.worker_records,
+               {.wait = kFollowWait, .pause = kWorkerPause},
+               [this](const auto& records, bool complete) { HandleWorkers(records, complete); }) {}
+
+void ShardOwner::Drop(const char* cause) {
+  if (!active_.exchange(false)) return;
+  open_ = false;
+  context_.log.Write("shard-dropped", std::to_string(shard_),
+                     "token=" + std::to_string(token_) + " cause=" + cause);
+  changed_.NotifyAll();
+  recorded_.NotifyAll();
+}
+
+Task<> ShardOwner::Run() {
+  const auto self = shared_from_this();
+  context_.log.Write("shard-take-over", std::to_string(shard_), "token=" + std::to_string(token_));
+  const Time began = Now();
+  if (!co_await TakeOver()) co_return;
+  open_ = true;
+  const auto [jobs, workers] = table_.With(
+      [](Table& table) { return std::make_pair(table.shard.jobs(), table.shard.workers()); });
+  context_.log.Write("shard-open", std::to_string(shard_),
+                     "token=" + std::to_string(token_) + " jobs=" + std::to_string(jobs) +
+                         " workers=" + std::to_string(workers) +
+                         " took_ms=" + std::to_string((Now() - began).count()));
+  context_.pool.Spawn(FollowJobs());
+  context_.pool.Spawn(FollowWorkers());
+  context_.pool.Spawn(RecordLoop());
+  OpenLinks();
+  co_await PlanLoop();
+}
+
+Task<bool> ShardOwner::TakeOver() {
+  // The order matters: once fenced, no earlier owner can change the progress
+  // that is read next.
+  std::int64_t fence_end = 0;
+  while (active_) {
+    auto fenced = co_await progress_->Fence();
+    if (fenced) {
+      fence_end = fenced.value();
+      break;
+    }
+    if (fenced.error() == Errc::kConflict) {
+      Drop("fenced");
+      context_.fenced(shard_);
+      co_return false;
+    }
+    co_await SleepFor(kRetryPause);
+  }
+  std::vector<KeyedRecord> progress;
+  while (active_) {
+    auto newest = co_await context_.store.Newest(ProgressOf(shard_));
+    if (newest && newest.value()->end >= fence_end) {
+      progress = newest.value()->records;
+      break;
+    }
+    co_await SleepFor(kRetryPause);
+  }
+  while (active_ && !co_await jobs_.Load()) co_await SleepFor(kRetryPause);
+  while (active_ && !co_await workers_.Load()) co_await SleepFor(kRetryPause);
+  if (!active_) co_return false;
+  const Time now = Now();
+  for (const KeyedRecord& record : progress) {
+    if (!record->value) continue;
+    const auto decoded = DecodeJobProgress(*record->value);
+    if (!decoded) {
+      context_.log.Write("record-skipped", record->key, "topic=progress");
+      continue;
+    }
+    table_.With([&](Table& table) { table.shard.Restore(decoded.value(), now); });
+  }
+  co_return true;
+}
+
+void ShardOwner::HandleJobs(const std::vector<KeyedRecord>& records) {
+  const Time now = Now();
+  for (const KeyedRecord& record : records) {
+    if (!record->value) continue;
+    const auto job = DecodeAcceptedJob(*record->value);
+    if (!job) {
+      context_.log.Write("record-skipped", record->key, "topic=jobs");
+      continue;
+    }
+    table_.With([&](Table& table) { table.shard.Accept(job.value(), now); });
+  }
+  changed_.NotifyAll();
+}
+
+void ShardOwner::HandleWorkers(const std::vector<KeyedRecord>& records, bool complete) {
+  const Time now = Now();
+  std::set<WorkerId> listed;
+  for (const KeyedRecord& record : records) {
+    const WorkerId id{record->key};
+    Result<WorkerEntry> entry = Errc::kNotFound;
+    if (record->value) {
+      entry = context_.adapter.worker(record->key, *record->value);
+      if (!entry) context_.log.Write("worker-entry-skipped", record->key, "cause=unreadable");
+    }
+    table_.With([&](Table& table) {
+      if (entry) {
+        table.shard.WorkerListed(entry.value(), now);
+      } else {
+        table.shard.WorkerUnlisted(id, now);
+      }
+    });
+    if (entry) listed.insert(id);
+  }
+  if (complete) {
+    table_.With([&](Table& table) {
+      for (const WorkerEntry& known : table.shard.WorkersInCare()) {
+        if (listed.count(known->id) == 0) table.shard.WorkerUnlisted(known->id, now);
+      }
+    });
+  }
+  if (open_) OpenLinks();
+  changed_.NotifyAll();
+}
+
+Task<> ShardOwner::FollowJobs() {
+  const auto self = shared_from_this();
+  co_await jobs_.Follow([this] { return active_.load(); });
+}
+
+Task<> ShardOwner::FollowWorkers() {
+  const auto self = shared_from_this();
+  co_await workers_.Follow([this] { return active_.load(); });
+}
+
+void ShardOwner::OpenLinks() {
+  std::vector<std::shared_ptr<WorkerLink>> opened;
+  std::vector<WorkerId> ids;
+  table_.With([&](Table& table) {
+    for (const WorkerEntry& entry : table.shard.WorkersInCare()) {
+      if (table.links.count(entry->id) > 0) continue;
+      auto link = std::make_shared<WorkerLink>(
+          entry->id, shared_from_this(), context_.adapter.workers, context_.http, context_.pool);
+      table.links.emplace(entry->id, link);
+      opened.push_back(std::move(link));
+      ids.push_back(entry->id);
+    }
+  });
+  for (std::size_t i = 0; i < opened.size(); ++i) {
+    context_.pool.Spawn(RunLink(opened[i], ids[i]));
+  }
+}
+
+Task<> ShardOwner::RunLink(std::shared_ptr<WorkerLink> link, WorkerId worker) {
+  const auto self = shared_from_this();
+  co_await link->Run();
+  table_.With([&](Table& table) { table.links.erase(worker); });
+}
+
+std::optional<WorkerEntry> ShardOwner::EntryOf(const WorkerId& worker) {
+  if (!active_) return std::nullopt;
+  return table_.With([&](Table& table) { return table.shard.InCare(worker); });
+}
+
+Renewal ShardOwner::NextRenewal(const WorkerId& worker) {
+  return table_.With([&](Table& table) { return table.shard.NextRenewal(worker, Now()); });
+}
+
+void ShardOwner::Reported(const WorkerId& worker, const OrderAnswer& answer, Time asked) {
+  if (!active_) return;
+  table_.With([&](Table& table) { table.shard.Reported(worker, answer, asked, Now()); });
+  changed_.NotifyAll();
+}
+
+void ShardOwner::StartAnswered(const StartOrder& order, const std::optional<OrderAnswer>& answer) {
+  if (!active_) return;
+  table_.With([&](Table& table) { table.shard.StartAnswered(order, answer, Now()); });
+}
+
+void ShardOwner::StopAnswered(const StopOrder& order, const std::optional<OrderAnswer>& answer) {
+  if (!active_) return;
+  table_.With([&](Table& table) { table.shard.StopAnswered(order, answer, Now()); });
+}
+
+void ShardOwner::Fenced(const WorkerId& worker) {
+  if (!active_) return;
+  context_.log.Write("fenced-by-worker", worker.value, "token=" + std::to_string(token_));
+  Drop("fenced");
+  context_.fenced(shard_);
+}
+
+void ShardOwner::LogDecisions(const std::vector<Decision>& decisions) {
+  for (const Decision& decision : decisions) {
+    context_.log.Write(decision->kind, decision->subject, decision->detail);
+  }
+}
+
+void ShardOwner::SendOrders(const Orders& orders) {
+  const Links links = table_.With([](Table& table) { return table.links; });
+  const auto send = [&](const auto& list) {
+    for (const auto& order : list) {
+      const auto link = links.find(order->worker);
+      if (link != links.end()) link->second->Send(order);
+    }
+  };
+  send(orders.starts);
+  send(orders.stops);
+  send(orders.paces);
+}
+
+Task<> ShardOwner::PlanLoop() {
+  while (active_) {
+    const std::uint64_t ticket = changed_.Ticket();
+    const Time now = Now();
+    const std::int64_t wall = WallMs();
+    auto [orders, decisions] = table_.With([&](Table& table) {
+      table.shard.Plan(now, wall);
+      return std::make_pair(table.shard.TakeOrders(now), table.shard.TakeDecisions());
+    });
+    LogDecisions(decisions);
+    if (!orders.empty()) SendOrders(orders);
+    recorded_.NotifyAll();
+    co_await SleepFor(kPlanPause);
+    co_await changed_.Wait(ticket, now + kPlanPeriod);
+  }
+}
+
+Task<> ShardOwner::RecordLoop() {
+  const auto self = shared_from_this();
+  while (active_) {
+    const std::uint64_t ticket = recorded_.Ticket();
+    const RecordBatch batch = table_.With([](Table& table) { return table.shard.TakeBatch(); });
+    if (batch.empty()) {
+      co_await recorded_.Wait(ticket, Now() + kPlanPeriod);
+      continue;
+    }
+    std::vector<KeyedRecord> records;
+    for (const JobProgress& progress : batch.records) {
+      records.emplace_back(KeyedRecordFields{.key = FormatJobId(progress->id),
+                                             .value = EncodeJobProgress(progress)});
+    }
+    std::vector<KeyedRecord> gone;
+    for (const JobId id : batch.expired) {
+      gone.emplace_back(KeyedRecordFields{.key = FormatJobId(id), .value = std::nullopt});
+    }
+    // The job goes first: progress without a job is ignored, a job without
+    // progress would run again.
+    if (!gone.empty()) {
+      auto cleaned = co_await job_cleaner_->Append(gone, Now() + kNoDeadline);
+      if (cleaned) records.insert(records.end(), gone.begin(), gone.end());
+    }
+    if (!records.empty()) {
+      auto stored = co_await progress_->Append(std::move(records), Now() + kNoDeadline);
+      if (!active_) co_return;
+      if (!stored) {
+        Drop("fenced");
+        context_.fenced(shard_);
+        co_return;
+      }
+    }
+    const Time now = Now();
+    const Orders orders = table_.With([&](Table& table) {
+      table.shard.Recorded(batch, now);
+      return table.shard.TakeOrders(now);
+    });
+    SendOrders(orders);
+    recorded_.NotifyAll();
+  }
+}
+
+Task<Result<ShownState>> ShardOwner::StateOf(JobId id) {
+  if (!open_) co_return Errc::kUnavailable;
+  const auto look = [&] {
+    return table_.With([&](Table& table) { return table.shard.StateOf(id); });
+  };
+  ShownState state = look();
+  if (state == ShownState::kUnknown) {
+    // It may have been accepted a moment ago: reads to the end that the records
+    // have now.
+    auto polled = co_await jobs_.Poll(Duration(0));
+    if (!polled || !open_) co_return Errc::kUnavailable;
+    state = look();
+  }
+  co_return state;
+}
+
+Task<Result<bool>> ShardOwner::Cancel(JobId id, Time deadline) {
+  auto state = co_await StateOf(id);
+  if (!state) co_return state.error();
+  if (state.value() == ShownState::kUnknown) co_return false;
+  table_.With([&](Table& table) { table.shard.Cancel(id, Now()); });
+  changed_.NotifyAll();
+  recorded_.NotifyAll();
+  while (open_) {
+    const std::uint64_t ticket = recorded_.Ticket();
+    const ShownState shown = table_.With([&](Table& table) { return table.shard.StateOf(id); });
+    if (shown != ShownState::kPending && shown != ShownState::kRunning) co_return true;
+    if (Now() >= deadline) break;
+    co_await recorded_.Wait(ticket, deadline);
+  }
+  co_return Errc::kUnavailable;
+}
+
+Result<std::int64_t> ShardOwner::WaitingOf(const std::string& queue) {
+  if (!open_) return Errc::kUnavailable;
+  return table_.With([&](Table& table) { return table.shard.WaitingOf(queue); });
+}
+
+}  // namespace dn
--- /dev/null
+++ b/src/runtime/internal/decision_log.cc
@@ -0,0 +1,74 @@
+// Lines of JSON on standard output.
+#include "runtime/internal/decision_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <chrono>
+
+namespace dn {
+namespace {
+
+// Lines a second: a line costs about 10 us, so at most 0.2 % of a core.
+constexpr int kLinesPerWindow = 200;
+constexpr Duration kWindow{1'000};
+
+void AppendQuoted(std::string& out, std::string_view text) {
+  constexpr char kFirstPrintable = 0x20;
+  out.push_back('"');
+  for (const char c : text) {
+    if (c == '"' || c == '\\') out.push_back('\\');
+    out.push_back(c >= kFirstPrintable || c < 0 ? c : ' ');
+  }
+  out.push_back('"');
+}
+
+}  // namespace
+
+DecisionLog::DecisionLog(std::string instance) : instance_(std::move(instance)) {
+  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0) fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+std::uint64_t DecisionLog::left_out() const {
+  return budget_.With([](const Budget& budget) { return budget.left_out; });
+}
+
+void DecisionLog::Write(std::string_view kind, std::string_view subject, std::string_view detail) {
+  const Time now = Now();
+  const auto pending = budget_.With([&](Budget& budget) -> std::optional<std::uint64_t> {
+    if (now - budget.window >= kWindow) {
+      budget.window = now;
+      budget.lines = 0;
+    }
+    if (++budget.lines > kLinesPerWindow) {
+      ++budget.pending;
+      ++budget.left_out;
+      return std::nullopt;
+    }
+    return std::exchange(budget.pending, 0);
+  });
+  if (!pending) return;
+  const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
+                        std::chrono::system_clock::now().time_since_epoch())
+                        .count();
+  std::string line = R"({"at_ms":)" + std::to_string(wall) + R"(,"instance":)";
+  AppendQuoted(line, instance_);
+  line += R"(,"kind":)";
+  AppendQuoted(line, kind);
+  line += R"(,"subject":)";
+  AppendQuoted(line, subject);
+  line += R"(,"detail":)";
+  AppendQuoted(line, detail);
+  if (*pending > 0) line += R"(,"left_out":)" + std::to_string(*pending);
+  line += "}\n";
+  // A reader that does not keep up loses lines; they are counted.
+  const ssize_t written = ::write(STDOUT_FILENO, line.data(), line.size());
+  if (written == static_cast<ssize_t>(line.size())) return;
+  budget_.With([](Budget& budget) {
+    ++budget.pending;
+    ++budget.left_out;
+  });
+}
+
+}  // namespace dn
--- a/src/runtime/internal/http_client.cc
+++ b/src/runtime/internal/http_client.cc
@@ -16,7 +16,8 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
-constexpr std::size_t kMaxIdlePerPeer = 4;
+// Orders to one worker travel on four connections, renewals on a fifth.
+constexpr std::size_t kMaxIdlePerPeer = 6;
 constexpr Duration kMaxIdleTime{20'000};
 
 struct Connection {
@@ -37,6 +38,7 @@
                                                                : http::verb::post;
   http::request<http::string_body> request(verb, std::string(target.buffer()), 11);
   request.set(http::field::host, to.ToString());
+  for (const auto& [name, value] : call.headers) request.set(name, value);
   if (!call.known_tag.empty()) request.set(http::field::if_none_match, call.known_tag);
   request.body() = std::move(call.body);
   request.prepare_payload();
@@ -74,6 +76,12 @@
     });
   }
 
+  // A connection that fell silent is no sign of a dead peer, but its other idle
+  // connections may be silent as well.
+  void DropIdle(const Endpoint& to) {
+    idle.With([&](Idle& connections) { connections.erase(to); });
+  }
+
   static Task<Result<ConnectionPtr>> Connect(const Endpoint& to, Duration timeout) {
     boost::system::error_code error;
     const auto host = asio::ip::make_address(to.host, error);
@@ -127,6 +135,7 @@
   if (connection) {
     auto reply = co_await impl_->Exchange(*connection, request, timeout, kind, &keep_alive);
     if (reply && keep_alive) impl_->PutIdle(to, std::move(connection));
+    if (!reply && reply.error() == Errc::kTimeout) impl_->DropIdle(to);
     // The peer may have closed a kept connection; control messages are safe to
     // repeat.
     if (reply || reply.error() != Errc::kBroken) co_return reply;
--- a/src/runtime/internal/http_server.cc
+++ b/src/runtime/internal/http_server.cc
@@ -1,6 +1,7 @@
 // Control server over Beast.
 #include "runtime/internal/http_server.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
@@ -39,21 +40,33 @@
     for (const auto& parameter : url->params()) call.query[parameter.key] = parameter.value;
   }
   call.known_tag = std::string(request[http::field::if_none_match]);
+  for (const auto& field : request) {
+    std::string name(field.name_string());
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    call.headers.emplace(std::move(name), std::string(field.value()));
+  }
   call.body = std::move(request.body());
   return call;
 }
 
 class Server final : public HttpServer, public std::enable_shared_from_this<Server> {
  public:
-  Server(WorkerPool& pool, tcp::acceptor acceptor, Handler handler)
-      : pool_(pool), acceptor_(std::move(acceptor)), handler_(std::move(handler)) {}
+  Server(WorkerPool& pool, tcp::acceptor acceptor, Handler handler, HttpLimits limits)
+      : pool_(pool),
+        acceptor_(std::move(acceptor)),
+        handler_(std::move(handler)),
+        limits_(limits) {}
 
   Endpoint address() const override {
     const tcp::endpoint bound = acceptor_.local_endpoint();
     return {.host = bound.address().to_string(), .port = bound.port()};
   }
 
+  void EndConnections() override { ending_ = true; }
+
   void Close() override {
+    ending_ = true;
     closing_ = true;
     asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
       boost::system::error_code ignored;
@@ -83,8 +96,8 @@
     stream.socket().set_option(tcp::no_delay(true));
     while (!self->closing_) {
       http::request_parser<http::string_body> parser;
-      parser.header_limit(kMaxControlHeader);
-      parser.body_limit(kMaxControlBody);
+      parser.header_limit(static_cast<std::uint32_t>(self->limits_.header));
+      parser.body_limit(self->limits_.body);
       stream.expires_after(kIdleLimit);
       boost::system::error_code error;
       co_await http::async_read(stream, buffer, parser,
@@ -93,8 +106,9 @@
         co_await RejectMalformed(stream, error);
         co_return;
       }
-      const bool keep_alive = parser.get().keep_alive();
+      const bool asked_to_keep = parser.get().keep_alive();
       HttpReply reply = co_await self->handler_(CallOf(parser.release()));
+      const bool keep_alive = asked_to_keep && !self->ending_;
       co_await Write(stream, std::move(reply), keep_alive, error);
       if (error || !keep_alive) co_return;
     }
@@ -113,6 +127,7 @@
                       boost::system::error_code& error) {
     http::response<http::string_body> response(static_cast<http::status>(reply.status), 11);
     response.set(http::field::content_type, reply.content_type);
+    for (const auto& [name, value] : reply.headers) response.set(name, value);
     if (!reply.tag.empty()) response.set(http::field::etag, reply.tag);
     response.body() = std::move(reply.body);
     response.keep_alive(keep_alive);
@@ -124,7 +139,9 @@
   WorkerPool& pool_;
   tcp::acceptor acceptor_;
   const Handler handler_;
-  std::atomic<bool> closing_{false};
+  const HttpLimits limits_;
+  std::atomic<bool> ending_{false};   // Replies end their connections.
+  std::atomic<bool> closing_{false};  // No connection is accepted.
 };
 
 // Keeps the shared server alive for its owner and closes it at the end.
@@ -134,6 +151,7 @@
       : server_(std::move(server)), address_(server_->address()) {}
   ~Handle() override { server_->Close(); }
   Endpoint address() const override { return address_; }
+  void EndConnections() override { server_->EndConnections(); }
   void Close() override { server_->Close(); }
 
  private:
@@ -144,11 +162,12 @@
 }  // namespace
 
 Result<std::unique_ptr<HttpServer>> HttpServer::Start(WorkerPool& pool, const Endpoint& address,
-                                                      Handler handler) {
+                                                      Handler handler, HttpLimits limits) {
   auto acceptor = Listen(pool, address);
   if (!acceptor) return acceptor.error();
   const auto executor = acceptor.value().get_executor();
-  auto server = std::make_shared<Server>(pool, std::move(acceptor).value(), std::move(handler));
+  auto server =
+      std::make_shared<Server>(pool, std::move(acceptor).value(), std::move(handler), limits);
   asio::co_spawn(executor, server->Accept(), asio::detached);
   return std::unique_ptr<HttpServer>(std::make_unique<Handle>(std::move(server)));
 }
--- a/src/runtime/internal/http_types.h
+++ b/src/runtime/internal/http_types.h
@@ -16,6 +16,8 @@
   std::map<std::string, std::string> query;
   std::string body;
   std::string known_tag = {};  // Tag of the answer that the caller has.
+  // Received calls: all headers, by lower-case name. Sent calls: extra headers.
+  std::map<std::string, std::string> headers = {};
 
   auto operator<=>(const HttpCall&) const = default;
 };
@@ -24,7 +26,8 @@
   int status = 200;
   std::string body;
   std::string content_type = "application/json";
-  std::string tag = {};  // Names this version of the answer.
+  std::string tag = {};                             // Names this version of the answer.
+  std::map<std::string, std::string> headers = {};  // Sent replies: extra headers.
 
   auto operator<=>(const HttpReply&) const = default;
 };
@@ -32,16 +35,17 @@
 inline constexpr int kStatusNotModified = 304;  // The caller has this version.
 
 // What a message is for; bytes are counted by kind.
-enum class TrafficKind { kLog, kList, kSibling, kLease, kRelay, kOperator };
+enum class TrafficKind { kLog, kList, kSibling, kLease, kRelay, kOperator, kStore };
 template <>
 struct EnumNames<TrafficKind> {
-  static constexpr std::array<EnumName<TrafficKind>, 6> kNames = {
+  static constexpr std::array<EnumName<TrafficKind>, 7> kNames = {
       {{TrafficKind::kLog, "log"},
        {TrafficKind::kList, "list"},
        {TrafficKind::kSibling, "sibling"},
        {TrafficKind::kLease, "lease"},
        {TrafficKind::kRelay, "relay"},
-       {TrafficKind::kOperator, "operator"}}};
+       {TrafficKind::kOperator, "operator"},
+       {TrafficKind::kStore, "store"}}};
 };
 
 }  // namespace dn
--- a/src/runtime/internal/lock_order.h
+++ b/src/runtime/internal/lock_order.h
@@ -16,6 +16,11 @@
 //   kSiblings       heartbeats heard               sibling
 //   kAppends        records waiting for an append  platform_log
 //   kConnections    idle connections               runtime, backend_server
+//   kCatalogue      configuration in force         node
+//   kMembership     shards that this node owns     store
+//   kShard          jobs and workers of a shard    node
+//   kOrders         orders that wait for a lane    task_worker
+//   kRecords        records that wait for append   store
 //   kEvents         ring of events                 runtime
 //   kMetrics        counters and histograms        runtime
 #pragma once
@@ -37,6 +42,11 @@
   kHolders = 90,
   kPlanner = 95,
   kSiblings = 100,
+  kCatalogue = 101,
+  kMembership = 102,
+  kShard = 104,
+  kOrders = 106,
+  kRecords = 108,
   kAppends = 110,
   kConnections = 120,
   kEvents = 130,
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -4,6 +4,7 @@
 
 #include "runtime/internal/append_pace.h"
 #include "runtime/internal/connection_pool.h"
+#include "runtime/internal/decision_log.h"
 #include "runtime/internal/event_log.h"
 #include "runtime/internal/http_client.h"
 #include "runtime/internal/http_server.h"
--- /dev/null
+++ b/src/scheduling/internal/job_table.cc
@@ -0,0 +1,196 @@
+// Bookkeeping of jobs and tasks.
+#include "scheduling/internal/job_table.h"
+
+#include <algorithm>
+
+namespace dn {
+namespace {
+
+// Longest path through the steps, by estimated run time.
+std::int64_t LongestChain(const std::vector<StepSpec>& steps) {
+  std::vector<std::int64_t> finish(steps.size(), 0);
+  std::int64_t longest = 0;
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    std::int64_t start = 0;
+    for (const int earlier : steps[i]->after) {
+      start = std::max(start, finish[static_cast<std::size_t>(earlier)]);
+    }
+    finish[i] = start + steps[i]->estimate_ms;
+    longest = std::max(longest, finish[i]);
+  }
+  return longest;
+}
+
+}  // namespace
+
+std::size_t JobState::PositionOf(const TaskKey& key) const {
+  const auto step = static_cast<std::size_t>(key.step);
+  return static_cast<std::size_t>(key.occurrence) * tasks_per_occurrence + step_offset[step] +
+         static_cast<std::size_t>(key.index);
+}
+
+TaskKey JobState::KeyOf(std::size_t position) const {
+  const std::size_t within = position % tasks_per_occurrence;
+  const auto next = std::upper_bound(step_offset.begin(), step_offset.end(), within);
+  const auto step = static_cast<std::size_t>(next - step_offset.begin()) - 1;
+  return {.job = accepted->id,
+          .occurrence = static_cast<int>(position / tasks_per_occurrence),
+          .step = static_cast<int>(step),
+          .index = static_cast<int>(within - step_offset[step])};
+}
+
+const StepSpec& JobState::StepOf(std::size_t position) const {
+  return accepted->spec->steps[static_cast<std::size_t>(KeyOf(position).step)];
+}
+
+std::pair<std::size_t, std::size_t> JobState::RangeOf(std::size_t occurrence,
+                                                      std::size_t step) const {
+  const std::size_t first = occurrence * tasks_per_occurrence + step_offset[step];
+  return {first, first + static_cast<std::size_t>(accepted->spec->steps[step]->count)};
+}
+
+bool JobState::StepDone(std::size_t occurrence, std::size_t step) const {
+  const auto [first, last] = RangeOf(occurrence, step);
+  return std::all_of(tasks.begin() + static_cast<std::ptrdiff_t>(first),
+                     tasks.begin() + static_cast<std::ptrdiff_t>(last),
+                     [](const TaskRow& task) { return task.phase == TaskPhase::kDone; });
+}
+
+bool JobState::StepReady(std::size_t occurrence, std::size_t step) const {
+  const std::vector<int>& after = accepted->spec->steps[step]->after;
+  return std::all_of(after.begin(), after.end(), [&](int earlier) {
+    return StepDone(occurrence, static_cast<std::size_t>(earlier));
+  });
+}
+
+std::int64_t JobState::objective_ms() const {
+  return static_cast<std::int64_t>(accepted->queue->stretch *
+                                   static_cast<double>(longest_chain_ms)) +
+         accepted->queue->target_latency_ms;
+}
+
+bool JobTable::Accept(const AcceptedJob& accepted, Time now) {
+  const auto [entry, added] = jobs_.try_emplace(accepted->id);
+  if (!added) return false;
+  JobState& job = entry->second;
+  job.accepted = accepted;
+  job.seen = now;
+  for (const StepSpec& step : accepted->spec->steps) {
+    job.step_offset.push_back(job.tasks_per_occurrence);
+    job.tasks_per_occurrence += static_cast<std::size_t>(step->count);
+  }
+  job.longest_chain_ms = LongestChain(accepted->spec->steps);
+  if (accepted->spec->occurrences == 0) {
+    job.tasks.resize(job.tasks_per_occurrence);
+    job.waiting = job.tasks.size();
+  }
+  return true;
+}
+
+void JobTable::Unfold(JobState& job, std::int64_t wall_ms) {
+  const JobSpec& spec = job.accepted->spec;
+  while (job.occurrences() < static_cast<std::size_t>(spec->occurrences)) {
+    const std::int64_t due =
+        spec->first_due_ms + static_cast<std::int64_t>(job.occurrences()) * spec->interval_ms;
+    if (wall_ms < due) return;
+    job.tasks.resize(job.tasks.size() + job.tasks_per_occurrence);
+    job.waiting += job.tasks_per_occurrence;
+  }
+}
+
+void JobTable::Restore(const JobProgress& progress, Time now) {
+  JobState* job = Find(progress->id);
+  if (job == nullptr) return;
+  if (job->tasks.size() < progress->tasks.size()) job->tasks.resize(progress->tasks.size());
+  job->done = 0;
+  job->waiting = 0;
+  for (std::size_t i = 0; i < progress->tasks.size(); ++i) {
+    const TaskProgress& from = progress->tasks[i];
+    TaskRow& task = job->tasks[i];
+    task = TaskRow();
+    task.phase = from->phase;
+    task.run = from->run;
+    task.failures = from->failures;
+    task.worker = {from->worker};
+    task.born_ms = from->born_ms;
+    task.checkpoint = from->checkpoint;
+    task.since = now;
+    task.progressed = now;
+    task.stage = StartStage::kSent;
+    task.inherited = from->phase == TaskPhase::kPlaced;
+    if (from->run > 0) job->begun = true;
+  }
+  for (const TaskRow& task : job->tasks) {
+    if (task.phase == TaskPhase::kDone) ++job->done;
+    if (task.phase == TaskPhase::kWaiting) ++job->waiting;
+  }
+  job->phase = progress->phase;
+  job->recorded_phase = progress->phase;
+  if (job->phase != JobPhase::kOpen) job->finished_at = now;
+}
+
+JobState* JobTable::Find(JobId id) {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+const JobState* JobTable::Find(JobId id) const {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+TaskRow* JobTable::Find(const TaskKey& key) {
+  JobState* job = Find(key.job);
+  if (job == nullptr || key.step < 0 || key.occurrence < 0 || key.index < 0) return nullptr;
+  if (static_cast<std::size_t>(key.step) >= job->step_offset.size()) return nullptr;
+  if (key.index >= job->accepted->spec->steps[static_cast<std::size_t>(key.step)]->count) {
+    return nullptr;
+  }
+  const std::size_t position = job->PositionOf(key);
+  return position < job->tasks.size() ? &job->tasks[position] : nullptr;
+}
+
+void JobTable::SetPhase(JobState& job, std::size_t position, TaskPhase phase, Time now) {
+  TaskRow& task = job.tasks[position];
+  if (task.phase == TaskPhase::kDone) --job.done;
+  if (task.phase == TaskPhase::kWaiting) --job.waiting;
+  if (phase == TaskPhase::kDone) ++job.done;
+  if (phase == TaskPhase::kWaiting) ++job.waiting;
+  task.phase = phase;
+  task.since = now;
+  MarkDirty(job);
+}
+
+void JobTable::MarkDirty(JobState& job) {
+  if (job.dirty) return;
+  job.dirty = true;
+  dirty_.insert(job.accepted->id);
+}
+
+void JobTable::ClearDirty() {
+  for (const JobId id : dirty_) {
+    if (JobState* job = Find(id)) job->dirty = false;
+  }
+  dirty_.clear();
+}
+
+void JobTable::Erase(JobId id) {
+  jobs_.erase(id);
+  dirty_.erase(id);
+}
+
+JobProgress JobTable::ProgressOf(const JobState& job) {
+  JobProgressFields progress{.id = job.accepted->id, .phase = job.phase, .tasks = {}};
+  progress.tasks.reserve(job.tasks.size());
+  for (const TaskRow& task : job.tasks) {
+    progress.tasks.emplace_back(TaskProgressFields{.phase = task.phase,
+                                                   .run = task.run,
+                                                   .failures = task.failures,
+                                                   .worker = task.worker.value,
+                                                   .born_ms = task.born_ms,
+                                                   .checkpoint = task.checkpoint});
+  }
+  return JobProgress(std::move(progress));
+}
+
+}  // namespace dn
--- /dev/null
+++ b/src/scheduling/internal/pace_control.h
@@ -0,0 +1,26 @@
+// Slows fills down on workers whose serving tasks are over their target, and
+// speeds them up again.
+#pragma once
+
+#include <vector>
+
+#include "scheduling/internal/interference.h"
+#include "scheduling/internal/worker_table.h"
+
+namespace dn {
+
+// A change of one fill's pace.
+struct PaceChange {
+  TaskRef task;
+  int percent = 100;
+
+  friend auto operator<=>(const PaceChange&, const PaceChange&) = default;
+};
+
+// Changes that `worker` needs now. Only confirmed runs are changed.
+std::vector<PaceChange> PaceChanges(const WorkerState& worker,
+                                    const std::map<JobId, JobState>& jobs,
+                                    const Interference& interference, const Policy& policy,
+                                    Time now);
+
+}  // namespace dn
--- /dev/null
+++ b/src/scheduling/internal/placement_policy.cc
@@ -0,0 +1,117 @@
+// Placement: serving tasks are packed, fills go where they harm least.
+#include "scheduling/internal/placement_policy.h"
+
+#include <algorithm>
+#include <array>
+
+namespace dn {
+namespace {
+
+// A report lags by this much: half a second of averaging and half of delay.
+constexpr Duration kReportLag{900};
+// Weight of unused memory against unused cores in best fit, both as shares.
+constexpr double kMemoryWeight = 0.3;
+
+double ShareOf(std::int64_t part, std::int64_t whole) {
+  return whole <= 0 ? 0.0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+// Best fit: the fullest worker that still has room.
+class PackingRule final : public PlacementRule {
+ public:
+  std::optional<double> Cost(const WorkerState& worker, const StepSpec& step,
+                             const PlacementView& /*view*/) const override {
+    const Resources free = worker.Free();
+    const Resources& capacity = worker.entry->capacity;
+    return ShareOf(free.millicores - step->demand.millicores, capacity.millicores) +
+           kMemoryWeight * ShareOf(free.memory_mb - step->demand.memory_mb, capacity.memory_mb);
+  }
+};
+
+// Fills use cores that others leave. The highest expected tail latency on the
+// worker, as a share of its target, decides.
+class FillRule final : public PlacementRule {
+ public:
+  std::optional<double> Cost(const WorkerState& worker, const StepSpec& step,
+                             const PlacementView& view) const override {
+    const std::int64_t leftover = LeftoverOf(worker, view);
+    if (leftover < step->demand.millicores) return std::nullopt;
+    const double harm = ExpectedRatio(worker, step, view);
+    if (harm > view.policy->target_share) return std::nullopt;
+    // Among workers with equal harm: the one with most left over.
+    return harm - kLeftoverWeight * ShareOf(leftover, worker.entry->capacity.millicores);
+  }
+
+ private:
+  static constexpr double kLeftoverWeight = 0.1;
+
+  static std::int64_t LeftoverOf(const WorkerState& worker, const PlacementView& view) {
+    const auto serving = static_cast<std::int64_t>(static_cast<double>(worker.serving_millicores) *
+                                                   view.policy->serving_use);
+    const std::int64_t batch = worker.reserved.millicores - worker.serving_millicores;
+    return worker.entry->capacity.millicores - serving - batch - worker.fill_millicores;
+  }
+
+  // Largest ratio over the serving tasks of the worker once `step` runs there.
+  static double ExpectedRatio(const WorkerState& worker, const StepSpec& step,
+                              const PlacementView& view) {
+    double worst = 0;
+    for (const TaskRef& ref : worker.tasks) {
+      const JobState& job = view.jobs.at(ref.job);
+      const StepSpec& serving = job.StepOf(ref.position);
+      if (!serving->long_running || serving->target_latency_ms <= 0) continue;
+      const TaskRow& task = job.tasks[ref.position];
+      double ratio = ShareOf(task.observed, serving->target_latency_ms) +
+                     view.interference.Harm(serving->image, step->image);
+      for (const TaskRef& other : worker.tasks) {
+        const JobState& other_job = view.jobs.at(other.job);
+        const StepSpec& fill = other_job.StepOf(other.position);
+        if (!fill->fills) continue;
+        // Not yet in the reported figure.
+        if (view.now - other_job.tasks[other.position].since < kReportLag) {
+          ratio += view.interference.Harm(serving->image, fill->image);
+        }
+      }
+      worst = std::max(worst, ratio);
+    }
+    return worst;
+  }
+};
+
+}  // namespace
+
+StepKind KindOf(const StepSpec& step) {
+  if (step->fills) return StepKind::kFill;
+  return step->long_running ? StepKind::kServing : StepKind::kBatch;
+}
+
+const PlacementRule& PlacementRuleFor(StepKind kind) {
+  static const PackingRule kPacking;
+  static const FillRule kFill;
+  static const std::array<const PlacementRule*, 3> kRules = {&kPacking, &kPacking, &kFill};
+  return *kRules.at(static_cast<std::size_t>(kind));
+}
+
+bool MayHold(const WorkerState& worker, const JobState& job, std::size_t position, Time now) {
+  const StepSpec& step = job.StepOf(position);
+  const WorkerEntry& entry = worker.entry;
+  if (!worker.listed || entry->draining || !worker.confirmed) return false;
+  if (entry->service != job.accepted->queue->service) return false;
+  if (worker.born_ms != entry->born_ms || now < worker.avoid_until) return false;
+  const Resources free = worker.Free();
+  if (free.memory_mb < step->demand.memory_mb) return false;
+  if (free.accelerators < step->demand.accelerators) return false;
+  if (!step->fills && free.millicores < step->demand.millicores) return false;
+  if (!step->required_label.empty() && !worker.HasLabel(step->required_label)) return false;
+  if (step->max_per_worker > 0) {
+    const TaskKey key = job.KeyOf(position);
+    const auto [first, last] =
+        job.RangeOf(static_cast<std::size_t>(key.occurrence), static_cast<std::size_t>(key.step));
+    const auto from = worker.tasks.lower_bound({.job = key.job, .position = first});
+    const auto to = worker.tasks.lower_bound({.job = key.job, .position = last});
+    if (std::distance(from, to) >= step->max_per_worker) return false;
+  }
+  return true;
+}
+
+}  // namespace dn
--- /dev/null
+++ b/src/scheduling/internal/shard.cc
@@ -0,0 +1,695 @@
+// Decisions of a shard's owner.
+#include "scheduling/internal/shard.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace dn {
+namespace {
+
+// Renewals wait at the worker for an end this long. Workers where tail latency
+// has to be watched are asked more often.
+constexpr std::int64_t kWaitWatchedMs = 400;
+constexpr std::int64_t kWaitBusyMs = 1'000;
+constexpr std::int64_t kWaitIdleMs = 2'000;  // Longest that the platform allows.
+// Longest silence after which leases are still renewed: one renewal that waited
+// in vain and its retry.
+constexpr Duration kSilenceLimit{2'500};
+// Starts without an answer before the run is revoked.
+constexpr int kMaxStartAttempts = 3;
+// A stop is repeated until a report shows its effect: the platform's limit on a
+// stop and a round trip.
+constexpr Duration kStopRepeat{1'000};
+// Reports in a row without a confirmed run until it counts as lost; one may
+// have overtaken the start's answer.
+constexpr int kMaxMissing = 3;
+// Jobs that are late by more than this multiple of their objective earn
+// nothing and go last.
+constexpr std::int64_t kWorthlessFactor = 3;
+constexpr int kWhole = 100;  // Percent of a task at work.
+
+std::string TextOf(const TaskKey& key) {
+  return FormatJobId(key.job) + "." + std::to_string(key.occurrence) + "." +
+         std::to_string(key.step) + "." + std::to_string(key.index);
+}
+
+}  // namespace
+
+Shard::Shard(Policy policy, FencingToken token)
+    : policy_(policy), token_(token), workers_(std::move(policy)) {}
+
+void Shard::Decide(std::string kind, std::string subject, std::string detail) {
+  decisions_.emplace_back(DecisionFields{
+      .kind = std::move(kind), .subject = std::move(subject), .detail = std::move(detail)});
+}
+
+std::vector<Decision> Shard::TakeDecisions() { return std::exchange(decisions_, {}); }
+
+void Shard::Accept(const AcceptedJob& job, Time now) { jobs_.Accept(job, now); }
+
+void Shard::Restore(const JobProgress& progress, Time now) {
+  jobs_.Restore(progress, now);
+  JobState* job = jobs_.Find(progress->id);
+  if (job == nullptr) {
+    Decide("progress-without-job", FormatJobId(progress->id), "ignored");
+    return;
+  }
+  for (std::size_t i = 0; i < job->tasks.size(); ++i) {
+    TaskRow& task = job->tasks[i];
+    if (task.phase != TaskPhase::kPlaced) continue;
+    WorkerTable::Reserve(workers_.FindOrAdd(task.worker, now), {job->accepted->id, i},
+                         job->StepOf(i));
+    task.stopping = job->phase != JobPhase::kOpen;
+  }
+}
+
+void Shard::WorkerListed(const WorkerEntry& entry, Time now) { workers_.Listed(entry, now); }
+
+void Shard::WorkerUnlisted(const WorkerId& id, Time now) {
+  workers_.Unlisted(id, now);
+  Decide("worker-unlisted", id.value, "");
+}
+
+std::optional<WorkerEntry> Shard::InCare(const WorkerId& id) {
+  const WorkerState* worker = workers_.Find(id);
+  if (worker == nullptr || worker->entry->address.port == 0) return std::nullopt;
+  if (!worker->listed && worker->tasks.empty()) return std::nullopt;
+  return worker->entry;
+}
+
+std::vector<WorkerEntry> Shard::WorkersInCare() const {
+  std::vector<WorkerEntry> out;
+  for (const auto& [id, worker] : workers_.workers()) {
+    if (worker.entry->address.port == 0) continue;
+    if (worker.listed || !worker.tasks.empty()) out.push_back(worker.entry);
+  }
+  return out;
+}
+
+Renewal Shard::NextRenewal(const WorkerId& id, Time now) {
+  WorkerState* worker = workers_.Find(id);
+  if (worker == nullptr) return Renewal({.worker = id, .token = token_});
+  // A worker that does not answer gets no further lease: its tasks can then be
+  // known to be over soon after.
+  std::optional<ClockReading> until;
+  if (now - worker->last_report < kSilenceLimit) until = workers_.LeaseEnd(*worker, now);
+  if (until) workers_.LeaseGranted(*worker, now);
+  std::int64_t wait = worker->tasks.empty() ? kWaitIdleMs : kWaitBusyMs;
+  if (worker->fill_millicores > 0 && worker->serving_millicores > 0) wait = kWaitWatchedMs;
+  return Renewal({.worker = id,
+                  .lease_until = until.value_or(0),
+                  .ends_seen = worker->ends_recorded,
+                  .wait_ms = worker->confirmed ? wait : 0,
+                  .token = token_});
+}
+
+void Shard::Reported(const WorkerId& id, const OrderAnswer& answer, Time asked, Time now) {
+  WorkerState* worker = workers_.Find(id);
+  if (worker == nullptr || answer->refusal != OrderRefusal::kNone) return;
+  const RunReport& report = answer->report;
+  if (worker->born_ms != report->born_ms) {
+    if (worker->born_ms != 0) {
+      Decide("worker-reborn", id.value, "born=" + std::to_string(report->born_ms));
+    }
+    worker->born_ms = report->born_ms;
+    worker->ends_seen = 0;
+    worker->ends_recorded = 0;
+    worker->failed_jobs.clear();
+    ends_taken_.erase(id);
+  }
+  worker->clock = {report->clock, now};
+  worker->confirmed = true;
+  worker->last_report = now;
+  for (const EndedTask& end : report->ended) {
+    if (end->number <= worker->ends_seen) continue;
+    ApplyEnd(*worker, end, now);
+    worker->ends_seen = end->number;
+  }
+  for (const RunningTask& running : report->running) ApplyRunning(*worker, running, now);
+  Reconcile(*worker, report, asked, now);
+  ObserveInterference(*worker);
+}
+
+void Shard::ApplyEnd(WorkerState& worker, const EndedTask& end, Time now) {
+  TaskRow* task = jobs_.Find(end->task);
+  if (task == nullptr || task->phase == TaskPhase::kDone || end->run != task->run) {
+    Decide("end-ignored", TextOf(end->task),
+           "run=" + std::to_string(end->run) + " how=" + std::string(NameOf(end->kind)));
+    if (task != nullptr) task->run = std::max(task->run, end->run);
+    return;
+  }
+  JobState& job = *jobs_.Find(end->task.job);
+  const std::size_t position = job.PositionOf(end->task);
+  const StepSpec& step = job.StepOf(position);
+  auto [first, last] = job.RangeOf(static_cast<std::size_t>(end->task.occurrence),
+                                   static_cast<std::size_t>(end->task.step));
+  if (!step->gang) {
+    first = position;
+    last = position + 1;
+  }
+  if (!end->checkpoint.empty()) {
+    for (std::size_t i = first; i < last; ++i) job.tasks[i].checkpoint = end->checkpoint;
+  }
+  if (end->kind == EndKind::kDone && !step->long_running) {
+    worker.failed_jobs.clear();
+    for (std::size_t i = first; i < last; ++i) {
+      if (job.tasks[i].phase != TaskPhase::kDone) Unplace(job, i, TaskPhase::kDone, now);
+    }
+    FinishIfDone(job, now);
+    return;
+  }
+  if (task->phase != TaskPhase::kPlaced) return;
+  Decide("task-ended", TextOf(end->task),
+         "run=" + std::to_string(end->run) + " worker=" + worker.entry->id.value +
+             " how=" + std::string(NameOf(end->kind)));
+  Unplace(job, position, TaskPhase::kWaiting, now);
+  if (end->kind == EndKind::kFailed) CountFailure(worker, job, position, now);
+}
+
+void Shard::CountFailure(WorkerState& worker, JobState& job, std::size_t position, Time now) {
+  const StepSpec& step = job.StepOf(position);
+  const TaskKey key = job.KeyOf(position);
+  const auto [first, last] =
+      job.RangeOf(static_cast<std::size_t>(key.occurrence), static_cast<std::size_t>(key.step));
+  TaskRow& counted = job.tasks[step->gang ? first : position];
+  const int run = job.tasks[position].run;
+  if (counted.last_failed_run == run) return;
+  counted.last_failed_run = run;
+  ++counted.failures;
+  job.tasks[position].not_before = now + policy_->retry_delay;
+  // A task that fails again and again elsewhere says nothing about the worker.
+  if (counted.failures == 1) worker.failed_jobs.insert(key.job);
+  if (worker.failed_jobs.size() >= static_cast<std::size_t>(policy_->quarantine_failures)) {
+    worker.avoid_until = now + policy_->quarantine;
+    Decide("worker-quarantined", worker.entry->id.value,
+           "failed_jobs=" + std::to_string(worker.failed_jobs.size()));
+    worker.failed_jobs.clear();
+  }
+  if (step->long_running || counted.failures < job.accepted->queue->max_attempts) return;
+  if (job.phase != JobPhase::kOpen) return;
+  job.phase = JobPhase::kFailed;
+  job.finished_at = now;
+  Decide("job-failed", FormatJobId(key.job),
+         "task=" + TextOf(key) + " failures=" + std::to_string(counted.failures));
+  StopAll(job);
+}
+
+void Shard::FinishIfDone(JobState& job, Time now) {
+  const auto occurrences = static_cast<std::size_t>(std::max(1, job.accepted->spec->occurrences));
+  if (job.phase != JobPhase::kOpen || job.occurrences() < occurrences) return;
+  if (job.done < job.tasks.size()) return;
+  job.phase = JobPhase::kCompleted;
+  job.finished_at = now;
+  jobs_.MarkDirty(job);
+  Decide("job-completed", FormatJobId(job.accepted->id),
+         "after_ms=" + std::to_string((now - job.seen).count()) +
+             " objective_ms=" + std::to_string(job.objective_ms()));
+}
+
+void Shard::StopAll(JobState& job) {
+  jobs_.MarkDirty(job);
+  for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+    TaskRow& task = job.tasks[i];
+    if (task.phase != TaskPhase::kPlaced) continue;
+    if (task.stage == StartStage::kUnrecorded) {
+      Unplace(job, i, TaskPhase::kWaiting, task.since);
+    } else {
+      task.stopping = true;
+    }
+  }
+}
+
+void Shard::Unplace(JobState& job, std::size_t position, TaskPhase phase, Time now) {
+  TaskRow& task = job.tasks[position];
+  if (task.phase == TaskPhase::kPlaced) {
+    if (WorkerState* worker = workers_.Find(task.worker)) {
+      WorkerTable::Release(*worker, {job.accepted->id, position}, job.StepOf(position));
+    }
+  }
+  task.worker = {};
+  task.stopping = false;
+  task.inherited = false;
+  task.revoked.reset();
+  task.over_target_since.reset();
+  task.missing = 0;
+  task.start_attempts = 0;
+  task.pace = kWhole;
+  task.stage = StartStage::kUnrecorded;
+  jobs_.SetPhase(job, position, phase, now);
+}
+
+void Shard::ApplyRunning(WorkerState& worker, const RunningTask& running, Time now) {
+  TaskRow* task = jobs_.Find(running->task);
+  const bool ours = task != nullptr && task->phase == TaskPhase::kPlaced &&
+                    task->worker == worker.entry->id && task->run == running->run;
+  if (!ours) {
+    Decide("stray-run", TextOf(running->task),
+           "run=" + std::to_string(running->run) + " worker=" + worker.entry->id.value);
+    stray_stops_.emplace_back(StopOrderFields{
+        .worker = worker.entry->id, .task = running->task, .run = running->run, .token = token_});
+    return;
+  }
+  task->stage = StartStage::kConfirmed;
+  task->inherited = false;
+  task->born_ms = worker.born_ms;
+  task->missing = 0;
+  task->observed = running->observed;
+  if (!running->checkpoint.empty()) task->checkpoint = running->checkpoint;
+  if (task->progress != running->progress_percent || task->progressed < task->since) {
+    task->progress = running->progress_percent;
+    task->progressed = now;
+  }
+  const JobState& job = *jobs_.Find(running->task.job);
+  const StepSpec& step = job.StepOf(job.PositionOf(running->task));
+  if (!step->long_running || step->target_latency_ms <= 0) return;
+  const bool over = task->progress >= kWhole &&
+                    static_cast<double>(task->observed) >
+                        policy_->target_share * static_cast<double>(step->target_latency_ms);
+  if (!over) task->over_target_since.reset();
+  if (over && !task->over_target_since) task->over_target_since = now;
+}
+
+void Shard::Reconcile(WorkerState& worker, const RunReport& report, Time asked, Time now) {
+  std::set<TaskKey> running;
+  for (const RunningTask& run : report->running) running.insert(run->task);
+  const std::set<TaskRef> placed = worker.tasks;
+  for (const TaskRef& ref : placed) {
+    JobState& job = *jobs_.Find(ref.job);
+    TaskRow& task = job.tasks[ref.position];
+    if (task.stage == StartStage::kUnrecorded || running.count(job.KeyOf(ref.position)) > 0) {
+      continue;
+    }
+    const char* lost = nullptr;
+    if (task.revoked && asked > *task.revoked) lost = "revoked";
+    if (task.stage == StartStage::kConfirmed && ++task.missing >= kMaxMissing) lost = "missing";
+    if (task.stage == StartStage::kConfirmed && task.born_ms != worker.born_ms) lost = "reborn";
+    // Orders of earlier owners are refused since the worker answered with our
+    // token: what did not start by then never will.
+    if (task.inherited) lost = "never-started";
+    if (lost == nullptr) continue;
+    Decide(
+        "task-lost", TextOf(job.KeyOf(ref.position)),
+        "run=" + std::to_string(task.run) + " worker=" + worker.entry->id.value + " cause=" + lost);
+    Unplace(job, ref.position, TaskPhase::kWaiting, now);
+  }
+}
+
+void Shard::ObserveInterference(const WorkerState& worker) {
+  if (worker.serving_millicores == 0) return;
+  // A report lags: a fill counts by how much of the averaged time it worked.
+  constexpr Duration kReportDelay{300};
+  constexpr double kAveragedMs = 500;
+  Interference::Fills fills;
+  for (const TaskRef& ref : worker.tasks) {
+    const JobState& job = *jobs_.Find(ref.job);
+    const StepSpec& step = job.StepOf(ref.position);
+    if (!step->fills) continue;
+    const TaskRow& task = job.tasks[ref.position];
+    const Time changed = std::max(task.since, task.paced);
+    const double worked =
+        static_cast<double>((worker.last_report - changed - kReportDelay).count()) / kAveragedMs;
+    fills[step->image] += std::clamp(worked, 0.0, 1.0) * task.pace / kWhole;
+  }
+  const double load =
+      static_cast<double>(worker.serving_millicores) /
+      static_cast<double>(std::max<std::int64_t>(1, worker.entry->capacity.millicores));
+  for (const TaskRef& ref : worker.tasks) {
+    const JobState& job = *jobs_.Find(ref.job);
+    const StepSpec& step = job.StepOf(ref.position);
+    const TaskRow& task = job.tasks[ref.position];
+    if (!step->long_running || step->target_latency_ms <= 0 || task.progress < kWhole) continue;
+    interference_.Observe(
+        step->image, fills, load,
+        static_cast<double>(task.observed) / static_cast<double>(step->target_latency_ms));
+  }
+}
+
+void Shard::StartAnswered(const StartOrder& order, const std::optional<OrderAnswer>& answer,
+                          Time now) {
+  TaskRow* task = jobs_.Find(order->task);
+  if (task == nullptr || task->phase != TaskPhase::kPlaced || task->run != order->run) return;
+  if (task->worker != order->worker) return;
+  JobState& job = *jobs_.Find(order->task.job);
+  const std::size_t position = job.PositionOf(order->task);
+  if (!answer) {
+    if (task->stage == StartStage::kConfirmed || task->stopping) return;
+    if (++task->start_attempts < kMaxStartAttempts) {
+      if (auto again = StartOf(job, position, now)) starts_.push_back(*std::move(again));
+      return;
+    }
+    Decide("start-revoked", TextOf(order->task),
+           "run=" + std::to_string(order->run) + " worker=" + order->worker.value);
+    task->stopping = true;
+    return;
+  }
+  if ((*answer)->refusal == OrderRefusal::kNone) {
+    task->stage = StartStage::kConfirmed;
+    task->progressed = now;
+    return;
+  }
+  Decide("start-refused", TextOf(order->task),
+         "run=" + std::to_string(order->run) + " worker=" + order->worker.value +
+             " reason=" + std::string(NameOf((*answer)->refusal)));
+  // An earlier copy of this start got no answer: it may still take effect.
+  if (task->start_attempts > 0 && (*answer)->refusal != OrderRefusal::kObsolete) {
+    task->stopping = true;
+    return;
+  }
+  if (WorkerState* worker = workers_.Find(order->worker)) {
+    worker->avoid_until = std::max(worker->avoid_until, now + policy_->avoid_after_refusal);
+  }
+  if (task->stage == StartStage::kConfirmed) return;
+  Unplace(job, position, TaskPhase::kWaiting, now);
+}
+
+void Shard::StopAnswered(const StopOrder& order, const std::optional<OrderAnswer>& answer,
+                         Time now) {
+  TaskRow* task = jobs_.Find(order->task);
+  if (!answer || task == nullptr || task->phase != TaskPhase::kPlaced) return;
+  if (task->run != order->run || task->worker != order->worker) return;
+  const OrderRefusal refusal = (*answer)->refusal;
+  const bool settled = refusal == OrderRefusal::kNone || refusal == OrderRefusal::kObsolete;
+  if (settled && task->stage == StartStage::kSent && !task->revoked) task->revoked = now;
+}
+
+bool Shard::Cancel(JobId id, Time now) {
+  JobState* job = jobs_.Find(id);
+  if (job == nullptr) return false;
+  if (job->phase != JobPhase::kOpen) return true;
+  job->phase = JobPhase::kCancelled;
+  job->finished_at = now;
+  Decide("job-cancelled", FormatJobId(id), "");
+  StopAll(*job);
+  return true;
+}
+
+void Shard::Plan(Time now, std::int64_t wall_ms) {
+  ReleaseDeadWorkers(now);
+  MoveStalled(now);
+  for (const Waiting& waiting : CollectWaiting(now, wall_ms)) {
+    const StepSpec& step = waiting.job->accepted->spec->steps[waiting.step];
+    if (step->gang) {
+      PlaceGang(waiting, now);
+    } else {
+      PlaceStep(waiting, now);
+    }
+  }
+  ControlPace(now);
+}
+
+void Shard::ReleaseDeadWorkers(Time now) {
+  for (auto entry = workers_.workers().begin(); entry != workers_.workers().end();) {
+    WorkerState& worker = entry->second;
+    if (!workers_.CertainlyDead(worker, now)) {
+      ++entry;
+      continue;
+    }
+    const std::set<TaskRef> placed = worker.tasks;
+    for (const TaskRef& ref : placed) {
+      JobState& job = *jobs_.Find(ref.job);
+      Decide("task-lost", TextOf(job.KeyOf(ref.position)),
+             "run=" + std::to_string(job.tasks[ref.position].run) +
+                 " worker=" + entry->first.value + " cause=lease-over");
+      Unplace(job, ref.position, TaskPhase::kWaiting, now);
+    }
+    Decide("worker-gone", entry->first.value, "tasks=" + std::to_string(placed.size()));
+    entry = workers_.workers().erase(entry);
+  }
+}
+
+void Shard::MoveStalled(Time now) {
+  for (auto& [id, worker] : workers_.workers()) {
+    const bool leaving = worker.entry->draining;
+    const bool last_call = leaving && now + 2 * policy_->stop_limit >= worker.leaves_at;
+    bool stalled = false;
+    for (const TaskRef& ref : worker.tasks) {
+      JobState& job = *jobs_.Find(ref.job);
+      TaskRow& task = job.tasks[ref.position];
+      if (task.stage != StartStage::kConfirmed || task.stopping) continue;
+      const StepSpec& step = job.StepOf(ref.position);
+      const bool stands = !step->gang && task.progress < kWhole && task.pace >= kWhole &&
+                          now - task.progressed > policy_->stall_limit &&
+                          worker.last_report > task.progressed + policy_->stall_limit;
+      stalled = stalled || stands;
+      if (stands || (leaving && step->long_running) || (last_call && step->checkpointing)) {
+        task.stopping = true;
+        Decide("task-moved", TextOf(job.KeyOf(ref.position)),
+               "worker=" + id.value +
+                   (stands ? " cause=stalled progress=" : " cause=draining progress=") +
+                   std::to_string(task.progress));
+      }
+    }
+    if (stalled) worker.avoid_until = std::max(worker.avoid_until, now + policy_->quarantine);
+  }
+}
+
+std::vector<Shard::Waiting> Shard::CollectWaiting(Time now, std::int64_t wall_ms) {
+  std::vector<Waiting> out;
+  for (auto& [id, job] : jobs_.jobs()) {
+    if (job.phase != JobPhase::kOpen) {
+      const bool over = job.finished_at && now - *job.finished_at > policy_->finished_kept;
+      const bool placed = job.waiting + job.done < job.tasks.size();
+      if (over && !placed && !job.dirty) expired_.insert(id);
+      continue;
+    }
+    if (job.accepted->spec->occurrences > 0) jobs_.Unfold(job, wall_ms);
+    if (job.waiting == 0) continue;
+    if (job.accepted->queue->needs_advice) {
+      if (!advice_reported_) Decide("advice-not-supported", FormatJobId(id), "waits");
+      advice_reported_ = true;
+      continue;
+    }
+    const std::int64_t age = wall_ms - job.accepted->accepted_ms;
+    const std::int64_t objective = job.objective_ms();
+    for (std::size_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
+      for (std::size_t step = 0; step < job.step_offset.size(); ++step) {
+        const auto [first, last] = job.RangeOf(occurrence, step);
+        const bool any = std::any_of(
+            job.tasks.begin() + static_cast<std::ptrdiff_t>(first),
+            job.tasks.begin() + static_cast<std::ptrdiff_t>(last), [&](const TaskRow& task) {
+              return task.phase == TaskPhase::kWaiting && task.not_before <= now;
+            });
+        if (!any || !job.StepReady(occurrence, step)) continue;
+        const bool serving = job.accepted->spec->steps[step]->long_running;
+        const bool worthless = !serving && age > kWorthlessFactor * objective;
+        const std::int64_t rank =
+            serving ? -1 : job.accepted->queue->priority + (worthless ? 1'000 : 0);
+        out.push_back({.job = &job,
+                       .occurrence = occurrence,
+                       .step = step,
+                       .rank = rank,
+                       .slack = objective - age});
+      }
+    }
+  }
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
+WorkerState* Shard::BestWorker(const JobState& job, std::size_t position, Time now) {
+  // Running on another rack than the data, or than the step's other tasks.
+  constexpr double kOffRackCost = 10;
+  const StepSpec& step = job.StepOf(position);
+  const PlacementRule& rule = PlacementRuleFor(KindOf(step));
+  const PlacementView view{
+      .jobs = jobs_.jobs(), .interference = interference_, .policy = policy_, .now = now};
+  std::string rack = step->data_rack;
+  if (step->same_rack) {
+    const TaskKey key = job.KeyOf(position);
+    const auto [first, last] =
+        job.RangeOf(static_cast<std::size_t>(key.occurrence), static_cast<std::size_t>(key.step));
+    for (std::size_t i = first; i < last && rack.empty(); ++i) {
+      if (job.tasks[i].phase != TaskPhase::kPlaced) continue;
+      if (const WorkerState* peer = workers_.Find(job.tasks[i].worker)) rack = peer->entry->rack;
+    }
+  }
+  WorkerState* best = nullptr;
+  double best_cost = 0;
+  for (auto& [id, worker] : workers_.workers()) {
+    if (!MayHold(worker, job, position, now)) continue;
+    std::optional<double> cost = rule.Cost(worker, step, view);
+    if (!cost) continue;
+    if (!rack.empty() && worker.entry->rack != rack) *cost += kOffRackCost;
+    if (best == nullptr || *cost < best_cost) {
+      best = &worker;
+      best_cost = *cost;
+    }
+  }
+  return best;
+}
+
+void Shard::Place(JobState& job, std::size_t position, WorkerState& worker, Time now) {
+  TaskRow& task = job.tasks[position];
+  ++task.run;
+  task.worker = worker.entry->id;
+  task.born_ms = worker.born_ms;
+  task.stage = StartStage::kUnrecorded;
+  task.progress = 0;
+  task.progressed = now;
+  task.observed = 0;
+  task.paced = Time();
+  WorkerTable::Reserve(worker, {job.accepted->id, position}, job.StepOf(position));
+  jobs_.SetPhase(job, position, TaskPhase::kPlaced, now);
+  planned_.push_back(job.KeyOf(position));
+}
+
+void Shard::PlaceStep(const Waiting& waiting, Time now) {
+  JobState& job = *waiting.job;
+  const auto [first, last] = job.RangeOf(waiting.occurrence, waiting.step);
+  for (std::size_t i = first; i < last; ++i) {
+    const TaskRow& task = job.tasks[i];
+    if (task.phase != TaskPhase::kWaiting || task.not_before > now) continue;
+    WorkerState* worker = BestWorker(job, i, now);
+    if (worker == nullptr) return;  // Its other tasks ask for the same.
+    Place(job, i, *worker, now);
+  }
+}
+
+bool Shard::PlaceGang(const Waiting& waiting, Time now) {
+  JobState& job = *waiting.job;
+  const auto [first, last] = job.RangeOf(waiting.occurrence, waiting.step);
+  int run = 0;
+  for (std::size_t i = first; i < last; ++i) {
+    const TaskRow& task = job.tasks[i];
+    if (task.phase != TaskPhase::kWaiting || task.not_before > now) return false;
+    run = std::max(run, task.run);
+  }
+  const std::size_t planned_before = planned_.size();
+  for (std::size_t i = first; i < last; ++i) {
+    WorkerState* worker = BestWorker(job, i, now);
+    if (worker == nullptr) {
+      planned_.resize(planned_before);
+      for (std::size_t j = first; j < i; ++j) Unplace(job, j, TaskPhase::kWaiting, now);
+      return false;
+    }
+    job.tasks[i].run = run;  // All members carry the same number.
+    Place(job, i, *worker, now);
+  }
+  return true;
+}
+
+void Shard::ControlPace(Time now) {
+  for (auto& [id, worker] : workers_.workers()) {
+    for (const PaceChange& change :
+         PaceChanges(worker, jobs_.jobs(), interference_, policy_, now)) {
+      JobState& job = *jobs_.Find(change.task.job);
+      TaskRow& task = job.tasks[change.task.position];
+      const TaskKey key = job.KeyOf(change.task.position);
+      Decide("pace", TextOf(key),
+             "worker=" + id.value + " from=" + std::to_string(task.pace) +
+                 " to=" + std::to_string(change.percent));
+      task.pace = change.percent;
+      task.paced = now;
+      task.progressed = now;
+      paces_.emplace_back(PaceOrderFields{
+          .worker = id, .task = key, .run = task.run, .percent = change.percent, .token = token_});
+    }
+  }
+}
+
+RecordBatch Shard::TakeBatch() {
+  RecordBatch batch;
+  for (const JobId id : jobs_.dirty())
+    batch.records.push_back(JobTable::ProgressOf(*jobs_.Find(id)));
+  jobs_.ClearDirty();
+  for (const TaskKey& key : std::exchange(planned_, {})) {
+    const TaskRow* task = jobs_.Find(key);
+    if (task == nullptr) continue;
+    batch.intents.push_back(key);
+    batch.runs.push_back(task->run);
+  }
+  const std::set<JobId> expired = std::exchange(expired_, {});
+  batch.expired.assign(expired.begin(), expired.end());
+  for (const auto& [id, worker] : workers_.workers()) {
+    const std::pair<std::int64_t, std::int64_t> ends{worker.born_ms, worker.ends_seen};
+    if (worker.ends_seen == worker.ends_recorded || ends_taken_[id] == ends) continue;
+    ends_taken_[id] = ends;
+    batch.ends[id] = ends;
+  }
+  return batch;
+}
+
+void Shard::Recorded(const RecordBatch& batch, Time now) {
+  for (const JobProgress& record : batch.records) {
+    JobState* job = jobs_.Find(record->id);
+    if (job != nullptr) job->recorded_phase = record->phase;
+  }
+  for (const auto& [id, ends] : batch.ends) {
+    WorkerState* worker = workers_.Find(id);
+    if (worker != nullptr && worker->born_ms == ends.first) {
+      worker->ends_recorded = std::max(worker->ends_recorded, ends.second);
+    }
+  }
+  for (std::size_t i = 0; i < batch.intents.size(); ++i) {
+    const TaskKey& key = batch.intents[i];
+    TaskRow* task = jobs_.Find(key);
+    if (task == nullptr || task->phase != TaskPhase::kPlaced) continue;
+    if (task->run != batch.runs[i] || task->stage != StartStage::kUnrecorded) continue;
+    JobState& job = *jobs_.Find(key.job);
+    const std::size_t position = job.PositionOf(key);
+    auto start = StartOf(job, position, now);
+    if (!start) {
+      Unplace(job, position, TaskPhase::kWaiting, now);
+      continue;
+    }
+    task->stage = StartStage::kSent;
+    job.begun = true;
+    starts_.push_back(*std::move(start));
+  }
+  for (const JobId id : batch.expired) jobs_.Erase(id);
+}
+
+std::optional<StartOrder> Shard::StartOf(const JobState& job, std::size_t position, Time now) {
+  const TaskRow& task = job.tasks[position];
+  WorkerState* worker = workers_.Find(task.worker);
+  if (worker == nullptr) return std::nullopt;
+  const auto until = workers_.LeaseEnd(*worker, now);
+  if (!until) return std::nullopt;
+  workers_.LeaseGranted(*worker, now);
+  return StartOrder({.worker = task.worker,
+                     .task = job.KeyOf(position),
+                     .run = task.run,
+                     .payload = job.accepted->spec->payload,
+                     .checkpoint = task.checkpoint,
+                     .lease_until = *until,
+                     .token = token_});
+}
+
+Orders Shard::TakeOrders(Time now) {
+  Orders orders{.starts = std::exchange(starts_, {}),
+                .stops = std::exchange(stray_stops_, {}),
+                .paces = std::exchange(paces_, {})};
+  for (auto& [id, worker] : workers_.workers()) {
+    for (const TaskRef& ref : worker.tasks) {
+      JobState& job = *jobs_.Find(ref.job);
+      TaskRow& task = job.tasks[ref.position];
+      if (!task.stopping || now - task.stop_ordered < kStopRepeat) continue;
+      task.stop_ordered = now;
+      orders.stops.emplace_back(StopOrderFields{
+          .worker = id, .task = job.KeyOf(ref.position), .run = task.run, .token = token_});
+    }
+  }
+  return orders;
+}
+
+ShownState Shard::StateOf(JobId id) const {
+  constexpr std::array<std::pair<JobPhase, ShownState>, 3> kEnded = {
+      {{JobPhase::kCompleted, ShownState::kCompleted},
+       {JobPhase::kFailed, ShownState::kFailed},
+       {JobPhase::kCancelled, ShownState::kCancelled}}};
+  const JobState* job = jobs_.Find(id);
+  if (job == nullptr) return ShownState::kUnknown;
+  for (const auto& [phase, shown] : kEnded) {
+    if (job->recorded_phase == phase) return shown;
+  }
+  return job->begun ? ShownState::kRunning : ShownState::kPending;
+}
+
+std::int64_t Shard::WaitingOf(const std::string& queue) const {
+  return std::count_if(jobs_.jobs().begin(), jobs_.jobs().end(), [&](const auto& entry) {
+    const JobState& job = entry.second;
+    return job.phase == JobPhase::kOpen && !job.begun && job.accepted->queue->name == queue;
+  });
+}
+
+}  // namespace dn
--- /dev/null
+++ b/src/scheduling/scheduling.h
@@ -0,0 +1,14 @@
+// Decisions of a scheduler: what runs where and when, what must be durable
+// first, and how fast fills may work. No I/O; time is passed in.
+#pragma once
+
+#include "scheduling/internal/interference.h"
+#include "scheduling/internal/job_spec.h"
+#include "scheduling/internal/job_table.h"
+#include "scheduling/internal/orders.h"
+#include "scheduling/internal/pace_control.h"
+#include "scheduling/internal/placement_policy.h"
+#include "scheduling/internal/policy.h"
+#include "scheduling/internal/record_codec.h"
+#include "scheduling/internal/shard.h"
+#include "scheduling/internal/worker_table.h"
--- /dev/null
+++ b/src/store/internal/keyed_follower.cc
@@ -0,0 +1,51 @@
+// Newest records first, then records as they come.
+#include "store/internal/keyed_follower.h"
+
+#include <glog/logging.h>
+
+namespace dn {
+namespace {
+// Pause after a failed read, doubled up to the largest: keeps the store from a
+// stampede when it comes back.
+constexpr Duration kRetryPause{100};
+constexpr Duration kMaxRetryPause{800};
+}  // namespace
+
+Task<Result<>> KeyedFollower::Load() {
+  auto newest = co_await store_.Newest(partition_);
+  if (!newest) co_return newest.error();
+  position_ = newest.value()->end;
+  last_success_ = Now();
+  handler_(newest.value()->records, true);
+  co_return boost::outcome_v2::success();
+}
+
+Task<Result<>> KeyedFollower::Poll(Duration wait) {
+  auto page = co_await store_.Read(partition_, position_, wait);
+  if (!page) co_return page.error();
+  if (page.value()->expired) co_return co_await Load();
+  if (page.value()->skipped > 0) {
+    LOG(WARNING) << R"({"kind":"records-skipped","topic":")" << partition_->topic << R"(","count":)"
+                 << page.value()->skipped << "}";
+  }
+  position_ = page.value()->next;
+  last_success_ = Now();
+  if (!page.value()->records.empty()) handler_(page.value()->records, false);
+  co_return boost::outcome_v2::success();
+}
+
+Task<> KeyedFollower::Follow(std::function<bool()> active) {
+  Duration pause = kRetryPause;
+  while (active()) {
+    auto polled = co_await Poll(options_.wait);
+    if (polled) {
+      pause = kRetryPause;
+      if (options_.pause > Duration(0)) co_await SleepFor(options_.pause);
+      continue;
+    }
+    co_await SleepFor(pause);
+    pause = std::min(pause * 2, kMaxRetryPause);
+  }
+}
+
+}  // namespace dn
--- /dev/null
+++ b/src/store/internal/keyed_follower.h
@@ -0,0 +1,45 @@
+// Follows one partition that keeps the newest record of each key.
+#pragma once
+
+#include <functional>
+
+#include "store/internal/store_client.h"
+
+namespace dn {
+
+class KeyedFollower {
+ public:
+  struct Options {
+    Duration wait{1'000};  // The store holds a read this long for a record.
+    Duration pause{0};     // Between two reads; collects records that come often.
+  };
+  // Records in order. `complete`: these are all keys that exist.
+  using Handler = std::function<void(const std::vector<KeyedRecord>& records, bool complete)>;
+
+  KeyedFollower(StoreClient& store, Partition partition, Options options, Handler handler)
+      : store_(store),
+        partition_(std::move(partition)),
+        options_(options),
+        handler_(std::move(handler)) {}
+
+  // Reads all newest records. Must succeed once before Follow.
+  Task<Result<>> Load();
+  // One read of what came since; loads all again if history was dropped.
+  Task<Result<>> Poll(Duration wait);
+  // Polls until `active` returns false.
+  Task<> Follow(std::function<bool()> active);
+
+  // Offset up to which records were handled.
+  std::int64_t position() const { return position_; }
+  Time last_success() const { return last_success_; }
+
+ private:
+  StoreClient& store_;
+  const Partition partition_;
+  const Options options_;
+  const Handler handler_;
+  std::int64_t position_ = 0;
+  Time last_success_{};
+};
+
+}  // namespace dn
--- /dev/null
+++ b/src/store/internal/record_writer.cc
@@ -0,0 +1,126 @@
+// Grouped appends.
+#include "store/internal/record_writer.h"
+
+#include <boost/asio.hpp>
+
+namespace dn {
+namespace {
+
+// Bounds of one call; the platform allows four times as much.
+constexpr std::size_t kMaxCallBytes = 512 * 1024;
+// Pause after a failed call: a few of the store's usual answers.
+constexpr Duration kRetryPause{40};
+constexpr Duration kMaxRetryPause{320};
+// A refused call is repeated this often before its records are given up.
+constexpr int kMaxRefusals = 3;
+
+std::size_t SizeOf(const std::vector<KeyedRecord>& records) {
+  std::size_t size = 0;
+  for (const KeyedRecord& record : records) {
+    size += record->key.size() + (record->value ? record->value->size() : 0);
+  }
+  return size;
+}
+
+}  // namespace
+
+RecordWriter::RecordWriter(StoreClient& store, Partition partition, std::string producer,
+                           std::int64_t epoch)
+    : store_(store),
+      partition_(std::move(partition)),
+      producer_(std::move(producer)),
+      epoch_(epoch) {}
+
+Task<Result<std::int64_t>> RecordWriter::Fence() {
+  Producer producer({.name = producer_, .epoch = epoch_, .sequence = 0});
+  auto answer = co_await store_.Append(partition_, producer, {});
+  if (!answer) co_return answer.error();
+  if (answer.value()->outcome == AppendOutcome::kFenced) co_return Errc::kConflict;
+  if (answer.value()->outcome != AppendOutcome::kStored) co_return Errc::kUnavailable;
+  co_return answer.value()->end;
+}
+
+Task<Result<>> RecordWriter::Append(std::vector<KeyedRecord> records, Time deadline) {
+  auto entry = std::make_shared<Entry>();
+  entry->records = std::move(records);
+  const bool start = queue_.With([&](Queue& queue) {
+    queue.waiting.push_back(entry);
+    return !std::exchange(queue.appending, true);
+  });
+  if (start) {
+    auto self = shared_from_this();
+    asio::co_spawn(
+        co_await asio::this_coro::executor,
+        [](std::shared_ptr<RecordWriter> writer) -> Task<> { co_await writer->Drain(); }(self),
+        asio::detached);
+  }
+  while (true) {
+    const std::uint64_t ticket = done_.Ticket();
+    auto outcome = queue_.With([&](Queue&) { return entry->outcome; });
+    if (outcome) co_return *outcome;
+    if (Now() >= deadline) co_return Errc::kTimeout;
+    co_await done_.Wait(ticket, deadline);
+  }
+}
+
+Task<> RecordWriter::Drain() {
+  while (true) {
+    std::vector<std::shared_ptr<Entry>> taken;
+    std::vector<KeyedRecord> records;
+    const bool more = queue_.With([&](Queue& queue) {
+      std::size_t size = 0;
+      while (!queue.waiting.empty()) {
+        const std::shared_ptr<Entry>& next = queue.waiting.front();
+        size += SizeOf(next->records);
+        if (!taken.empty() && size > kMaxCallBytes) break;
+        records.insert(records.end(), next->records.begin(), next->records.end());
+        taken.push_back(next);
+        queue.waiting.pop_front();
+      }
+      if (taken.empty()) queue.appending = false;
+      return !taken.empty();
+    });
+    if (!more) co_return;
+    Result<> outcome = co_await AppendCall(records, epoch_ > 0);
+    queue_.With([&](Queue&) {
+      for (const auto& entry : taken) entry->outcome = outcome;
+    });
+    done_.NotifyAll();
+  }
+}
+
+Task<Result<>> RecordWriter::AppendCall(const std::vector<KeyedRecord>& records, bool must_know) {
+  bool may_be_stored = false;
+  int refusals = 0;
+  Duration pause = kRetryPause;
+  while (true) {
+    Producer producer({.name = producer_, .epoch = epoch_, .sequence = next_sequence_});
+    auto answer = co_await store_.Append(partition_, producer, records);
+    if (answer) {
+      const AppendOutcome outcome = answer.value()->outcome;
+      if (outcome == AppendOutcome::kStored) {
+        ++next_sequence_;
+        co_return boost::outcome_v2::success();
+      }
+      if (outcome == AppendOutcome::kFenced) co_return Errc::kConflict;
+      if (outcome == AppendOutcome::kWrongSequence) {
+        const std::int64_t expected = answer.value()->expected_sequence;
+        if (may_be_stored && expected > next_sequence_) {
+          // Stored by an attempt whose answer was lost, too long ago for the
+          // store to repeat the answer.
+          next_sequence_ = expected;
+          co_return boost::outcome_v2::success();
+        }
+        next_sequence_ = expected;
+        continue;
+      }
+    } else if (answer.error() != Errc::kUnavailable && answer.error() != Errc::kUnreachable) {
+      may_be_stored = true;
+    }
+    if (!may_be_stored && !must_know && ++refusals >= kMaxRefusals) co_return Errc::kUnavailable;
+    co_await SleepFor(pause);
+    pause = std::min(pause * 2, kMaxRetryPause);
+  }
+}
+
+}  // namespace dn
--- /dev/null
+++ b/src/store/internal/record_writer.h
@@ -0,0 +1,47 @@
+// Appends records to one partition: many to a call, one call at a time,
+// repeated until its outcome is known.
+#pragma once
+
+#include <deque>
+#include <memory>
+
+#include "store/internal/store_client.h"
+
+namespace dn {
+
+class RecordWriter : public std::enable_shared_from_this<RecordWriter> {
+ public:
+  RecordWriter(StoreClient& store, Partition partition, std::string producer, std::int64_t epoch);
+
+  // Waits until `records` are durable or `deadline` has passed. Errors:
+  // kUnavailable: not stored and never will be; kTimeout: the outcome is not
+  // known and the records may still become durable; kConflict: fenced by a
+  // later epoch, nothing more is stored.
+  Task<Result<>> Append(std::vector<KeyedRecord> records, Time deadline);
+  // Appends nothing, but makes the store refuse lower epochs. Returns the end of
+  // the partition.
+  Task<Result<std::int64_t>> Fence();
+
+ private:
+  struct Entry {
+    std::vector<KeyedRecord> records;
+    std::optional<Result<>> outcome;
+  };
+  struct Queue {
+    std::deque<std::shared_ptr<Entry>> waiting;
+    bool appending = false;  // A coroutine takes care of the queue.
+  };
+
+  Task<> Drain();
+  Task<Result<>> AppendCall(const std::vector<KeyedRecord>& records, bool must_know);
+
+  StoreClient& store_;
+  const Partition partition_;
+  const std::string producer_;
+  const std::int64_t epoch_;
+  std::int64_t next_sequence_ = 1;  // Used by the one coroutine in Drain.
+  Shared<Queue, LockRank::kRecords> queue_;
+  Notifier done_;
+};
+
+}  // namespace dn
