Read the settings again on SIGHUP instead of ending

Change: SIGHUP and a period of 2 s read the file; findings are logged, the newest settings make the policy of the next take-over.

--- a/src/node/internal/node_module.cc
+++ b/src/node/internal/node_module.cc
@@ -3,6 +3,8 @@
 
 #include <glog/logging.h>
 
+#include <boost/asio.hpp>
+#include <csignal>
 #include <cxxopts.hpp>
 #include <iostream>
 
@@ -23,8 +25,10 @@
 
 class Node {
  public:
-  Node(const NodeSettings& settings, const NodeAdapter& adapter)
+  Node(const NodeSettings& settings, const std::string& settings_path, const NodeAdapter& adapter)
       : settings_(settings),
+        settings_path_(settings_path),
+        latest_(settings),
         adapter_(adapter),
         pool_(settings->cores),
         log_(settings->id),
@@ -57,6 +61,7 @@
     log_.Write("start", settings_->id, "zone=" + settings_->zone + " version=" + kVersion);
     pool_.Spawn(FollowCatalogue());
     pool_.Spawn(membership_.Run());
+    pool_.Spawn(FollowSettings());
     DrainOnSignal(pool_, [this] { return Drain(); });
     pool_.Run();
     log_.Write("stop", settings_->id, "left_out=" + std::to_string(log_.left_out()));
@@ -117,7 +122,7 @@
                             .store = store_,
                             .adapter = adapter_,
                             .log = log_,
-                            .policy = PolicyOf(),
+                            .policy = CurrentPolicy(),
                             .fenced = [this](int) { membership_.Renew(); }},
         shard, token);
     local_.SetOwner(shard, owner);
@@ -130,10 +135,55 @@
     if (owner) owner->Drop("dealt-to-another");
   }
 
-  Policy PolicyOf() const {
-    return Policy({.lease = std::min(PolicyFields().lease, settings_->longest_lease),
-                   .stop_limit = settings_->longest_stop,
-                   .finished_kept = settings_->finished_shown});
+  // Of the newest settings; a shard keeps the policy that it was taken over with.
+  Policy CurrentPolicy() {
+    const NodeSettings latest = latest_.With([](const NodeSettings& settings) { return settings; });
+    return Policy({.lease = std::min(PolicyFields().lease, latest->longest_lease),
+                   .stop_limit = latest->longest_stop,
+                   .finished_kept = latest->finished_shown});
+  }
+
+  // Reads the settings file again on SIGHUP, and from time to time, since it may
+  // change without a signal. Addresses keep until the process is started again.
+  Task<> FollowSettings() {
+    constexpr Duration kPeriod{2'000};
+    asio::signal_set signals(co_await asio::this_coro::executor, SIGHUP);
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    bool signalled = false;
+    std::function<void()> arm = [&] {
+      signals.async_wait([&](boost::system::error_code error, int) {
+        if (error) return;
+        signalled = true;
+        timer.cancel();
+        arm();
+      });
+    };
+    arm();
+    while (true) {
+      timer.expires_after(kPeriod);
+      boost::system::error_code ignored;
+      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+      Reload(std::exchange(signalled, false));
+    }
+  }
+
+  void Reload(bool signalled) {
+    Findings findings;
+    const auto text = ReadFile(settings_path_, findings);
+    std::optional<NodeSettings> read;
+    if (text) read = adapter_.settings(settings_path_, *text, findings);
+    for (const Finding& finding : findings) {
+      log_.Write("settings-rejected", settings_->id, finding.ToString());
+    }
+    if (!read) return;
+    const bool changed = latest_.With([&](NodeSettings& latest) {
+      const bool differs = latest != *read;
+      latest = *read;
+      return differs;
+    });
+    if (changed || signalled) {
+      log_.Write("settings-read", settings_->id, changed ? "changed=yes" : "changed=no");
+    }
   }
 
   Task<> Drain() {
@@ -146,7 +196,9 @@
     while (Now() < notice || (in_flight_ > 0 && Now() < end)) co_await SleepFor(kDrainPoll);
   }
 
-  const NodeSettings settings_;
+  const NodeSettings settings_;  // As at the start.
+  const std::string settings_path_;
+  Shared<NodeSettings, LockRank::kConfiguration> latest_;
   const NodeAdapter& adapter_;
   WorkerPool pool_;
   DecisionLog log_;
@@ -199,7 +251,7 @@
   }
   if (check_only) return 0;
   StartLogging(argv[0]);
-  return Node(*settings, adapter).Run();
+  return Node(*settings, path, adapter).Run();
 }
 
 }  // namespace dn
