--- a/src/runtime/internal/http_client.cc
+++ b/src/runtime/internal/http_client.cc
@@ -129,6 +129,7 @@
 Task<Result<HttpReply>> HttpClient::Call(Endpoint to, HttpCall call, Duration timeout,
                                          TrafficKind kind) {
   const Time deadline = Now() + timeout;
+  const bool repeatable = call.repeatable;
   auto request = RequestOf(to, std::move(call));
   ConnectionPtr connection = impl_->TakeIdle(to);
   bool keep_alive = false;
@@ -136,9 +137,8 @@
     auto reply = co_await impl_->Exchange(*connection, request, timeout, kind, &keep_alive);
     if (reply && keep_alive) impl_->PutIdle(to, std::move(connection));
     if (!reply && reply.error() == Errc::kTimeout) impl_->DropIdle(to);
-    // The peer may have closed a kept connection; control messages are safe to
-    // repeat.
-    if (reply || reply.error() != Errc::kBroken) co_return reply;
+    // The peer may have closed a kept connection.
+    if (reply || reply.error() != Errc::kBroken || !repeatable) co_return reply;
   }
   auto fresh = co_await Impl::Connect(to, deadline - Now());
   if (!fresh) co_return fresh.error();
--- a/src/runtime/internal/http_types.h
+++ b/src/runtime/internal/http_types.h
@@ -18,6 +18,8 @@
   std::string known_tag = {};  // Tag of the answer that the caller has.
   // Received calls: all headers, by lower-case name. Sent calls: extra headers.
   std::map<std::string, std::string> headers = {};
+  // Sent calls: repeated once when a kept connection turns out to be broken.
+  bool repeatable = true;
 
   auto operator<=>(const HttpCall&) const = default;
 };
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -342,16 +342,19 @@
     task->stopping = true;
     return;
   }
-  if ((*answer)->refusal == OrderRefusal::kNone) {
+  // An obsolete run has started there and ended, perhaps done: a copy of this
+  // start arrived before. The worker's report tells how.
+  const OrderRefusal refusal = (*answer)->refusal;
+  if (refusal == OrderRefusal::kNone || refusal == OrderRefusal::kObsolete) {
     task->stage = StartStage::kConfirmed;
     task->progressed = now;
     return;
   }
   Decide("start-refused", TextOf(order->task),
          "run=" + std::to_string(order->run) + " worker=" + order->worker.value +
-             " reason=" + std::string(NameOf((*answer)->refusal)));
+             " reason=" + std::string(NameOf(refusal)));
   // An earlier copy of this start got no answer: it may still take effect.
-  if (task->start_attempts > 0 && (*answer)->refusal != OrderRefusal::kObsolete) {
+  if (task->start_attempts > 0) {
     task->stopping = true;
     return;
   }
--- /dev/null
+++ b/src/scheduling/tests/shard_test.cc
@@ -0,0 +1,206 @@
+// Single decisions of a shard's owner.
+#include <catch2/catch.hpp>
+
+#include "scheduling/scheduling.h"
+
+namespace dn {
+namespace {
+
+constexpr JobId kJob = 0x10;
+const WorkerId kWorker{"w1"};
+const WorkerId kOther{"w2"};
+
+// A shard with idle workers, in hand-driven time.
+class Bench {
+ public:
+  explicit Bench(PolicyFields policy = {}) : shard(Policy(policy), 7) {}
+
+  void AddWorker(const WorkerId& id, std::int64_t millicores = 16'000) {
+    shard.WorkerListed(WorkerEntry({.id = id,
+                                    .service = "s",
+                                    .address = {"127.0.0.1", 1},
+                                    .born_ms = 1,
+                                    .capacity = {.millicores = millicores, .memory_mb = 64'000}}),
+                       now);
+    Report(id, {}, {});
+  }
+
+  void Report(const WorkerId& id, std::vector<RunningTask> running, std::vector<EndedTask> ended,
+              std::int64_t born = 1) {
+    const Time asked = now;
+    now += Duration(2);
+    shard.Reported(id,
+                   OrderAnswer({.report = RunReport({.clock = now.time_since_epoch().count(),
+                                                     .born_ms = born,
+                                                     .running = std::move(running),
+                                                     .ended = std::move(ended)})}),
+                   asked, now);
+  }
+
+  void Submit(StepFields step, JobId id = kJob, int max_attempts = 2) {
+    shard.Accept(
+        AcceptedJob({.id = id,
+                     .queue = Queue({.name = "q", .service = "s", .max_attempts = max_attempts}),
+                     .accepted_ms = 0,
+                     .spec = JobSpec({.payload = "p", .steps = {StepSpec(step)}})}),
+        now);
+  }
+
+  // Plans, makes everything durable and returns the starts that are due.
+  std::vector<StartOrder> Turn() {
+    now += Duration(10);
+    shard.Plan(now, 0);
+    const RecordBatch batch = shard.TakeBatch();
+    shard.Recorded(batch, now);
+    orders = shard.TakeOrders(now);
+    return orders.starts;
+  }
+
+  void Answer(const StartOrder& start, std::optional<OrderRefusal> refusal) {
+    std::optional<OrderAnswer> answer;
+    if (refusal) answer = OrderAnswer({.refusal = *refusal});
+    shard.StartAnswered(start, answer, now);
+  }
+
+  static RunningTask Running(const StartOrder& start, int progress = 10) {
+    return RunningTask({.task = start->task, .run = start->run, .progress_percent = progress});
+  }
+  static EndedTask End(const StartOrder& start, EndKind kind, std::int64_t number = 1) {
+    return EndedTask({.number = number, .task = start->task, .run = start->run, .kind = kind});
+  }
+
+  Time now{Duration(1'000'000)};
+  Shard shard;
+  Orders orders;
+};
+
+const StepFields kTask{
+    .count = 1, .demand = {.millicores = 4'000, .memory_mb = 1'000}, .estimate_ms = 1'000};
+
+TEST_CASE("what follows the answer to a start", "[scheduling][shard]") {
+  struct Case {
+    std::string name;
+    std::vector<std::optional<OrderRefusal>> answers;  // Nothing: none came.
+    bool started_again;                                // Another run is planned at once.
+    bool sent_again;                                   // The same run is sent once more.
+    bool stopped;                                      // The run is revoked.
+  };
+  const auto c = GENERATE(values<Case>({
+      {"accepted", {OrderRefusal::kNone}, false, false, false},
+      {"no room", {OrderRefusal::kNoRoom}, true, false, false},
+      {"unhealthy", {OrderRefusal::kUnhealthy}, true, false, false},
+      // The run has ended there, perhaps done: only the report tells.
+      {"obsolete", {OrderRefusal::kObsolete}, false, false, false},
+      {"no answer", {std::nullopt}, false, true, false},
+      {"no answer, then obsolete", {std::nullopt, OrderRefusal::kObsolete}, false, false, false},
+      // The first copy may still take effect.
+      {"no answer, then no room", {std::nullopt, OrderRefusal::kNoRoom}, false, false, true},
+      {"no answer, then unhealthy", {std::nullopt, OrderRefusal::kUnhealthy}, false, false, true},
+      {"no answer at all", {std::nullopt, std::nullopt, std::nullopt}, false, false, true},
+  }));
+  CAPTURE(c.name);
+  Bench bench;
+  bench.AddWorker(kWorker);
+  bench.AddWorker(kOther);
+  bench.Submit(kTask);
+  auto starts = bench.Turn();
+  REQUIRE(starts.size() == 1);
+  const StartOrder first = starts[0];
+  for (std::size_t i = 0; i < c.answers.size(); ++i) {
+    if (i > 0) {
+      REQUIRE(starts.size() == 1);
+      CHECK(starts[0]->run == first->run);
+    }
+    bench.Answer(first, c.answers[i]);
+    starts = bench.Turn();
+  }
+  CHECK(bench.orders.stops.size() == (c.stopped ? 1U : 0U));
+  REQUIRE(starts.size() == (c.started_again || c.sent_again ? 1U : 0U));
+  if (c.started_again) CHECK(starts[0]->run == first->run + 1);
+  if (c.sent_again) CHECK(starts[0]->run == first->run);
+}
+
+TEST_CASE("a run that was refused as obsolete counts by its end", "[scheduling][shard]") {
+  Bench bench;
+  bench.AddWorker(kWorker);
+  bench.Submit(kTask);
+  const StartOrder start = bench.Turn().at(0);
+  bench.Answer(start, OrderRefusal::kObsolete);
+  CHECK(bench.Turn().empty());
+  bench.Report(kWorker, {}, {Bench::End(start, EndKind::kDone)});
+  CHECK(bench.Turn().empty());
+  CHECK(bench.shard.StateOf(kJob) == ShownState::kCompleted);
+}
+
+TEST_CASE("how a run ended decides what comes next", "[scheduling][shard]") {
+  struct Case {
+    EndKind kind;
+    bool long_running;
+    bool starts_again;
+    ShownState shown;
+  };
+  const auto c = GENERATE(values<Case>({
+      {EndKind::kDone, false, false, ShownState::kCompleted},
+      {EndKind::kFailed, false, true, ShownState::kRunning},
+      {EndKind::kStopped, false, true, ShownState::kRunning},
+      {EndKind::kLapsed, false, true, ShownState::kRunning},
+      {EndKind::kBroken, false, true, ShownState::kRunning},
+      {EndKind::kAlone, false, true, ShownState::kRunning},
+      {EndKind::kDone, true, true, ShownState::kRunning},
+      {EndKind::kFailed, true, true, ShownState::kRunning},
+  }));
+  CAPTURE(NameOf(c.kind), c.long_running);
+  Bench bench;
+  bench.AddWorker(kWorker);
+  StepFields step = kTask;
+  step.long_running = c.long_running;
+  bench.Submit(step);
+  const StartOrder start = bench.Turn().at(0);
+  bench.Answer(start, OrderRefusal::kNone);
+  bench.Report(kWorker, {}, {Bench::End(start, c.kind)});
+  bench.Turn();
+  bench.now += PolicyFields().retry_delay;
+  const auto again = bench.orders.starts.empty() ? bench.Turn() : bench.orders.starts;
+  REQUIRE(again.size() == (c.starts_again ? 1U : 0U));
+  if (c.starts_again) CHECK(again[0]->run == start->run + 1);
+  CHECK(bench.shard.StateOf(kJob) == c.shown);
+}
+
+TEST_CASE("a job fails after its last attempt and not before", "[scheduling][shard]") {
+  const int attempts = GENERATE(1, 2, 4);
+  Bench bench;
+  bench.AddWorker(kWorker);
+  bench.Submit(kTask, kJob, attempts);
+  for (int i = 1; i <= attempts; ++i) {
+    CHECK(bench.shard.StateOf(kJob) != ShownState::kFailed);
+    const StartOrder start = bench.Turn().at(0);
+    CHECK(start->run == i);
+    bench.Answer(start, OrderRefusal::kNone);
+    bench.Report(kWorker, {}, {Bench::End(start, EndKind::kFailed, i)});
+    bench.now += PolicyFields().retry_delay;
+  }
+  CHECK(bench.Turn().empty());
+  CHECK(bench.shard.StateOf(kJob) == ShownState::kFailed);
+}
+
+TEST_CASE("nothing is shown or passed to a worker before it is durable", "[scheduling][shard]") {
+  Bench bench;
+  bench.AddWorker(kWorker);
+  bench.Submit(kTask);
+  bench.shard.Plan(bench.now, 0);
+  const RecordBatch intent = bench.shard.TakeBatch();
+  CHECK(bench.shard.TakeOrders(bench.now).starts.empty());
+  bench.shard.Recorded(intent, bench.now);
+  const StartOrder start = bench.shard.TakeOrders(bench.now).starts.at(0);
+  bench.Answer(start, OrderRefusal::kNone);
+  bench.Report(kWorker, {}, {Bench::End(start, EndKind::kDone)});
+  CHECK(bench.shard.StateOf(kJob) == ShownState::kRunning);
+  CHECK(bench.shard.NextRenewal(kWorker, bench.now)->ends_seen == 0);
+  const RecordBatch end = bench.shard.TakeBatch();
+  bench.shard.Recorded(end, bench.now);
+  CHECK(bench.shard.StateOf(kJob) == ShownState::kCompleted);
+  CHECK(bench.shard.NextRenewal(kWorker, bench.now)->ends_seen == 1);
+}
+
+}  // namespace
+}  // namespace dn
