--- a/src/scheduling/internal/interference.cc
+++ b/src/scheduling/internal/interference.cc
@@ -6,18 +6,21 @@
 namespace dn {
 namespace {
 
-constexpr std::size_t kFixedColumns = 2;  // Constant and load.
-// Weight of an observation decays by this factor with each later one: about
-// 2,000 observations, 10 s of a fleet of 50 workers.
-constexpr double kForgetting = 0.9995;
-// Variance of a weight before anything was seen; larger learns faster.
+constexpr std::size_t kFixedColumns = 1;  // The base.
+// An observation's weight decays by this factor with each later one: about
+// 4,000 observations, 20 s of a fleet of 50 workers.
+constexpr double kForgetting = 0.99975;
+// Variance of the harm of a core before anything was seen, in units of the
+// variance of the reported ratio (0.2 squared): harms of 0 to 0.5 are usual.
 constexpr double kPriorVariance = 0.5;
-// Bound on the variance, so that forgetting cannot blow it up while a column
-// is not excited.
-constexpr double kMaxVariance = 2.0;
-// Harm of an image that was never seen, as a share of the target: a fill of
-// average harm leaves room for about three of them.
-constexpr double kPriorHarm = 0.15;
+constexpr double kBaseVariance = 4.0;
+// Bound on the variance, so that forgetting cannot blow it up while a pair does
+// not meet.
+constexpr double kMaxVariance = 4.0;
+// Harm of a core of an unseen pair: four fills of seven cores use up the usual
+// distance from the target.
+constexpr double kPriorHarm = 0.02;
+constexpr double kPriorBase = 0.4;
 // Ratios above this say only "much too slow".
 constexpr double kMaxRatio = 4.0;
 
@@ -30,16 +33,15 @@
 void Interference::Widen(Model& model, std::size_t columns) {
   for (auto& row : model.gain) row.resize(columns, 0.0);
   for (std::size_t i = model.weights.size(); i < columns; ++i) {
-    model.weights.push_back(i < kFixedColumns ? 0.0 : kPriorHarm);
+    model.weights.push_back(i < kFixedColumns ? kPriorBase : kPriorHarm);
     model.gain.emplace_back(columns, 0.0);
-    model.gain[i][i] = kPriorVariance;
+    model.gain[i][i] = i < kFixedColumns ? kBaseVariance : kPriorVariance;
   }
 }
 
-void Interference::Observe(const std::string& serving_image, const Fills& fills, double load,
-                           double ratio) {
-  std::vector<std::pair<std::size_t, double>> inputs = {{0, 1.0}, {1, load}};
-  for (const auto& [image, weight] : fills) inputs.emplace_back(ColumnOf(image), weight);
+void Interference::Observe(const std::string& serving_image, const Fills& fills, double ratio) {
+  std::vector<std::pair<std::size_t, double>> inputs = {{0, 1.0}};
+  for (const auto& [image, cores] : fills) inputs.emplace_back(ColumnOf(image), cores);
   Model& model = models_[serving_image];
   const std::size_t columns = kFixedColumns + columns_.size();
   Widen(model, columns);
@@ -65,7 +67,8 @@
   }
 }
 
-double Interference::Harm(const std::string& serving_image, const std::string& fill_image) const {
+double Interference::HarmPerCore(const std::string& serving_image,
+                                 const std::string& fill_image) const {
   const auto column = columns_.find(fill_image);
   const auto model = models_.find(serving_image);
   if (column == columns_.end() || model == models_.end()) return kPriorHarm;
--- a/src/scheduling/internal/interference.h
+++ b/src/scheduling/internal/interference.h
@@ -1,5 +1,6 @@
-// Learns how much the tail latency of serving tasks rises by each fill beside
-// them, by pair of images, from reports that are rough and late.
+// Learns how much the tail latency of serving tasks rises by fills beside them,
+// by pair of images. Most pairs do not matter, a few matter much. Both figures
+// that are compared are reported by the worker for the same half second.
 #pragma once
 
 #include <map>
@@ -10,20 +11,19 @@
 
 class Interference {
  public:
-  // Number of running fills by image, each weighted with its pace (0 to 1).
+  // Cores that fills used, by image.
   using Fills = std::map<std::string, double>;
 
-  // One report: the tail latency of a task of `serving_image` was `ratio` times
-  // its target while `fills` ran beside it, and `load` cores of other serving
-  // tasks (as a share of the worker).
-  void Observe(const std::string& serving_image, const Fills& fills, double load, double ratio);
+  // The tail latency of a task of `serving_image` was `ratio` times its target
+  // while `fills` worked beside it.
+  void Observe(const std::string& serving_image, const Fills& fills, double ratio);
 
-  // Rise of the ratio by one more fill of `fill_image` at full pace; at least 0.
-  double Harm(const std::string& serving_image, const std::string& fill_image) const;
+  // Rise of the ratio for each core that `fill_image` uses; at least 0.
+  double HarmPerCore(const std::string& serving_image, const std::string& fill_image) const;
 
  private:
-  // Recursive least squares for one serving image: ratio = base + slope x load
-  // + sum of harm x fills.
+  // Recursive least squares for one serving image: ratio = base + sum of harm x
+  // cores.
   struct Model {
     std::vector<double> weights;            // By column.
     std::vector<std::vector<double>> gain;  // Inverse correlation, symmetric.
@@ -32,7 +32,7 @@
   std::size_t ColumnOf(const std::string& fill_image);
   static void Widen(Model& model, std::size_t columns);
 
-  std::map<std::string, std::size_t> columns_;  // Fill image -> column, from 2.
+  std::map<std::string, std::size_t> columns_;  // Fill image -> column, from 1.
   std::map<std::string, Model> models_;         // By serving image.
 };
 
--- a/src/scheduling/internal/pace_control.cc
+++ b/src/scheduling/internal/pace_control.cc
@@ -7,89 +7,121 @@
 namespace {
 
 // After a change, the next waits until reports show it: half a second of
-// averaging, half of delay, and the time that the worker takes to apply it.
+// averaging, some delay, and the time that the worker takes to apply it.
 constexpr Duration kSettling{700};
 constexpr int kFullPace = 100;
-constexpr int kMinPace = 10;  // A step further down stops the fill.
+constexpr int kMinPace = 10;  // Anything lower is a stop.
+// Part of the target below which a fill's share in the tail is left alone.
+constexpr double kNegligible = 0.04;
+// Ratio to the target that pacing aims at.
+constexpr double kAim = 0.8;
+constexpr double kMillicores = 1'000;
 
 struct Fill {
   TaskRef ref;
   const TaskRow* task;
-  double harm;  // Summed over the serving tasks that are over target.
+  double harm;  // At full pace, in shares of the target, for the worst task.
 };
 
 struct Situation {
-  std::vector<const TaskRow*> over;             // Serving tasks over target.
-  std::vector<const std::string*> over_images;  // Their images.
-  Duration longest_over{0};
+  double worst_ratio = 0;    // Among serving tasks at work.
+  Duration longest_over{0};  // Of serving tasks over target.
   std::vector<Fill> fills;
-  bool any_paced = false;
   Time last_change{};
 };
 
 Situation Survey(const WorkerState& worker, const std::map<JobId, JobState>& jobs,
                  const Interference& interference, Time now) {
   Situation out;
+  std::vector<const std::string*> images;       // Of all serving tasks.
+  std::vector<const std::string*> over_images;  // Of those over target.
   for (const TaskRef& ref : worker.tasks) {
     const JobState& job = jobs.at(ref.job);
     const StepSpec& step = job.StepOf(ref.position);
+    if (!step->long_running || step->target_latency_ms <= 0) continue;
     const TaskRow& task = job.tasks[ref.position];
-    if (step->long_running && task.over_target_since) {
-      out.over.push_back(&task);
-      out.over_images.push_back(&step->image);
-      out.longest_over = std::max(out.longest_over, now - *task.over_target_since);
-    }
+    images.push_back(&step->image);
+    out.worst_ratio = std::max(out.worst_ratio, static_cast<double>(task.observed) /
+                                                    static_cast<double>(step->target_latency_ms));
+    if (!task.over_target_since) continue;
+    over_images.push_back(&step->image);
+    out.longest_over = std::max(out.longest_over, now - *task.over_target_since);
   }
+  const auto& affected = over_images.empty() ? images : over_images;
   for (const TaskRef& ref : worker.tasks) {
     const JobState& job = jobs.at(ref.job);
     const StepSpec& step = job.StepOf(ref.position);
     const TaskRow& task = job.tasks[ref.position];
     if (!step->fills || task.stage != StartStage::kConfirmed || task.stopping) continue;
     double harm = 0;
-    for (const std::string* image : out.over_images) harm += interference.Harm(*image, step->image);
+    for (const std::string* image : affected) {
+      harm = std::max(harm, interference.HarmPerCore(*image, step->image));
+    }
+    harm *= static_cast<double>(step->demand.millicores) / kMillicores;
     out.fills.push_back({.ref = ref, .task = &task, .harm = harm});
-    if (task.pace < kFullPace) out.any_paced = true;
     out.last_change = std::max(out.last_change, task.paced);
   }
+  std::sort(out.fills.begin(), out.fills.end(),
+            [](const Fill& a, const Fill& b) { return a.harm > b.harm; });
   return out;
 }
 
-}  // namespace
+std::vector<PaceChange> Lower(const Situation& there) {
+  std::vector<PaceChange> changes;
+  double excess = there.worst_ratio - kAim;
+  for (const Fill& fill : there.fills) {
+    if (excess <= 0 || fill.harm < kNegligible) break;
+    if (fill.task->pace == 0) continue;
+    const double now_causes = fill.harm * fill.task->pace / kFullPace;
+    const double kept = std::max(0.0, now_causes - excess) / fill.harm;
+    int percent = static_cast<int>(kept * kFullPace);
+    if (percent < kMinPace) percent = 0;
+    excess -= now_causes - fill.harm * percent / kFullPace;
+    changes.push_back({.task = fill.ref, .percent = percent});
+  }
+  return changes;
+}
 
-std::vector<PaceChange> PaceChanges(const WorkerState& worker,
-                                    const std::map<JobId, JobState>& jobs,
-                                    const Interference& interference, const Policy& policy,
-                                    Time now) {
+std::vector<PaceChange> StopAll(const Situation& there) {
   std::vector<PaceChange> changes;
-  if (worker.fill_millicores == 0) return changes;
-  Situation now_there = Survey(worker, jobs, interference, now);
-  if (now_there.over.empty()) {
-    if (!now_there.any_paced || now - now_there.last_change < policy->raise_after) return changes;
-    for (const Fill& fill : now_there.fills) {
-      if (fill.task->pace >= kFullPace) continue;
-      const int raised = fill.task->pace == 0 ? kMinPace : fill.task->pace * 2;
-      changes.push_back({.task = fill.ref, .percent = std::min(kFullPace, raised)});
-    }
-    return changes;
+  for (const Fill& fill : there.fills) {
+    if (fill.task->pace > 0) changes.push_back({.task = fill.ref, .percent = 0});
   }
-  if (now_there.longest_over >= policy->harm_limit) {
-    for (const Fill& fill : now_there.fills) {
-      if (fill.task->pace > 0) changes.push_back({.task = fill.ref, .percent = 0});
+  return changes;
+}
+
+// The least harmful first, as far as the distance from the target allows.
+std::vector<PaceChange> Raise(const Situation& there) {
+  std::vector<PaceChange> changes;
+  double room = kAim - there.worst_ratio;
+  for (auto fill = there.fills.rbegin(); fill != there.fills.rend(); ++fill) {
+    const int pace = fill->task->pace;
+    if (pace >= kFullPace) continue;
+    int percent = kFullPace;
+    if (fill->harm >= kNegligible) {
+      percent = std::min(kFullPace, pace + static_cast<int>(room / fill->harm * kFullPace));
+      if (percent < pace + kMinPace) continue;
     }
-    return changes;
-  }
-  if (now_there.longest_over < policy->harm_patience) return changes;
-  if (now - now_there.last_change < kSettling) return changes;
-  // The most harmful half of the fills that still work is slowed down.
-  std::erase_if(now_there.fills, [](const Fill& fill) { return fill.task->pace == 0; });
-  std::sort(now_there.fills.begin(), now_there.fills.end(),
-            [](const Fill& a, const Fill& b) { return a.harm > b.harm; });
-  now_there.fills.resize((now_there.fills.size() + 1) / 2);
-  for (const Fill& fill : now_there.fills) {
-    const int lowered = fill.task->pace / 2;
-    changes.push_back({.task = fill.ref, .percent = lowered < kMinPace ? 0 : lowered});
+    room -= fill->harm * (percent - pace) / kFullPace;
+    changes.push_back({.task = fill->ref, .percent = percent});
   }
   return changes;
 }
 
+}  // namespace
+
+std::vector<PaceChange> PaceChanges(const WorkerState& worker,
+                                    const std::map<JobId, JobState>& jobs,
+                                    const Interference& interference, const Policy& policy,
+                                    Time now) {
+  if (worker.fill_millicores == 0) return {};
+  const Situation there = Survey(worker, jobs, interference, now);
+  if (there.longest_over >= policy->harm_limit) return StopAll(there);
+  if (now - there.last_change < kSettling) return {};
+  if (there.longest_over >= policy->harm_patience) return Lower(there);
+  const bool calm = there.longest_over == Duration(0);
+  if (calm && now - there.last_change >= policy->raise_after) return Raise(there);
+  return {};
+}
+
 }  // namespace dn
--- a/src/scheduling/internal/pace_control.h
+++ b/src/scheduling/internal/pace_control.h
@@ -17,7 +17,9 @@
   friend auto operator<=>(const PaceChange&, const PaceChange&) = default;
 };
 
-// Changes that `worker` needs now. Only confirmed runs are changed.
+// Changes that `worker` needs now. Only confirmed runs are changed. Fills that
+// are known not to matter to the tasks over target go on, until the limit of
+// the policy is near.
 std::vector<PaceChange> PaceChanges(const WorkerState& worker,
                                     const std::map<JobId, JobState>& jobs,
                                     const Interference& interference, const Policy& policy,
--- a/src/scheduling/internal/placement_policy.cc
+++ b/src/scheduling/internal/placement_policy.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 namespace dn {
 namespace {
@@ -16,65 +17,83 @@
   return whole <= 0 ? 0.0 : static_cast<double>(part) / static_cast<double>(whole);
 }
 
-// Best fit: the fullest worker that still has room.
+// Best fit: the fullest worker that still has room. Serving tasks of one image
+// are kept together: the fewer images on a worker, the fewer fills harm it.
 class PackingRule final : public PlacementRule {
  public:
   std::optional<double> Cost(const WorkerState& worker, const StepSpec& step,
-                             const PlacementView& /*view*/) const override {
+                             const PlacementView& view) const override {
     const Resources free = worker.Free();
     const Resources& capacity = worker.entry->capacity;
-    return ShareOf(free.millicores - step->demand.millicores, capacity.millicores) +
-           kMemoryWeight * ShareOf(free.memory_mb - step->demand.memory_mb, capacity.memory_mb);
+    double cost =
+        ShareOf(free.millicores - step->demand.millicores, capacity.millicores) +
+        kMemoryWeight * ShareOf(free.memory_mb - step->demand.memory_mb, capacity.memory_mb);
+    if (!step->long_running) return cost;
+    std::set<std::string> others;
+    for (const TaskRef& ref : worker.tasks) {
+      const StepSpec& beside = view.jobs.at(ref.job).StepOf(ref.position);
+      if (beside->long_running && beside->image != step->image) others.insert(beside->image);
+    }
+    return cost + kImageMixCost * static_cast<double>(others.size());
   }
+
+ private:
+  // Against the share of a worker that stays free.
+  static constexpr double kImageMixCost = 0.15;
 };
 
-// Fills use cores that others leave. The highest expected tail latency on the
-// worker, as a share of its target, decides.
+// Fills use cores that others leave, where they harm least.
 class FillRule final : public PlacementRule {
  public:
   std::optional<double> Cost(const WorkerState& worker, const StepSpec& step,
                              const PlacementView& view) const override {
     const std::int64_t leftover = LeftoverOf(worker, view);
     if (leftover < step->demand.millicores) return std::nullopt;
-    const double harm = ExpectedRatio(worker, step, view);
-    if (harm > view.policy->target_share) return std::nullopt;
+    double worst = 0;
+    for (const TaskRef& ref : worker.tasks) {
+      const JobState& job = view.jobs.at(ref.job);
+      const StepSpec& serving = job.StepOf(ref.position);
+      if (!serving->long_running || serving->target_latency_ms <= 0) continue;
+      const double added = HarmOf(serving, step, view);
+      const double expected =
+          ShareOf(job.tasks[ref.position].observed, serving->target_latency_ms) +
+          HarmUnderWay(worker, serving, view) + added;
+      if (added > kNegligible && expected > view.policy->harm_bound) return std::nullopt;
+      worst = std::max(worst, added);
+    }
     // Among workers with equal harm: the one with most left over.
-    return harm - kLeftoverWeight * ShareOf(leftover, worker.entry->capacity.millicores);
+    return worst - kLeftoverWeight * ShareOf(leftover, worker.entry->capacity.millicores);
   }
 
  private:
   static constexpr double kLeftoverWeight = 0.1;
+  // Added harm, as a share of the target, that is not worth a refusal.
+  static constexpr double kNegligible = 0.04;
+  static constexpr double kMillicores = 1'000;
 
-  static std::int64_t LeftoverOf(const WorkerState& worker, const PlacementView& view) {
-    const auto serving = static_cast<std::int64_t>(static_cast<double>(worker.serving_millicores) *
-                                                   view.policy->serving_use);
-    const std::int64_t batch = worker.reserved.millicores - worker.serving_millicores;
-    return worker.entry->capacity.millicores - serving - batch - worker.fill_millicores;
+  static double HarmOf(const StepSpec& serving, const StepSpec& fill, const PlacementView& view) {
+    return view.interference.HarmPerCore(serving->image, fill->image) *
+           static_cast<double>(fill->demand.millicores) / kMillicores;
   }
 
-  // Largest ratio over the serving tasks of the worker once `step` runs there.
-  static double ExpectedRatio(const WorkerState& worker, const StepSpec& step,
-                              const PlacementView& view) {
-    double worst = 0;
+  // Harm of fills that were placed too recently to show in the reported figure.
+  static double HarmUnderWay(const WorkerState& worker, const StepSpec& serving,
+                             const PlacementView& view) {
+    double harm = 0;
     for (const TaskRef& ref : worker.tasks) {
       const JobState& job = view.jobs.at(ref.job);
-      const StepSpec& serving = job.StepOf(ref.position);
-      if (!serving->long_running || serving->target_latency_ms <= 0) continue;
-      const TaskRow& task = job.tasks[ref.position];
-      double ratio = ShareOf(task.observed, serving->target_latency_ms) +
-                     view.interference.Harm(serving->image, step->image);
-      for (const TaskRef& other : worker.tasks) {
-        const JobState& other_job = view.jobs.at(other.job);
-        const StepSpec& fill = other_job.StepOf(other.position);
-        if (!fill->fills) continue;
-        // Not yet in the reported figure.
-        if (view.now - other_job.tasks[other.position].since < kReportLag) {
-          ratio += view.interference.Harm(serving->image, fill->image);
-        }
-      }
-      worst = std::max(worst, ratio);
+      const StepSpec& fill = job.StepOf(ref.position);
+      if (!fill->fills || view.now - job.tasks[ref.position].since >= kReportLag) continue;
+      harm += HarmOf(serving, fill, view);
     }
-    return worst;
+    return harm;
+  }
+
+  static std::int64_t LeftoverOf(const WorkerState& worker, const PlacementView& view) {
+    const auto serving = static_cast<std::int64_t>(static_cast<double>(worker.serving_millicores) *
+                                                   view.policy->serving_use);
+    const std::int64_t batch = worker.reserved.millicores - worker.serving_millicores;
+    return worker.entry->capacity.millicores - serving - batch - worker.fill_millicores;
   }
 };
 
--- a/src/scheduling/internal/policy.h
+++ b/src/scheduling/internal/policy.h
@@ -43,8 +43,9 @@
   Duration harm_limit{2'400};
   // Time under target after which a paced fill is raised a step.
   Duration raise_after{900};
-  // Learned harm, in shares of the target, up to which fills are placed.
-  double harm_bound = 0.6;
+  // Expected tail, in shares of the target, up to which a fill that harms is
+  // placed.
+  double harm_bound = 0.8;
 
   friend auto operator<=>(const PolicyFields&, const PolicyFields&) = default;
 };
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -27,6 +27,11 @@
 // nothing and go last.
 constexpr std::int64_t kWorthlessFactor = 3;
 constexpr int kWhole = 100;  // Percent of a task at work.
+// A fill slower than this is moved to a worker where it harms nobody, unless it
+// has nearly ended, or would lose more than a little progress.
+constexpr int kSlowPace = 50;
+constexpr int kNearlyDone = 85;
+constexpr int kLittleProgress = 15;
 
 std::string TextOf(const TaskKey& key) {
   return FormatJobId(key.job) + "." + std::to_string(key.occurrence) + "." +
@@ -295,31 +300,22 @@
 }
 
 void Shard::ObserveInterference(const WorkerState& worker) {
+  constexpr double kMillicores = 1'000;
   if (worker.serving_millicores == 0) return;
-  // A report lags: a fill counts by how much of the averaged time it worked.
-  constexpr Duration kReportDelay{300};
-  constexpr double kAveragedMs = 500;
   Interference::Fills fills;
   for (const TaskRef& ref : worker.tasks) {
     const JobState& job = *jobs_.Find(ref.job);
     const StepSpec& step = job.StepOf(ref.position);
     if (!step->fills) continue;
-    const TaskRow& task = job.tasks[ref.position];
-    const Time changed = std::max(task.since, task.paced);
-    const double worked =
-        static_cast<double>((worker.last_report - changed - kReportDelay).count()) / kAveragedMs;
-    fills[step->image] += std::clamp(worked, 0.0, 1.0) * task.pace / kWhole;
-  }
-  const double load =
-      static_cast<double>(worker.serving_millicores) /
-      static_cast<double>(std::max<std::int64_t>(1, worker.entry->capacity.millicores));
+    fills[step->image] += static_cast<double>(job.tasks[ref.position].observed) / kMillicores;
+  }
   for (const TaskRef& ref : worker.tasks) {
     const JobState& job = *jobs_.Find(ref.job);
     const StepSpec& step = job.StepOf(ref.position);
     const TaskRow& task = job.tasks[ref.position];
     if (!step->long_running || step->target_latency_ms <= 0 || task.progress < kWhole) continue;
     interference_.Observe(
-        step->image, fills, load,
+        step->image, fills,
         static_cast<double>(task.observed) / static_cast<double>(step->target_latency_ms));
   }
 }
@@ -586,10 +582,23 @@
       task.progressed = now;
       paces_.emplace_back(PaceOrderFields{
           .worker = id, .task = key, .run = task.run, .percent = change.percent, .token = token_});
+      MoveIfSlow(job, change.task.position, now);
     }
   }
 }
 
+void Shard::MoveIfSlow(JobState& job, std::size_t position, Time now) {
+  TaskRow& task = job.tasks[position];
+  const StepSpec& step = job.StepOf(position);
+  const bool keeps_work = step->checkpointing || task.progress <= kLittleProgress;
+  const bool worth_it = task.pace < kSlowPace && task.progress < kNearlyDone;
+  if (!keeps_work || !worth_it || step->gang) return;
+  if (BestWorker(job, position, now) == nullptr) return;
+  task.stopping = true;
+  Decide("task-moved", TextOf(job.KeyOf(position)),
+         "worker=" + task.worker.value + " cause=harm progress=" + std::to_string(task.progress));
+}
+
 RecordBatch Shard::TakeBatch() {
   RecordBatch batch;
   for (const JobId id : jobs_.dirty())
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -138,6 +138,7 @@
   void ReleaseDeadWorkers(Time now);
   void MoveStalled(Time now);
   void ControlPace(Time now);
+  void MoveIfSlow(JobState& job, std::size_t position, Time now);
   std::optional<StartOrder> StartOf(const JobState& job, std::size_t position, Time now);
   void Decide(std::string kind, std::string subject, std::string detail);
 
