--- a/src/scheduling/internal/placement_policy.cc
+++ b/src/scheduling/internal/placement_policy.cc
@@ -9,7 +9,7 @@
 namespace {
 
 // A report lags by this much: half a second of averaging and half of delay.
-constexpr Duration kReportLag{900};
+constexpr Duration kReportLag{1'100};
 // Weight of unused memory against unused cores in best fit, both as shares.
 constexpr double kMemoryWeight = 0.3;
 
@@ -48,7 +48,7 @@
   std::optional<double> Cost(const WorkerState& worker, const StepSpec& step,
                              const PlacementView& view) const override {
     const std::int64_t leftover = LeftoverOf(worker, view);
-    if (leftover < step->demand.millicores) return std::nullopt;
+    if (leftover < UseOf(step, view)) return std::nullopt;
     double worst = 0;
     for (const TaskRef& ref : worker.tasks) {
       const JobState& job = view.jobs.at(ref.job);
@@ -71,6 +71,11 @@
   static constexpr double kNegligible = 0.04;
   static constexpr double kMillicores = 1'000;
 
+  static std::int64_t UseOf(const StepSpec& fill, const PlacementView& view) {
+    return static_cast<std::int64_t>(static_cast<double>(fill->demand.millicores) *
+                                     view.policy->fill_use);
+  }
+
   static double HarmOf(const StepSpec& serving, const StepSpec& fill, const PlacementView& view) {
     return view.interference.HarmPerCore(serving->image, fill->image) *
            static_cast<double>(fill->demand.millicores) / kMillicores;
@@ -89,11 +94,20 @@
     return harm;
   }
 
+  // Cores that no task uses, by reported use where reports show it already.
   static std::int64_t LeftoverOf(const WorkerState& worker, const PlacementView& view) {
-    const auto serving = static_cast<std::int64_t>(static_cast<double>(worker.serving_millicores) *
-                                                   view.policy->serving_use);
-    const std::int64_t batch = worker.reserved.millicores - worker.serving_millicores;
-    return worker.entry->capacity.millicores - serving - batch - worker.fill_millicores;
+    auto leftover = static_cast<double>(worker.entry->capacity.millicores) -
+                    static_cast<double>(worker.serving_millicores) * view.policy->serving_use;
+    for (const TaskRef& ref : worker.tasks) {
+      const JobState& job = view.jobs.at(ref.job);
+      const StepSpec& step = job.StepOf(ref.position);
+      if (step->long_running) continue;
+      const TaskRow& task = job.tasks[ref.position];
+      const bool shown = view.now - task.since >= kReportLag;
+      leftover -= shown ? static_cast<double>(task.observed)
+                        : static_cast<double>(step->demand.millicores) * view.policy->fill_use;
+    }
+    return static_cast<std::int64_t>(leftover);
   }
 };
 
--- a/src/scheduling/internal/policy.h
+++ b/src/scheduling/internal/policy.h
@@ -34,6 +34,9 @@
   Duration finished_kept{120'000};
   // Share of its reserved cores that a serving task is taken to use.
   double serving_use = 0.55;
+  // Share of its cores that a fill or batch task is taken to use before reports
+  // show it: half of them use two thirds, half all.
+  double fill_use = 0.85;
   // Serving tasks are taken to be over target at this share of it: the reported
   // figure is rough and half a second old.
   double target_share = 0.9;
