Fills take room by the cores they use, but paced ones keep theirs

Counting reported use alone let paced fills look like free cores. Change: reported use, at least 0.66 of the request (the smaller of the two speeds seen), and more weight on free cores among harmless workers.

--- a/src/scheduling/internal/placement_policy.cc
+++ b/src/scheduling/internal/placement_policy.cc
@@ -66,7 +66,9 @@
   }
 
  private:
-  static constexpr double kLeftoverWeight = 0.1;
+  static constexpr double kLeftoverWeight = 0.3;
+  // Least share of its cores that a task uses at full pace.
+  static constexpr double kLeastUse = 0.66;
   // Added harm, as a share of the target, that is not worth a refusal.
   static constexpr double kNegligible = 0.04;
   static constexpr double kMillicores = 1'000;
@@ -103,9 +105,11 @@
       const StepSpec& step = job.StepOf(ref.position);
       if (step->long_running) continue;
       const TaskRow& task = job.tasks[ref.position];
+      const auto demand = static_cast<double>(step->demand.millicores);
       const bool shown = view.now - task.since >= kReportLag;
-      leftover -= shown ? static_cast<double>(task.observed)
-                        : static_cast<double>(step->demand.millicores) * view.policy->fill_use;
+      // A paced fill will need its cores again.
+      leftover -= shown ? std::max(static_cast<double>(task.observed), demand * kLeastUse)
+                        : demand * view.policy->fill_use;
     }
     return static_cast<std::int64_t>(leftover);
   }
