--- a/src/scheduling/internal/placement_policy.cc
+++ b/src/scheduling/internal/placement_policy.cc
@@ -39,7 +39,7 @@
 
  private:
   // Against the share of a worker that stays free.
-  static constexpr double kImageMixCost = 0.6;
+  static constexpr double kImageMixCost = 1.5;
 };
 
 // Fills use cores that others leave, where they harm least.
