Hand what was learned of harm to the next owner

Change: estimates by pair are recorded every 2 s among the shard's records and read at a take-over. Test: 'learned harm survives encoding and a change of owner'.

--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -15,6 +15,8 @@
 // Workers register every 1.5 s; their records are collected this long.
 constexpr Duration kWorkerPause{350};
 constexpr Duration kFollowWait{1'000};
+// What was learned of harm is recorded this often: a kilobyte or two.
+constexpr Duration kHarmPeriod{2'000};
 // Recording has no deadline: nothing may be forgotten. This is longer than any
 // process lives between two looks at it.
 constexpr Duration kNoDeadline{24 * 3'600'000};
@@ -101,6 +103,12 @@
   const Time now = Now();
   for (const KeyedRecord& record : progress) {
     if (!record->value) continue;
+    if (record->key == kHarmKey) {
+      const auto harm = DecodeHarm(*record->value);
+      if (harm) table_.With([&](Table& table) { table.shard.RestoreHarm(harm.value()); });
+      if (!harm) context_.log.Write("record-skipped", record->key, "topic=progress");
+      continue;
+    }
     const auto decoded = DecodeJobProgress(*record->value);
     if (!decoded) {
       context_.log.Write("record-skipped", record->key, "topic=progress");
@@ -259,6 +267,7 @@
 
 Task<> ShardOwner::RecordLoop() {
   const auto self = shared_from_this();
+  Time harm_recorded = Now();
   while (active_) {
     const std::uint64_t ticket = recorded_.Ticket();
     const RecordBatch batch = table_.With([](Table& table) { return table.shard.TakeBatch(); });
@@ -271,6 +280,11 @@
       records.emplace_back(KeyedRecordFields{.key = FormatJobId(progress->id),
                                              .value = EncodeJobProgress(progress)});
     }
+    if (Now() - harm_recorded >= kHarmPeriod) {
+      harm_recorded = Now();
+      const auto learned = table_.With([](Table& table) { return table.shard.LearnedHarm(); });
+      records.emplace_back(KeyedRecordFields{.key = kHarmKey, .value = EncodeHarm(learned)});
+    }
     std::vector<KeyedRecord> gone;
     for (const JobId id : batch.expired) {
       gone.emplace_back(KeyedRecordFields{.key = FormatJobId(id), .value = std::nullopt});
--- a/src/node/internal/shards.h
+++ b/src/node/internal/shards.h
@@ -16,6 +16,9 @@
 inline constexpr const char* kJobsTopic = "keyed.dn-jobs";
 inline constexpr const char* kProgressTopic = "keyed.dn-progress";
 
+// Key of what was learned of harm, among the progress of jobs.
+inline constexpr const char* kHarmKey = "harm";
+
 inline int ShardOf(JobId id) { return static_cast<int>(id % kShardCount); }
 inline Partition JobsOf(int shard) { return Partition({.topic = kJobsTopic, .number = shard}); }
 inline Partition ProgressOf(int shard) {
--- a/src/scheduling/internal/interference.cc
+++ b/src/scheduling/internal/interference.cc
@@ -67,6 +67,38 @@
   }
 }
 
+std::vector<HarmEstimate> Interference::Export() const {
+  std::vector<HarmEstimate> out;
+  for (const auto& [image, model] : models_) {
+    out.emplace_back(HarmEstimateFields{.serving_image = image,
+                                        .fill_image = {},
+                                        .weight = model.weights[0],
+                                        .variance = model.gain[0][0]});
+    for (const auto& [fill, column] : columns_) {
+      if (column >= model.weights.size()) continue;
+      out.emplace_back(HarmEstimateFields{.serving_image = image,
+                                          .fill_image = fill,
+                                          .weight = model.weights[column],
+                                          .variance = model.gain[column][column]});
+    }
+  }
+  return out;
+}
+
+void Interference::Import(const std::vector<HarmEstimate>& estimates) {
+  for (const HarmEstimate& estimate : estimates) {
+    if (!estimate->fill_image.empty()) ColumnOf(estimate->fill_image);
+  }
+  const std::size_t columns = kFixedColumns + columns_.size();
+  for (const HarmEstimate& estimate : estimates) {
+    Model& model = models_[estimate->serving_image];
+    Widen(model, columns);
+    const std::size_t column = estimate->fill_image.empty() ? 0 : columns_.at(estimate->fill_image);
+    model.weights[column] = estimate->weight;
+    model.gain[column][column] = std::clamp(estimate->variance, 0.0, kMaxVariance);
+  }
+}
+
 double Interference::HarmPerCore(const std::string& serving_image,
                                  const std::string& fill_image) const {
   const auto column = columns_.find(fill_image);
--- a/src/scheduling/internal/interference.h
+++ b/src/scheduling/internal/interference.h
@@ -3,12 +3,26 @@
 // that are compared are reported by the worker for the same half second.
 #pragma once
 
+#include <compare>
 #include <map>
 #include <string>
 #include <vector>
 
+#include "core/core.h"
+
 namespace dn {
 
+// What was learned of one pair of images.
+struct HarmEstimateFields {
+  std::string serving_image;
+  std::string fill_image;  // Empty: the base, without fills.
+  double weight = 0;       // Rise of the ratio a core; the ratio itself for the base.
+  double variance = 0;     // In units of the variance of a reported ratio.
+
+  friend auto operator<=>(const HarmEstimateFields&, const HarmEstimateFields&) = default;
+};
+using HarmEstimate = Immutable<HarmEstimateFields>;
+
 class Interference {
  public:
   // Cores that fills used, by image.
@@ -21,6 +35,11 @@
   // Rise of the ratio for each core that `fill_image` uses; at least 0.
   double HarmPerCore(const std::string& serving_image, const std::string& fill_image) const;
 
+  // Everything learned, to hand it to a later owner.
+  std::vector<HarmEstimate> Export() const;
+  // Takes what an earlier owner learned; replaces what is known of its pairs.
+  void Import(const std::vector<HarmEstimate>& estimates);
+
  private:
   // Recursive least squares for one serving image: ratio = base + sum of harm x
   // cores.
--- a/src/scheduling/internal/record_codec.cc
+++ b/src/scheduling/internal/record_codec.cc
@@ -129,6 +129,7 @@
 }
 
 constexpr double kStretchUnit = 1000;  // Stretch is kept in thousandths.
+constexpr double kHarmUnit = 1e6;      // Harm is kept in millionths.
 
 // Only what running a job needs; host and path served to find the queue.
 void WriteQueue(Writer& out, const Queue& queue) {
@@ -236,4 +237,34 @@
   return JobProgress(std::move(progress));
 }
 
+std::string EncodeHarm(const std::vector<HarmEstimate>& estimates) {
+  Writer out;
+  out.Number(kFormat);
+  out.Number(estimates.size());
+  for (const HarmEstimate& estimate : estimates) {
+    out.Text(estimate->serving_image);
+    out.Text(estimate->fill_image);
+    out.Signed(std::llround(estimate->weight * kHarmUnit));
+    out.Signed(std::llround(estimate->variance * kHarmUnit));
+  }
+  return out.Take();
+}
+
+Result<std::vector<HarmEstimate>> DecodeHarm(std::string_view bytes) {
+  Reader in(bytes);
+  if (in.Number() != kFormat) return Errc::kMalformed;
+  std::vector<HarmEstimate> estimates;
+  const std::uint64_t count = in.Count(kMaxTasks);
+  for (std::uint64_t i = 0; i < count && !in.failed(); ++i) {
+    HarmEstimateFields estimate;
+    estimate.serving_image = in.Text();
+    estimate.fill_image = in.Text();
+    estimate.weight = static_cast<double>(in.Signed()) / kHarmUnit;
+    estimate.variance = static_cast<double>(in.Signed()) / kHarmUnit;
+    estimates.emplace_back(std::move(estimate));
+  }
+  if (!in.complete()) return Errc::kMalformed;
+  return estimates;
+}
+
 }  // namespace dn
--- a/src/scheduling/internal/record_codec.h
+++ b/src/scheduling/internal/record_codec.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "scheduling/internal/interference.h"
 #include "scheduling/internal/job_spec.h"
 
 namespace dn {
@@ -52,6 +53,8 @@
 };
 using JobProgress = Immutable<JobProgressFields>;
 
+std::string EncodeHarm(const std::vector<HarmEstimate>& estimates);
+Result<std::vector<HarmEstimate>> DecodeHarm(std::string_view bytes);
 std::string EncodeAcceptedJob(const AcceptedJob& job);
 Result<AcceptedJob> DecodeAcceptedJob(std::string_view bytes);
 std::string EncodeJobProgress(const JobProgress& progress);
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -68,6 +68,10 @@
   void Accept(const AcceptedJob& job, Time now);
   void Restore(const JobProgress& progress, Time now);
 
+  // What earlier owners learned of harm, and what a later one should know.
+  void RestoreHarm(const std::vector<HarmEstimate>& estimates) { interference_.Import(estimates); }
+  std::vector<HarmEstimate> LearnedHarm() const { return interference_.Export(); }
+
   void WorkerListed(const WorkerEntry& entry, Time now);
   void WorkerUnlisted(const WorkerId& id, Time now);
 
--- a/src/scheduling/tests/record_codec_test.cc
+++ b/src/scheduling/tests/record_codec_test.cc
@@ -63,6 +63,29 @@
   CHECK(decoded.value() == progress);
 }
 
+TEST_CASE("learned harm survives encoding and a change of owner", "[scheduling][records]") {
+  Interference first;
+  for (int i = 0; i < 200; ++i) {
+    first.Observe("s1", {{"f1", i % 3}, {"f2", (i + 1) % 2}}, 0.4 + 0.2 * (i % 3));
+    first.Observe("s2", {{"f1", i % 2}}, 0.3);
+  }
+  CHECK(first.HarmPerCore("s1", "f1") == Approx(0.2).margin(0.02));
+  CHECK(first.HarmPerCore("s1", "f2") == Approx(0.0).margin(0.02));
+  CHECK(first.HarmPerCore("s2", "f1") == Approx(0.0).margin(0.02));
+  const auto decoded = DecodeHarm(EncodeHarm(first.Export()));
+  REQUIRE(decoded);
+  Interference second;
+  second.Import(decoded.value());
+  for (const char* serving : {"s1", "s2"}) {
+    for (const char* fill : {"f1", "f2"}) {
+      CAPTURE(serving, fill);
+      CHECK(second.HarmPerCore(serving, fill) ==
+            Approx(first.HarmPerCore(serving, fill)).margin(1e-5));
+    }
+  }
+  CHECK_FALSE(DecodeHarm("\x01\x05"));
+}
+
 TEST_CASE("damaged records are refused", "[scheduling][records]") {
   const std::string job = EncodeAcceptedJob(AcceptedJob({.id = 1, .spec = SpecWith([](auto&) {})}));
   const std::string progress =
