Slow harmful fills down after 1.2 s over target

Cause: peaks of a serving task's own load are shorter than a second; slowing fills down at each cost more than it saved.

--- a/src/scheduling/internal/policy.h
+++ b/src/scheduling/internal/policy.h
@@ -42,7 +42,7 @@
   double target_share = 0.9;
   // Time over target after which fills are paced down, and after which they
   // are stopped altogether. The platform tolerates 4 s.
-  Duration harm_patience{0};
+  Duration harm_patience{1'200};
   Duration harm_limit{2'400};
   // Time under target after which a paced fill is raised a step.
   Duration raise_after{900};
