--- a/src/scheduling/internal/job_table.cc
+++ b/src/scheduling/internal/job_table.cc
@@ -23,13 +23,13 @@
 
 }  // namespace
 
-std::size_t JobState::PositionOf(const TaskKey& key) const {
+std::size_t JobRow::PositionOf(const TaskKey& key) const {
   const auto step = static_cast<std::size_t>(key.step);
   return static_cast<std::size_t>(key.occurrence) * tasks_per_occurrence + step_offset[step] +
          static_cast<std::size_t>(key.index);
 }
 
-TaskKey JobState::KeyOf(std::size_t position) const {
+TaskKey JobRow::KeyOf(std::size_t position) const {
   const std::size_t within = position % tasks_per_occurrence;
   const auto next = std::upper_bound(step_offset.begin(), step_offset.end(), within);
   const auto step = static_cast<std::size_t>(next - step_offset.begin()) - 1;
@@ -39,31 +39,31 @@
           .index = static_cast<int>(within - step_offset[step])};
 }
 
-const StepSpec& JobState::StepOf(std::size_t position) const {
+const StepSpec& JobRow::StepOf(std::size_t position) const {
   return accepted->spec->steps[static_cast<std::size_t>(KeyOf(position).step)];
 }
 
-std::pair<std::size_t, std::size_t> JobState::RangeOf(std::size_t occurrence,
-                                                      std::size_t step) const {
+std::pair<std::size_t, std::size_t> JobRow::RangeOf(std::size_t occurrence,
+                                                    std::size_t step) const {
   const std::size_t first = occurrence * tasks_per_occurrence + step_offset[step];
   return {first, first + static_cast<std::size_t>(accepted->spec->steps[step]->count)};
 }
 
-bool JobState::StepDone(std::size_t occurrence, std::size_t step) const {
+bool JobRow::StepDone(std::size_t occurrence, std::size_t step) const {
   const auto [first, last] = RangeOf(occurrence, step);
   return std::all_of(tasks.begin() + static_cast<std::ptrdiff_t>(first),
                      tasks.begin() + static_cast<std::ptrdiff_t>(last),
                      [](const TaskRow& task) { return task.phase == TaskPhase::kDone; });
 }
 
-bool JobState::StepReady(std::size_t occurrence, std::size_t step) const {
+bool JobRow::StepReady(std::size_t occurrence, std::size_t step) const {
   const std::vector<int>& after = accepted->spec->steps[step]->after;
   return std::all_of(after.begin(), after.end(), [&](int earlier) {
     return StepDone(occurrence, static_cast<std::size_t>(earlier));
   });
 }
 
-std::int64_t JobState::objective_ms() const {
+std::int64_t JobRow::objective_ms() const {
   return static_cast<std::int64_t>(accepted->queue->stretch *
                                    static_cast<double>(longest_chain_ms)) +
          accepted->queue->target_latency_ms;
@@ -72,7 +72,7 @@
 bool JobTable::Accept(const AcceptedJob& accepted, Time now) {
   const auto [entry, added] = jobs_.try_emplace(accepted->id);
   if (!added) return false;
-  JobState& job = entry->second;
+  JobRow& job = entry->second;
   job.accepted = accepted;
   job.seen = now;
   for (const StepSpec& step : accepted->spec->steps) {
@@ -87,7 +87,7 @@
   return true;
 }
 
-void JobTable::Unfold(JobState& job, std::int64_t wall_ms) {
+void JobTable::Unfold(JobRow& job, std::int64_t wall_ms) {
   const JobSpec& spec = job.accepted->spec;
   while (job.occurrences() < static_cast<std::size_t>(spec->occurrences)) {
     const std::int64_t due =
@@ -99,7 +99,7 @@
 }
 
 void JobTable::Restore(const JobProgress& progress, Time now) {
-  JobState* job = Find(progress->id);
+  JobRow* job = Find(progress->id);
   if (job == nullptr) return;
   if (job->tasks.size() < progress->tasks.size()) job->tasks.resize(progress->tasks.size());
   job->done = 0;
@@ -129,18 +129,18 @@
   if (job->phase != JobPhase::kOpen) job->finished_at = now;
 }
 
-JobState* JobTable::Find(JobId id) {
+JobRow* JobTable::Find(JobId id) {
   const auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : &found->second;
 }
 
-const JobState* JobTable::Find(JobId id) const {
+const JobRow* JobTable::Find(JobId id) const {
   const auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : &found->second;
 }
 
 TaskRow* JobTable::Find(const TaskKey& key) {
-  JobState* job = Find(key.job);
+  JobRow* job = Find(key.job);
   if (job == nullptr || key.step < 0 || key.occurrence < 0 || key.index < 0) return nullptr;
   if (static_cast<std::size_t>(key.step) >= job->step_offset.size()) return nullptr;
   if (key.index >= job->accepted->spec->steps[static_cast<std::size_t>(key.step)]->count) {
@@ -150,7 +150,7 @@
   return position < job->tasks.size() ? &job->tasks[position] : nullptr;
 }
 
-void JobTable::SetPhase(JobState& job, std::size_t position, TaskPhase phase, Time now) {
+void JobTable::SetPhase(JobRow& job, std::size_t position, TaskPhase phase, Time now) {
   TaskRow& task = job.tasks[position];
   if (task.phase == TaskPhase::kDone) --job.done;
   if (task.phase == TaskPhase::kWaiting) --job.waiting;
@@ -161,7 +161,7 @@
   MarkDirty(job);
 }
 
-void JobTable::MarkDirty(JobState& job) {
+void JobTable::MarkDirty(JobRow& job) {
   if (job.dirty) return;
   job.dirty = true;
   dirty_.insert(job.accepted->id);
@@ -169,7 +169,7 @@
 
 void JobTable::ClearDirty() {
   for (const JobId id : dirty_) {
-    if (JobState* job = Find(id)) job->dirty = false;
+    if (JobRow* job = Find(id)) job->dirty = false;
   }
   dirty_.clear();
 }
@@ -179,7 +179,7 @@
   dirty_.erase(id);
 }
 
-JobProgress JobTable::ProgressOf(const JobState& job) {
+JobProgress JobTable::ProgressOf(const JobRow& job) {
   JobProgressFields progress{.id = job.accepted->id, .phase = job.phase, .tasks = {}};
   progress.tasks.reserve(job.tasks.size());
   for (const TaskRow& task : job.tasks) {
--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -47,7 +47,7 @@
   std::optional<Time> over_target_since;  // Serving tasks only.
 };
 
-// Address of a task: its job and its position in JobState::tasks.
+// Address of a task: its job and its position in JobRow::tasks.
 struct TaskRef {
   JobId job = 0;
   std::size_t position = 0;
@@ -55,7 +55,7 @@
   friend auto operator<=>(const TaskRef&, const TaskRef&) = default;
 };
 
-struct JobState {
+struct JobRow {
   AcceptedJob accepted;
   JobPhase phase = JobPhase::kOpen;
   JobPhase recorded_phase = JobPhase::kOpen;  // As far as it is durable.
@@ -90,26 +90,26 @@
   // Sets the tasks of a known job to recorded progress.
   void Restore(const JobProgress& progress, Time now);
   // Adds the occurrences that are due.
-  void Unfold(JobState& job, std::int64_t wall_ms);
+  void Unfold(JobRow& job, std::int64_t wall_ms);
 
-  JobState* Find(JobId id);
-  const JobState* Find(JobId id) const;
+  JobRow* Find(JobId id);
+  const JobRow* Find(JobId id) const;
   TaskRow* Find(const TaskKey& key);
-  std::map<JobId, JobState>& jobs() { return jobs_; }
-  const std::map<JobId, JobState>& jobs() const { return jobs_; }
+  std::map<JobId, JobRow>& jobs() { return jobs_; }
+  const std::map<JobId, JobRow>& jobs() const { return jobs_; }
 
   // Changes of phase keep the counters of the job and mark it dirty.
-  void SetPhase(JobState& job, std::size_t position, TaskPhase phase, Time now);
-  void MarkDirty(JobState& job);
+  void SetPhase(JobRow& job, std::size_t position, TaskPhase phase, Time now);
+  void MarkDirty(JobRow& job);
   // Ids whose durable record is out of date.
   const std::set<JobId>& dirty() const { return dirty_; }
   void ClearDirty();
   void Erase(JobId id);
 
-  static JobProgress ProgressOf(const JobState& job);
+  static JobProgress ProgressOf(const JobRow& job);
 
  private:
-  std::map<JobId, JobState> jobs_;
+  std::map<JobId, JobRow> jobs_;
   std::set<JobId> dirty_;  // Exactly the jobs with `dirty` set.
 };
 
--- a/src/scheduling/internal/orders.h
+++ b/src/scheduling/internal/orders.h
@@ -97,7 +97,7 @@
                                                                {EndKind::kAlone, "alone"}}};
 };
 
-struct RunningTaskFields {
+struct ReportedRunFields {
   TaskKey task;
   int run = 0;
   std::string checkpoint;
@@ -106,26 +106,26 @@
   // Rough, over the last half second.
   std::int64_t observed = 0;
 
-  friend auto operator<=>(const RunningTaskFields&, const RunningTaskFields&) = default;
+  friend auto operator<=>(const ReportedRunFields&, const ReportedRunFields&) = default;
 };
-using RunningTask = Immutable<RunningTaskFields>;
+using ReportedRun = Immutable<ReportedRunFields>;
 
-struct EndedTaskFields {
+struct ReportedEndFields {
   std::int64_t number = 0;  // Rises from 1 in each life of a worker.
   TaskKey task;
   int run = 0;
   EndKind kind = EndKind::kDone;
   std::string checkpoint;
 
-  friend auto operator<=>(const EndedTaskFields&, const EndedTaskFields&) = default;
+  friend auto operator<=>(const ReportedEndFields&, const ReportedEndFields&) = default;
 };
-using EndedTask = Immutable<EndedTaskFields>;
+using ReportedEnd = Immutable<ReportedEndFields>;
 
 struct RunReportFields {
   ClockReading clock = 0;
   std::int64_t born_ms = 0;
-  std::vector<RunningTask> running;
-  std::vector<EndedTask> ended;
+  std::vector<ReportedRun> running;
+  std::vector<ReportedEnd> ended;
 
   friend auto operator<=>(const RunReportFields&, const RunReportFields&) = default;
 };
--- a/src/scheduling/internal/pace_control.cc
+++ b/src/scheduling/internal/pace_control.cc
@@ -30,13 +30,13 @@
   Time last_change{};
 };
 
-Situation Survey(const WorkerState& worker, const std::map<JobId, JobState>& jobs,
+Situation Survey(const WorkerRow& worker, const std::map<JobId, JobRow>& jobs,
                  const Interference& interference, Time now) {
   Situation out;
   std::vector<const std::string*> images;       // Of all serving tasks.
   std::vector<const std::string*> over_images;  // Of those over target.
   for (const TaskRef& ref : worker.tasks) {
-    const JobState& job = jobs.at(ref.job);
+    const JobRow& job = jobs.at(ref.job);
     const StepSpec& step = job.StepOf(ref.position);
     if (!step->long_running || step->target_latency_ms <= 0) continue;
     const TaskRow& task = job.tasks[ref.position];
@@ -49,7 +49,7 @@
   }
   const auto& affected = over_images.empty() ? images : over_images;
   for (const TaskRef& ref : worker.tasks) {
-    const JobState& job = jobs.at(ref.job);
+    const JobRow& job = jobs.at(ref.job);
     const StepSpec& step = job.StepOf(ref.position);
     const TaskRow& task = job.tasks[ref.position];
     if (!step->fills || task.stage != StartStage::kConfirmed || task.stopping) continue;
@@ -110,8 +110,7 @@
 
 }  // namespace
 
-std::vector<PaceChange> PaceChanges(const WorkerState& worker,
-                                    const std::map<JobId, JobState>& jobs,
+std::vector<PaceChange> PaceChanges(const WorkerRow& worker, const std::map<JobId, JobRow>& jobs,
                                     const Interference& interference, const Policy& policy,
                                     Time now) {
   if (worker.fill_millicores == 0) return {};
--- a/src/scheduling/internal/placement_policy.cc
+++ b/src/scheduling/internal/placement_policy.cc
@@ -21,7 +21,7 @@
 // are kept together: the fewer images on a worker, the fewer fills harm it.
 class PackingRule final : public PlacementRule {
  public:
-  std::optional<double> Cost(const WorkerState& worker, const StepSpec& step,
+  std::optional<double> Cost(const WorkerRow& worker, const StepSpec& step,
                              const PlacementView& view) const override {
     const Resources free = worker.Free();
     const Resources& capacity = worker.entry->capacity;
@@ -45,13 +45,13 @@
 // Fills use cores that others leave, where they harm least.
 class FillRule final : public PlacementRule {
  public:
-  std::optional<double> Cost(const WorkerState& worker, const StepSpec& step,
+  std::optional<double> Cost(const WorkerRow& worker, const StepSpec& step,
                              const PlacementView& view) const override {
     const std::int64_t leftover = LeftoverOf(worker, view);
     if (leftover < UseOf(step, view)) return std::nullopt;
     double worst = 0;
     for (const TaskRef& ref : worker.tasks) {
-      const JobState& job = view.jobs.at(ref.job);
+      const JobRow& job = view.jobs.at(ref.job);
       const StepSpec& serving = job.StepOf(ref.position);
       if (!serving->long_running || serving->target_latency_ms <= 0) continue;
       const double added = HarmOf(serving, step, view);
@@ -84,11 +84,11 @@
   }
 
   // Harm of fills that were placed too recently to show in the reported figure.
-  static double HarmUnderWay(const WorkerState& worker, const StepSpec& serving,
+  static double HarmUnderWay(const WorkerRow& worker, const StepSpec& serving,
                              const PlacementView& view) {
     double harm = 0;
     for (const TaskRef& ref : worker.tasks) {
-      const JobState& job = view.jobs.at(ref.job);
+      const JobRow& job = view.jobs.at(ref.job);
       const StepSpec& fill = job.StepOf(ref.position);
       if (!fill->fills || view.now - job.tasks[ref.position].since >= kReportLag) continue;
       harm += HarmOf(serving, fill, view);
@@ -97,11 +97,11 @@
   }
 
   // Cores that no task uses, by reported use where reports show it already.
-  static std::int64_t LeftoverOf(const WorkerState& worker, const PlacementView& view) {
+  static std::int64_t LeftoverOf(const WorkerRow& worker, const PlacementView& view) {
     auto leftover = static_cast<double>(worker.entry->capacity.millicores) -
                     static_cast<double>(worker.serving_millicores) * view.policy->serving_use;
     for (const TaskRef& ref : worker.tasks) {
-      const JobState& job = view.jobs.at(ref.job);
+      const JobRow& job = view.jobs.at(ref.job);
       const StepSpec& step = job.StepOf(ref.position);
       if (step->long_running) continue;
       const TaskRow& task = job.tasks[ref.position];
@@ -129,7 +129,7 @@
   return *kRules.at(static_cast<std::size_t>(kind));
 }
 
-bool MayHold(const WorkerState& worker, const JobState& job, std::size_t position, Time now) {
+bool MayHold(const WorkerRow& worker, const JobRow& job, std::size_t position, Time now) {
   const StepSpec& step = job.StepOf(position);
   const WorkerEntry& entry = worker.entry;
   if (!worker.listed || entry->draining || !worker.confirmed) return false;
--- a/src/scheduling/internal/placement_policy.h
+++ b/src/scheduling/internal/placement_policy.h
@@ -10,7 +10,7 @@
 
 // What the strategies see besides the worker.
 struct PlacementView {
-  const std::map<JobId, JobState>& jobs;
+  const std::map<JobId, JobRow>& jobs;
   const Interference& interference;
   const Policy& policy;
   Time now;
@@ -25,7 +25,7 @@
   virtual ~PlacementRule() = default;
   // Cost of one more task of `step` on `worker`; the lowest is taken. Nothing:
   // the task must not go there now. Room, labels and spread were checked.
-  virtual std::optional<double> Cost(const WorkerState& worker, const StepSpec& step,
+  virtual std::optional<double> Cost(const WorkerRow& worker, const StepSpec& step,
                                      const PlacementView& view) const = 0;
 };
 
@@ -34,6 +34,6 @@
 
 // Checks that hold for every kind: service, life, drain, quarantine, room,
 // label, rack and `max_per_worker`.
-bool MayHold(const WorkerState& worker, const JobState& job, std::size_t position, Time now);
+bool MayHold(const WorkerRow& worker, const JobRow& job, std::size_t position, Time now);
 
 }  // namespace dn
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -54,7 +54,7 @@
 
 void Shard::Restore(const JobProgress& progress, Time now) {
   jobs_.Restore(progress, now);
-  JobState* job = jobs_.Find(progress->id);
+  JobRow* job = jobs_.Find(progress->id);
   if (job == nullptr) {
     Decide("progress-without-job", FormatJobId(progress->id), "ignored");
     return;
@@ -76,7 +76,7 @@
 }
 
 std::optional<WorkerEntry> Shard::InCare(const WorkerId& id) {
-  const WorkerState* worker = workers_.Find(id);
+  const WorkerRow* worker = workers_.Find(id);
   if (worker == nullptr || worker->entry->address.port == 0) return std::nullopt;
   if (!worker->listed && worker->tasks.empty()) return std::nullopt;
   return worker->entry;
@@ -92,7 +92,7 @@
 }
 
 Renewal Shard::NextRenewal(const WorkerId& id, Time now) {
-  WorkerState* worker = workers_.Find(id);
+  WorkerRow* worker = workers_.Find(id);
   if (worker == nullptr) return Renewal({.worker = id, .token = token_});
   // A worker that does not answer gets no further lease: its tasks can then be
   // known to be over soon after.
@@ -109,7 +109,7 @@
 }
 
 void Shard::Reported(const WorkerId& id, const OrderAnswer& answer, Time asked, Time now) {
-  WorkerState* worker = workers_.Find(id);
+  WorkerRow* worker = workers_.Find(id);
   if (worker == nullptr || answer->refusal != OrderRefusal::kNone) return;
   const RunReport& report = answer->report;
   if (worker->born_ms != report->born_ms) {
@@ -125,17 +125,17 @@
   worker->clock = {report->clock, now};
   worker->confirmed = true;
   worker->last_report = now;
-  for (const EndedTask& end : report->ended) {
+  for (const ReportedEnd& end : report->ended) {
     if (end->number <= worker->ends_seen) continue;
     ApplyEnd(*worker, end, now);
     worker->ends_seen = end->number;
   }
-  for (const RunningTask& running : report->running) ApplyRunning(*worker, running, now);
+  for (const ReportedRun& running : report->running) ApplyRunning(*worker, running, now);
   Reconcile(*worker, report, asked, now);
   ObserveInterference(*worker);
 }
 
-void Shard::ApplyEnd(WorkerState& worker, const EndedTask& end, Time now) {
+void Shard::ApplyEnd(WorkerRow& worker, const ReportedEnd& end, Time now) {
   TaskRow* task = jobs_.Find(end->task);
   if (task == nullptr || task->phase == TaskPhase::kDone || end->run != task->run) {
     Decide("end-ignored", TextOf(end->task),
@@ -143,7 +143,7 @@
     if (task != nullptr) task->run = std::max(task->run, end->run);
     return;
   }
-  JobState& job = *jobs_.Find(end->task.job);
+  JobRow& job = *jobs_.Find(end->task.job);
   const std::size_t position = job.PositionOf(end->task);
   const StepSpec& step = job.StepOf(position);
   auto [first, last] = job.RangeOf(static_cast<std::size_t>(end->task.occurrence),
@@ -171,7 +171,7 @@
   if (end->kind == EndKind::kFailed) CountFailure(worker, job, position, now);
 }
 
-void Shard::CountFailure(WorkerState& worker, JobState& job, std::size_t position, Time now) {
+void Shard::CountFailure(WorkerRow& worker, JobRow& job, std::size_t position, Time now) {
   const StepSpec& step = job.StepOf(position);
   const TaskKey key = job.KeyOf(position);
   const auto [first, last] =
@@ -199,7 +199,7 @@
   StopAll(job);
 }
 
-void Shard::FinishIfDone(JobState& job, Time now) {
+void Shard::FinishIfDone(JobRow& job, Time now) {
   const auto occurrences = static_cast<std::size_t>(std::max(1, job.accepted->spec->occurrences));
   if (job.phase != JobPhase::kOpen || job.occurrences() < occurrences) return;
   if (job.done < job.tasks.size()) return;
@@ -211,7 +211,7 @@
              " objective_ms=" + std::to_string(job.objective_ms()));
 }
 
-void Shard::StopAll(JobState& job) {
+void Shard::StopAll(JobRow& job) {
   jobs_.MarkDirty(job);
   for (std::size_t i = 0; i < job.tasks.size(); ++i) {
     TaskRow& task = job.tasks[i];
@@ -224,10 +224,10 @@
   }
 }
 
-void Shard::Unplace(JobState& job, std::size_t position, TaskPhase phase, Time now) {
+void Shard::Unplace(JobRow& job, std::size_t position, TaskPhase phase, Time now) {
   TaskRow& task = job.tasks[position];
   if (task.phase == TaskPhase::kPlaced) {
-    if (WorkerState* worker = workers_.Find(task.worker)) {
+    if (WorkerRow* worker = workers_.Find(task.worker)) {
       WorkerTable::Release(*worker, {job.accepted->id, position}, job.StepOf(position));
     }
   }
@@ -243,7 +243,7 @@
   jobs_.SetPhase(job, position, phase, now);
 }
 
-void Shard::ApplyRunning(WorkerState& worker, const RunningTask& running, Time now) {
+void Shard::ApplyRunning(WorkerRow& worker, const ReportedRun& running, Time now) {
   TaskRow* task = jobs_.Find(running->task);
   const bool ours = task != nullptr && task->phase == TaskPhase::kPlaced &&
                     task->worker == worker.entry->id && task->run == running->run;
@@ -264,7 +264,7 @@
     task->progress = running->progress_percent;
     task->progressed = now;
   }
-  const JobState& job = *jobs_.Find(running->task.job);
+  const JobRow& job = *jobs_.Find(running->task.job);
   const StepSpec& step = job.StepOf(job.PositionOf(running->task));
   if (!step->long_running || step->target_latency_ms <= 0) return;
   const bool over = task->progress >= kWhole &&
@@ -274,12 +274,12 @@
   if (over && !task->over_target_since) task->over_target_since = now;
 }
 
-void Shard::Reconcile(WorkerState& worker, const RunReport& report, Time asked, Time now) {
+void Shard::Reconcile(WorkerRow& worker, const RunReport& report, Time asked, Time now) {
   std::set<TaskKey> running;
-  for (const RunningTask& run : report->running) running.insert(run->task);
+  for (const ReportedRun& run : report->running) running.insert(run->task);
   const std::set<TaskRef> placed = worker.tasks;
   for (const TaskRef& ref : placed) {
-    JobState& job = *jobs_.Find(ref.job);
+    JobRow& job = *jobs_.Find(ref.job);
     TaskRow& task = job.tasks[ref.position];
     if (task.stage == StartStage::kUnrecorded || running.count(job.KeyOf(ref.position)) > 0) {
       continue;
@@ -299,18 +299,18 @@
   }
 }
 
-void Shard::ObserveInterference(const WorkerState& worker) {
+void Shard::ObserveInterference(const WorkerRow& worker) {
   constexpr double kMillicores = 1'000;
   if (worker.serving_millicores == 0) return;
   Interference::Fills fills;
   for (const TaskRef& ref : worker.tasks) {
-    const JobState& job = *jobs_.Find(ref.job);
+    const JobRow& job = *jobs_.Find(ref.job);
     const StepSpec& step = job.StepOf(ref.position);
     if (!step->fills) continue;
     fills[step->image] += static_cast<double>(job.tasks[ref.position].observed) / kMillicores;
   }
   for (const TaskRef& ref : worker.tasks) {
-    const JobState& job = *jobs_.Find(ref.job);
+    const JobRow& job = *jobs_.Find(ref.job);
     const StepSpec& step = job.StepOf(ref.position);
     const TaskRow& task = job.tasks[ref.position];
     if (!step->long_running || step->target_latency_ms <= 0 || task.progress < kWhole) continue;
@@ -325,7 +325,7 @@
   TaskRow* task = jobs_.Find(order->task);
   if (task == nullptr || task->phase != TaskPhase::kPlaced || task->run != order->run) return;
   if (task->worker != order->worker) return;
-  JobState& job = *jobs_.Find(order->task.job);
+  JobRow& job = *jobs_.Find(order->task.job);
   const std::size_t position = job.PositionOf(order->task);
   if (!answer) {
     if (task->stage == StartStage::kConfirmed || task->stopping) return;
@@ -354,7 +354,7 @@
     task->stopping = true;
     return;
   }
-  if (WorkerState* worker = workers_.Find(order->worker)) {
+  if (WorkerRow* worker = workers_.Find(order->worker)) {
     worker->avoid_until = std::max(worker->avoid_until, now + policy_->avoid_after_refusal);
   }
   if (task->stage == StartStage::kConfirmed) return;
@@ -372,7 +372,7 @@
 }
 
 bool Shard::Cancel(JobId id, Time now) {
-  JobState* job = jobs_.Find(id);
+  JobRow* job = jobs_.Find(id);
   if (job == nullptr) return false;
   if (job->phase != JobPhase::kOpen) return true;
   job->phase = JobPhase::kCancelled;
@@ -398,14 +398,14 @@
 
 void Shard::ReleaseDeadWorkers(Time now) {
   for (auto entry = workers_.workers().begin(); entry != workers_.workers().end();) {
-    WorkerState& worker = entry->second;
+    WorkerRow& worker = entry->second;
     if (!workers_.CertainlyDead(worker, now)) {
       ++entry;
       continue;
     }
     const std::set<TaskRef> placed = worker.tasks;
     for (const TaskRef& ref : placed) {
-      JobState& job = *jobs_.Find(ref.job);
+      JobRow& job = *jobs_.Find(ref.job);
       Decide("task-lost", TextOf(job.KeyOf(ref.position)),
              "run=" + std::to_string(job.tasks[ref.position].run) +
                  " worker=" + entry->first.value + " cause=lease-over");
@@ -422,7 +422,7 @@
     const bool last_call = leaving && now + 2 * policy_->stop_limit >= worker.leaves_at;
     bool stalled = false;
     for (const TaskRef& ref : worker.tasks) {
-      JobState& job = *jobs_.Find(ref.job);
+      JobRow& job = *jobs_.Find(ref.job);
       TaskRow& task = job.tasks[ref.position];
       if (task.stage != StartStage::kConfirmed || task.stopping) continue;
       const StepSpec& step = job.StepOf(ref.position);
@@ -485,7 +485,7 @@
   return out;
 }
 
-WorkerState* Shard::BestWorker(const JobState& job, std::size_t position, Time now) {
+WorkerRow* Shard::BestWorker(const JobRow& job, std::size_t position, Time now) {
   // Running on another rack than the data, or than the step's other tasks.
   constexpr double kOffRackCost = 10;
   const StepSpec& step = job.StepOf(position);
@@ -499,10 +499,10 @@
         job.RangeOf(static_cast<std::size_t>(key.occurrence), static_cast<std::size_t>(key.step));
     for (std::size_t i = first; i < last && rack.empty(); ++i) {
       if (job.tasks[i].phase != TaskPhase::kPlaced) continue;
-      if (const WorkerState* peer = workers_.Find(job.tasks[i].worker)) rack = peer->entry->rack;
+      if (const WorkerRow* peer = workers_.Find(job.tasks[i].worker)) rack = peer->entry->rack;
     }
   }
-  WorkerState* best = nullptr;
+  WorkerRow* best = nullptr;
   double best_cost = 0;
   for (auto& [id, worker] : workers_.workers()) {
     if (!MayHold(worker, job, position, now)) continue;
@@ -517,7 +517,7 @@
   return best;
 }
 
-void Shard::Place(JobState& job, std::size_t position, WorkerState& worker, Time now) {
+void Shard::Place(JobRow& job, std::size_t position, WorkerRow& worker, Time now) {
   TaskRow& task = job.tasks[position];
   ++task.run;
   task.worker = worker.entry->id;
@@ -533,19 +533,19 @@
 }
 
 void Shard::PlaceStep(const Waiting& waiting, Time now) {
-  JobState& job = *waiting.job;
+  JobRow& job = *waiting.job;
   const auto [first, last] = job.RangeOf(waiting.occurrence, waiting.step);
   for (std::size_t i = first; i < last; ++i) {
     const TaskRow& task = job.tasks[i];
     if (task.phase != TaskPhase::kWaiting || task.not_before > now) continue;
-    WorkerState* worker = BestWorker(job, i, now);
+    WorkerRow* worker = BestWorker(job, i, now);
     if (worker == nullptr) return;  // Its other tasks ask for the same.
     Place(job, i, *worker, now);
   }
 }
 
 bool Shard::PlaceGang(const Waiting& waiting, Time now) {
-  JobState& job = *waiting.job;
+  JobRow& job = *waiting.job;
   const auto [first, last] = job.RangeOf(waiting.occurrence, waiting.step);
   int run = 0;
   for (std::size_t i = first; i < last; ++i) {
@@ -555,7 +555,7 @@
   }
   const std::size_t planned_before = planned_.size();
   for (std::size_t i = first; i < last; ++i) {
-    WorkerState* worker = BestWorker(job, i, now);
+    WorkerRow* worker = BestWorker(job, i, now);
     if (worker == nullptr) {
       planned_.resize(planned_before);
       for (std::size_t j = first; j < i; ++j) Unplace(job, j, TaskPhase::kWaiting, now);
@@ -571,7 +571,7 @@
   for (auto& [id, worker] : workers_.workers()) {
     for (const PaceChange& change :
          PaceChanges(worker, jobs_.jobs(), interference_, policy_, now)) {
-      JobState& job = *jobs_.Find(change.task.job);
+      JobRow& job = *jobs_.Find(change.task.job);
       TaskRow& task = job.tasks[change.task.position];
       const TaskKey key = job.KeyOf(change.task.position);
       Decide("pace", TextOf(key),
@@ -587,7 +587,7 @@
   }
 }
 
-void Shard::MoveIfSlow(JobState& job, std::size_t position, Time now) {
+void Shard::MoveIfSlow(JobRow& job, std::size_t position, Time now) {
   TaskRow& task = job.tasks[position];
   const StepSpec& step = job.StepOf(position);
   const bool keeps_work = step->checkpointing || task.progress <= kLittleProgress;
@@ -623,11 +623,11 @@
 
 void Shard::Recorded(const RecordBatch& batch, Time now) {
   for (const JobProgress& record : batch.records) {
-    JobState* job = jobs_.Find(record->id);
+    JobRow* job = jobs_.Find(record->id);
     if (job != nullptr) job->recorded_phase = record->phase;
   }
   for (const auto& [id, ends] : batch.ends) {
-    WorkerState* worker = workers_.Find(id);
+    WorkerRow* worker = workers_.Find(id);
     if (worker != nullptr && worker->born_ms == ends.first) {
       worker->ends_recorded = std::max(worker->ends_recorded, ends.second);
     }
@@ -637,7 +637,7 @@
     TaskRow* task = jobs_.Find(key);
     if (task == nullptr || task->phase != TaskPhase::kPlaced) continue;
     if (task->run != batch.runs[i] || task->stage != StartStage::kUnrecorded) continue;
-    JobState& job = *jobs_.Find(key.job);
+    JobRow& job = *jobs_.Find(key.job);
     const std::size_t position = job.PositionOf(key);
     auto start = StartOf(job, position, now);
     if (!start) {
@@ -651,9 +651,9 @@
   for (const JobId id : batch.expired) jobs_.Erase(id);
 }
 
-std::optional<StartOrder> Shard::StartOf(const JobState& job, std::size_t position, Time now) {
+std::optional<StartOrder> Shard::StartOf(const JobRow& job, std::size_t position, Time now) {
   const TaskRow& task = job.tasks[position];
-  WorkerState* worker = workers_.Find(task.worker);
+  WorkerRow* worker = workers_.Find(task.worker);
   if (worker == nullptr) return std::nullopt;
   const auto until = workers_.LeaseEnd(*worker, now);
   if (!until) return std::nullopt;
@@ -673,7 +673,7 @@
                 .paces = std::exchange(paces_, {})};
   for (auto& [id, worker] : workers_.workers()) {
     for (const TaskRef& ref : worker.tasks) {
-      JobState& job = *jobs_.Find(ref.job);
+      JobRow& job = *jobs_.Find(ref.job);
       TaskRow& task = job.tasks[ref.position];
       if (!task.stopping || now - task.stop_ordered < kStopRepeat) continue;
       task.stop_ordered = now;
@@ -689,7 +689,7 @@
       {{JobPhase::kCompleted, ShownState::kCompleted},
        {JobPhase::kFailed, ShownState::kFailed},
        {JobPhase::kCancelled, ShownState::kCancelled}}};
-  const JobState* job = jobs_.Find(id);
+  const JobRow* job = jobs_.Find(id);
   if (job == nullptr) return ShownState::kUnknown;
   for (const auto& [phase, shown] : kEnded) {
     if (job->recorded_phase == phase) return shown;
@@ -699,7 +699,7 @@
 
 std::int64_t Shard::WaitingOf(const std::string& queue) const {
   return std::count_if(jobs_.jobs().begin(), jobs_.jobs().end(), [&](const auto& entry) {
-    const JobState& job = entry.second;
+    const JobRow& job = entry.second;
     return job.phase == JobPhase::kOpen && !job.begun && job.accepted->queue->name == queue;
   });
 }
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -115,7 +115,7 @@
 
  private:
   struct Waiting {
-    JobState* job;
+    JobRow* job;
     std::size_t occurrence;
     std::size_t step;
     std::int64_t rank;   // Lower goes first.
@@ -126,24 +126,24 @@
     }
   };
 
-  void ApplyEnd(WorkerState& worker, const EndedTask& end, Time now);
-  void ApplyRunning(WorkerState& worker, const RunningTask& running, Time now);
-  void Reconcile(WorkerState& worker, const RunReport& report, Time asked, Time now);
-  void ObserveInterference(const WorkerState& worker);
-  void Unplace(JobState& job, std::size_t position, TaskPhase phase, Time now);
-  void CountFailure(WorkerState& worker, JobState& job, std::size_t position, Time now);
-  void FinishIfDone(JobState& job, Time now);
-  void StopAll(JobState& job);
+  void ApplyEnd(WorkerRow& worker, const ReportedEnd& end, Time now);
+  void ApplyRunning(WorkerRow& worker, const ReportedRun& running, Time now);
+  void Reconcile(WorkerRow& worker, const RunReport& report, Time asked, Time now);
+  void ObserveInterference(const WorkerRow& worker);
+  void Unplace(JobRow& job, std::size_t position, TaskPhase phase, Time now);
+  void CountFailure(WorkerRow& worker, JobRow& job, std::size_t position, Time now);
+  void FinishIfDone(JobRow& job, Time now);
+  void StopAll(JobRow& job);
   std::vector<Waiting> CollectWaiting(Time now, std::int64_t wall_ms);
   void PlaceStep(const Waiting& waiting, Time now);
   bool PlaceGang(const Waiting& waiting, Time now);
-  WorkerState* BestWorker(const JobState& job, std::size_t position, Time now);
-  void Place(JobState& job, std::size_t position, WorkerState& worker, Time now);
+  WorkerRow* BestWorker(const JobRow& job, std::size_t position, Time now);
+  void Place(JobRow& job, std::size_t position, WorkerRow& worker, Time now);
   void ReleaseDeadWorkers(Time now);
   void MoveStalled(Time now);
   void ControlPace(Time now);
-  void MoveIfSlow(JobState& job, std::size_t position, Time now);
-  std::optional<StartOrder> StartOf(const JobState& job, std::size_t position, Time now);
+  void MoveIfSlow(JobRow& job, std::size_t position, Time now);
+  std::optional<StartOrder> StartOf(const JobRow& job, std::size_t position, Time now);
   void Decide(std::string kind, std::string subject, std::string detail);
 
   const Policy policy_;
--- a/src/scheduling/internal/worker_table.cc
+++ b/src/scheduling/internal/worker_table.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // Adds `sign` times the share of a worker that a task of `step` takes.
-void Count(WorkerState& worker, const StepSpec& step, int sign) {
+void Count(WorkerRow& worker, const StepSpec& step, int sign) {
   const Resources& demand = step->demand;
   worker.reserved.memory_mb += sign * demand.memory_mb;
   worker.reserved.accelerators += sign * demand.accelerators;
@@ -21,12 +21,12 @@
 
 }  // namespace
 
-bool WorkerState::HasLabel(const std::string& label) const {
+bool WorkerRow::HasLabel(const std::string& label) const {
   return std::find(entry->labels.begin(), entry->labels.end(), label) != entry->labels.end();
 }
 
 void WorkerTable::Listed(const WorkerEntry& entry, Time now) {
-  WorkerState& worker = FindOrAdd(entry->id, now);
+  WorkerRow& worker = FindOrAdd(entry->id, now);
   worker.entry = entry;
   worker.listed = true;
   worker.leaves_at = entry->draining
@@ -35,18 +35,18 @@
 }
 
 void WorkerTable::Unlisted(const WorkerId& id, Time now) {
-  WorkerState* worker = Find(id);
+  WorkerRow* worker = Find(id);
   if (worker == nullptr || !worker->listed) return;
   worker->listed = false;
   worker->unlisted_at = now;
 }
 
-WorkerState* WorkerTable::Find(const WorkerId& id) {
+WorkerRow* WorkerTable::Find(const WorkerId& id) {
   const auto found = workers_.find(id);
   return found == workers_.end() ? nullptr : &found->second;
 }
 
-WorkerState& WorkerTable::FindOrAdd(const WorkerId& id, Time now) {
+WorkerRow& WorkerTable::FindOrAdd(const WorkerId& id, Time now) {
   const auto [entry, added] = workers_.try_emplace(id);
   if (added) {
     entry->second.entry = WorkerEntry({.id = id});
@@ -57,28 +57,28 @@
   return entry->second;
 }
 
-void WorkerTable::Reserve(WorkerState& worker, const TaskRef& ref, const StepSpec& step) {
+void WorkerTable::Reserve(WorkerRow& worker, const TaskRef& ref, const StepSpec& step) {
   if (worker.tasks.insert(ref).second) Count(worker, step, 1);
 }
 
-void WorkerTable::Release(WorkerState& worker, const TaskRef& ref, const StepSpec& step) {
+void WorkerTable::Release(WorkerRow& worker, const TaskRef& ref, const StepSpec& step) {
   if (worker.tasks.erase(ref) > 0) Count(worker, step, -1);
 }
 
-std::optional<ClockReading> WorkerTable::LeaseEnd(const WorkerState& worker, Time now) const {
+std::optional<ClockReading> WorkerTable::LeaseEnd(const WorkerRow& worker, Time now) const {
   if (!worker.clock) return std::nullopt;
   const auto& [reading, at] = *worker.clock;
   return reading + (now - at).count() + policy_->lease.count();
 }
 
-void WorkerTable::LeaseGranted(WorkerState& worker, Time now) const {
+void WorkerTable::LeaseGranted(WorkerRow& worker, Time now) const {
   const auto longest = static_cast<std::int64_t>(static_cast<double>(policy_->lease.count()) /
                                                  (1.0 - policy_->clock_drift));
   worker.lease_lapses =
       std::max(worker.lease_lapses, now + Duration(longest) + policy_->lapse_margin);
 }
 
-bool WorkerTable::CertainlyDead(const WorkerState& worker, Time now) const {
+bool WorkerTable::CertainlyDead(const WorkerRow& worker, Time now) const {
   return !worker.listed && now >= worker.lease_lapses;
 }
 
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -12,7 +12,7 @@
 
 namespace dn {
 
-struct WorkerState {
+struct WorkerRow {
   WorkerEntry entry;
   bool listed = false;
   Time unlisted_at{};
@@ -50,26 +50,26 @@
   // The worker registered itself, or its entry changed.
   void Listed(const WorkerEntry& entry, Time now);
   void Unlisted(const WorkerId& id, Time now);
-  WorkerState* Find(const WorkerId& id);
-  WorkerState& FindOrAdd(const WorkerId& id, Time now);
-  std::map<WorkerId, WorkerState>& workers() { return workers_; }
-  const std::map<WorkerId, WorkerState>& workers() const { return workers_; }
+  WorkerRow* Find(const WorkerId& id);
+  WorkerRow& FindOrAdd(const WorkerId& id, Time now);
+  std::map<WorkerId, WorkerRow>& workers() { return workers_; }
+  const std::map<WorkerId, WorkerRow>& workers() const { return workers_; }
   void Erase(const WorkerId& id) { workers_.erase(id); }
 
-  static void Reserve(WorkerState& worker, const TaskRef& ref, const StepSpec& step);
-  static void Release(WorkerState& worker, const TaskRef& ref, const StepSpec& step);
+  static void Reserve(WorkerRow& worker, const TaskRef& ref, const StepSpec& step);
+  static void Release(WorkerRow& worker, const TaskRef& ref, const StepSpec& step);
 
   // Reading of the worker's clock at which a lease granted now ends; nothing
   // while the clock is not known.
-  std::optional<ClockReading> LeaseEnd(const WorkerState& worker, Time now) const;
+  std::optional<ClockReading> LeaseEnd(const WorkerRow& worker, Time now) const;
   // A lease as long as the policy allows may have been granted at `now`.
-  void LeaseGranted(WorkerState& worker, Time now) const;
+  void LeaseGranted(WorkerRow& worker, Time now) const;
   // Nothing placed on it can still run there.
-  bool CertainlyDead(const WorkerState& worker, Time now) const;
+  bool CertainlyDead(const WorkerRow& worker, Time now) const;
 
  private:
   const Policy policy_;
-  std::map<WorkerId, WorkerState> workers_;
+  std::map<WorkerId, WorkerRow> workers_;
 };
 
 }  // namespace dn
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -25,7 +25,7 @@
     Report(id, {}, {});
   }
 
-  void Report(const WorkerId& id, std::vector<RunningTask> running, std::vector<EndedTask> ended,
+  void Report(const WorkerId& id, std::vector<ReportedRun> running, std::vector<ReportedEnd> ended,
               std::int64_t born = 1) {
     const Time asked = now;
     now += Duration(2);
@@ -62,11 +62,11 @@
     shard.StartAnswered(start, answer, now);
   }
 
-  static RunningTask Running(const StartOrder& start, int progress = 10) {
-    return RunningTask({.task = start->task, .run = start->run, .progress_percent = progress});
+  static ReportedRun Running(const StartOrder& start, int progress = 10) {
+    return ReportedRun({.task = start->task, .run = start->run, .progress_percent = progress});
   }
-  static EndedTask End(const StartOrder& start, EndKind kind, std::int64_t number = 1) {
-    return EndedTask({.number = number, .task = start->task, .run = start->run, .kind = kind});
+  static ReportedEnd End(const StartOrder& start, EndKind kind, std::int64_t number = 1) {
+    return ReportedEnd({.number = number, .task = start->task, .run = start->run, .kind = kind});
   }
 
   Time now{Duration(1'000'000)};
--- /dev/null
+++ b/standins/internal/store_standin.h
@@ -0,0 +1,97 @@
+// Stand-in for the platform's metadata store: partitions, newest records and
+// groups, with faults that tests switch on.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "runtime/runtime.h"
+
+namespace dn::standins {
+
+struct StoreFault {
+  bool busy = false;             // Refuses every call.
+  bool silent = false;           // Answers nothing for as long as it is set.
+  int lost_answers_percent = 0;  // Appends that are stored but not answered.
+  Duration delay{0};             // Of every answer.
+
+  friend auto operator<=>(const StoreFault&, const StoreFault&) = default;
+};
+
+class StoreStandin {
+ public:
+  explicit StoreStandin(WorkerPool& pool) : pool_(pool) {}
+
+  // Listens on a free port of 127.0.0.1.
+  Result<> Start();
+  Endpoint address() const { return server_->address(); }
+
+  void SetFault(const StoreFault& fault);
+  // Deletes all records of all partitions but the newest of each key.
+  void DropHistory();
+  // Deals all partitions of all groups anew.
+  void Redeal();
+  // Appends one keyed record, as the operator and the workers do. Nothing for
+  // `value` drops the key.
+  void Put(const std::string& topic, const std::string& key, std::optional<std::string> value);
+  // Member that holds a partition; empty: none.
+  std::string OwnerOf(const std::string& group, int partition);
+
+ private:
+  struct Record {
+    std::string key;
+    std::optional<std::string> value;
+  };
+  struct Producer {
+    std::int64_t epoch = 0;
+    std::int64_t sequence = -1;  // Of the last append; -1: none in this epoch.
+    std::deque<std::pair<std::int64_t, HttpReply>> answers;  // Of the last five.
+  };
+  struct Part {
+    std::int64_t first = 0;  // Oldest offset kept.
+    std::deque<Record> records;
+    std::map<std::string, std::pair<std::int64_t, std::string>> newest;
+    std::map<std::string, Producer> producers;
+    std::int64_t end() const { return first + static_cast<std::int64_t>(records.size()); }
+  };
+  struct Member {
+    Time heard{};
+    Duration time_to_live{0};
+    std::int64_t generation = 0;  // The last one that it joined with.
+  };
+  struct Group {
+    std::int64_t generation = 0;
+    std::string topic;
+    std::map<std::string, Member> members;
+    std::map<int, std::string> holders;  // Who may act now.
+    std::map<int, std::string> dealt;    // Who will, once released.
+  };
+  struct Book {
+    std::map<std::pair<std::string, int>, Part> parts;
+    std::map<std::string, Group> groups;
+    StoreFault fault;
+    std::uint64_t appends = 0;
+  };
+
+  Task<HttpReply> Handle(HttpCall call);
+  Task<HttpReply> Read(HttpCall call);
+  HttpReply Append(Book& book, const HttpCall& call);
+  HttpReply Newest(Book& book, const HttpCall& call);
+  HttpReply Join(Book& book, const HttpCall& call);
+  HttpReply Leave(Book& book, const HttpCall& call);
+  HttpReply Owners(Book& book, const HttpCall& call);
+  static void Expire(Group& group);
+  static void Deal(Group& group);
+  static void Add(Part& part, Record record);
+
+  WorkerPool& pool_;
+  Shared<Book, LockRank::kRoster> book_;
+  Notifier appended_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+}  // namespace dn::standins
--- a/standins/standins.h
+++ b/standins/standins.h
@@ -8,5 +8,7 @@
 #include "standins/internal/log_standin.h"
 #include "standins/internal/records.h"
 #include "standins/internal/standin_main.h"
+#include "standins/internal/store_standin.h"
+#include "standins/internal/task_worker_standin.h"
 #include "standins/internal/tcp_relay.h"
 #include "standins/internal/worker_standin.h"
--- /dev/null
+++ b/tests/support/node_fleet.cc
@@ -0,0 +1,244 @@
+// Processes of scheduler nodes.
+#include "tests/support/node_fleet.h"
+
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <thread>
+
+namespace dn::testing {
+namespace {
+
+constexpr const char* kHost = "jobs.example";
+constexpr const char* kPrefix = "/queue/";
+constexpr Duration kPoll{50};
+constexpr Duration kTaskTime{300};
+
+// A port that is free now, on an address of this fleet's own.
+std::uint16_t FreePort() {
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  socklen_t size = sizeof(address);
+  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  ::close(fd);
+  return ntohs(address.sin_port);
+}
+
+std::string MakeFolder() {
+  std::string pattern = (std::filesystem::temp_directory_path() / "dn-nodes-XXXXXX").string();
+  return ::mkdtemp(pattern.data());
+}
+
+}  // namespace
+
+NodeFleet::NodeFleet(WorkerPool& pool, std::string bin, int nodes, int workers)
+    : pool_(pool), bin_(std::move(bin)), folder_(MakeFolder()), store_(pool) {
+  static_cast<void>(store_.Start());
+  PutConfiguration(3);
+  for (int i = 0; i < workers; ++i) {
+    workers_.push_back(std::make_unique<standins::TaskWorkerStandin>(
+        pool, store_, "worker-" + std::to_string(i), "service", kTaskTime));
+    static_cast<void>(workers_.back()->Start());
+  }
+  for (int i = 0; i < nodes; ++i) {
+    Node node{.id = "node-" + std::to_string(i),
+              .settings = folder_ + "/node-" + std::to_string(i) + ".conf",
+              .log = folder_ + "/node-" + std::to_string(i) + ".log",
+              .front = {"127.0.0.1", FreePort()},
+              .ready = {"127.0.0.1", FreePort()},
+              .instances = {"127.0.0.1", FreePort()}};
+    std::ofstream(node.settings) << "Node=" << node.id
+                                 << "\nZone=z1\nRegion=r1\nListen.Front=" << node.front.ToString()
+                                 << "\nListen.Ready=" << node.ready.ToString()
+                                 << "\nPortRange=" << node.instances.port << ","
+                                 << node.instances.port
+                                 << "\nplatform.Address=" << store_.address().ToString()
+                                 << "\nBounds.GraceS=6\nBounds.HoldMaxMs=6000\n";
+    nodes_.push_back(std::move(node));
+  }
+  for (int i = 0; i < nodes; ++i) Start(i);
+}
+
+NodeFleet::~NodeFleet() {
+  for (int i = 0; i < nodes(); ++i) {
+    Node& node = nodes_[static_cast<std::size_t>(i)];
+    if (node.pid <= 0) continue;
+    ::kill(node.pid, SIGKILL);
+    ::waitpid(node.pid, nullptr, 0);
+  }
+  std::filesystem::remove_all(folder_);
+}
+
+void NodeFleet::PutConfiguration(int version) {
+  std::ostringstream text;
+  text << R"({"Version":)" << version << R"(,"Routes":[{"Name":"q","Host":")" << kHost
+       << R"(","PathPrefix":")" << kPrefix
+       << R"(","Service":"service","Priority":0,"MaxAttempts":3,"Stretch":2.0,)"
+       << R"("TargetLatencyMs":500}],"Services":[],"Limits":{"MaxBodyBytes":262144}})";
+  store_.Put("keyed.op", "config", text.str());
+}
+
+void NodeFleet::Start(int index) {
+  Node& node = nodes_[static_cast<std::size_t>(index)];
+  const std::string program = bin_ + "/dn-node";
+  std::array<std::string, 3> words = {program, "--settings", node.settings};
+  std::array<char*, 4> arguments = {words[0].data(), words[1].data(), words[2].data(), nullptr};
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, node.log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn(&node.pid, program.c_str(), &actions, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+}
+
+void NodeFleet::Signal(int node, int signal) {
+  ::kill(nodes_[static_cast<std::size_t>(node)].pid, signal);
+}
+
+int NodeFleet::WaitExit(int index, Duration limit) {
+  Node& node = nodes_[static_cast<std::size_t>(index)];
+  const Time deadline = Now() + limit;
+  while (Now() < deadline) {
+    int status = 0;
+    if (::waitpid(node.pid, &status, WNOHANG) == node.pid) {
+      node.pid = -1;
+      return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  return -1;
+}
+
+int NodeFleet::Owner() {
+  const std::string member = store_.OwnerOf("dn-owners", 0);
+  for (int i = 0; i < nodes(); ++i) {
+    const Node& node = nodes_[static_cast<std::size_t>(i)];
+    if (member.rfind(node.instances.ToString() + "/", 0) == 0) return i;
+  }
+  return -1;
+}
+
+Task<HttpReply> NodeFleet::Call(int index, HttpMethod method, std::string path, std::string body) {
+  const Node& node = nodes_[static_cast<std::size_t>(index)];
+  HttpCall call{.method = method, .path = std::move(path), .query = {}, .body = std::move(body)};
+  call.headers = {{"Host", kHost}, {"Timeout-Ms", "2500"}};
+  call.repeatable = false;
+  auto reply =
+      co_await http_.Call(node.front, std::move(call), Duration(3'000), TrafficKind::kOperator);
+  if (!reply) co_return HttpReply{.status = 0};
+  co_return std::move(reply).value();
+}
+
+Task<bool> NodeFleet::WaitReady(Duration limit) {
+  const Time deadline = Now() + limit;
+  while (Now() < deadline) {
+    int ready = 0;
+    for (const Node& node : nodes_) {
+      HttpCall call{.method = HttpMethod::kGet, .path = "/api/ready", .query = {}, .body = {}};
+      auto reply =
+          co_await http_.Call(node.ready, std::move(call), Duration(500), TrafficKind::kOperator);
+      if (reply && reply.value().status == 200) ++ready;
+    }
+    if (ready == nodes() && Owner() >= 0) co_return true;
+    co_await SleepFor(kPoll);
+  }
+  co_return false;
+}
+
+Task<bool> NodeFleet::Submit(JobId id, int tasks, Duration limit, const std::string& payload) {
+  const Time deadline = Now() + limit;
+  std::ostringstream body;
+  body << R"({"Spec":")" << payload << R"(","Steps":[{"Count":)" << tasks
+       << R"(,"Cpu":1000,"MemMb":100,"EstimateMs":300)"
+       << (payload == "long" ? R"(,"LongRunning":true)" : "") << "}]}";
+  const std::string text = body.str();
+  for (int attempt = 0; Now() < deadline; ++attempt) {
+    const auto node = static_cast<int>((id + static_cast<JobId>(attempt)) % nodes_.size());
+    const std::string path = kPrefix + FormatJobId(id);
+    const HttpReply reply = co_await Call(node, HttpMethod::kPost, path, text);
+    if (reply.status == 200) co_return true;
+    co_await SleepFor(kPoll);
+  }
+  co_return false;
+}
+
+Task<bool> NodeFleet::WaitState(JobId id, const std::string& state, Duration limit) {
+  const Time deadline = Now() + limit;
+  for (int attempt = 0; Now() < deadline; ++attempt) {
+    const auto node = static_cast<int>((id + static_cast<JobId>(attempt)) % nodes_.size());
+    const std::string path = kPrefix + FormatJobId(id);
+    const HttpReply reply = co_await Call(node, HttpMethod::kGet, path);
+    if (reply.status == 200 && reply.body.find('"' + state + '"') != std::string::npos) {
+      co_return true;
+    }
+    co_await SleepFor(kPoll);
+  }
+  co_return false;
+}
+
+Task<bool> NodeFleet::Cancel(JobId id, Duration limit) {
+  const Time deadline = Now() + limit;
+  for (int attempt = 0; Now() < deadline; ++attempt) {
+    const auto node = static_cast<int>((id + static_cast<JobId>(attempt)) % nodes_.size());
+    const std::string path = kPrefix + FormatJobId(id);
+    const HttpReply reply = co_await Call(node, HttpMethod::kDelete, path);
+    if (reply.status == 200) co_return true;
+    co_await SleepFor(kPoll);
+  }
+  co_return false;
+}
+
+std::vector<std::string> NodeFleet::Findings() const {
+  std::vector<std::string> findings;
+  std::map<std::string, std::vector<standins::RunRecord>> by_task;
+  for (const auto& worker : workers_) {
+    for (standins::RunRecord& run : worker->Runs()) by_task[run.task].push_back(std::move(run));
+  }
+  for (auto& [task, runs] : by_task) {
+    std::sort(runs.begin(), runs.end(),
+              [](const auto& a, const auto& b) { return a.started < b.started; });
+    for (std::size_t i = 1; i < runs.size(); ++i) {
+      const standins::RunRecord& before = runs[i - 1];
+      if (!before.ended || *before.ended > runs[i].started) {
+        findings.push_back(task + " ran twice at once: runs " + std::to_string(before.run) +
+                           " and " + std::to_string(runs[i].run));
+      }
+      if (before.how == "done") {
+        findings.push_back(task + " ran again after run " + std::to_string(before.run) +
+                           " was done");
+      }
+    }
+  }
+  return findings;
+}
+
+std::size_t NodeFleet::RunsOf(JobId id) const {
+  std::size_t runs = 0;
+  for (const auto& worker : workers_) {
+    for (const standins::RunRecord& run : worker->Runs()) {
+      if (run.task.rfind(FormatJobId(id), 0) == 0) ++runs;
+    }
+  }
+  return runs;
+}
+
+std::string NodeFleet::LogOf(int node) const {
+  std::ifstream file(nodes_[static_cast<std::size_t>(node)].log);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return std::move(text).str();
+}
+
+}  // namespace dn::testing
