--- a/src/job_client/internal/job_front.cc
+++ b/src/job_client/internal/job_front.cc
@@ -1,8 +1,6 @@
 // Calls of callers: routing, decoding, answers.
 #include "job_client/internal/job_front.h"
 
-#include <glog/logging.h>
-
 #include <algorithm>
 #include <chrono>
 
@@ -66,7 +64,12 @@
   if (!(*view)->known) co_return TryLater("no-configuration");
   const Queue* queue = FindQueue((*view)->catalogue, HostOf(call), call.path);
   if (queue == nullptr) {
-    if (!(*view)->fresh) co_return TryLater("configuration-may-be-old");
+    const std::string version = std::to_string((*view)->catalogue->version);
+    if (!(*view)->fresh) {
+      log_.Write("queue-not-denied", call.path, "configuration-may-be-old version=" + version);
+      co_return TryLater("configuration-may-be-old");
+    }
+    log_.Write("queue-unknown", call.path, "version=" + version);
     co_return Problem(kNotFound, "unknown-queue");
   }
   const Duration patience = protocol_.patience(call);
@@ -87,16 +90,20 @@
   if (!id) co_return Problem(kBadRequest, "malformed-job-id");
   Findings findings;
   auto spec = protocol_.job(request.body, findings);
-  if (!spec) co_return Problem(kBadRequest, "malformed-job", findings);
+  if (!spec) {
+    log_.Write("job-malformed", request.job_text,
+               "queue=" + request.queue->name + " findings=" + std::to_string(findings.size()));
+    co_return Problem(kBadRequest, "malformed-job", findings);
+  }
   AcceptedJob job({.id = id.value(),
                    .queue = request.queue,
                    .accepted_ms = WallMs(),
                    .spec = *std::move(spec)});
   const SubmitOutcome outcome = co_await service_.Submit(std::move(job), request.deadline);
   if (outcome == SubmitOutcome::kAccepted) co_return HttpReply{.status = kOk, .body = "{}"};
-  LOG(INFO) << R"({"kind":"job-not-accepted","job":")" << request.job_text << R"(","queue":")"
-            << request.queue->name << R"(","outcome":")"
-            << (outcome == SubmitOutcome::kRefused ? "refused" : "unknown") << "\"}";
+  log_.Write("job-not-accepted", request.job_text,
+             "queue=" + request.queue->name +
+                 (outcome == SubmitOutcome::kRefused ? " outcome=refused" : " outcome=unknown"));
   if (outcome == SubmitOutcome::kRefused) co_return TryLater("store-unavailable");
   co_return Problem(kGatewayTimeout, "outcome-unknown");
 }
@@ -105,7 +112,10 @@
   const auto id = ParseJobId(request.job_text);
   if (!id) co_return Problem(kGone, "unknown-job");
   const auto state = co_await service_.StateOf(id.value(), request.deadline);
-  if (!state) co_return TryLater("owner-unavailable");
+  if (!state) {
+    log_.Write("state-not-told", request.job_text, state.error().message());
+    co_return TryLater("owner-unavailable");
+  }
   if (state.value() == ShownState::kUnknown) co_return Problem(kGone, "unknown-job");
   co_return HttpReply{.status = kOk, .body = protocol_.state(state.value())};
 }
@@ -114,7 +124,10 @@
   const auto id = ParseJobId(request.job_text);
   if (!id) co_return Problem(kGone, "unknown-job");
   const auto cancelled = co_await service_.Cancel(id.value(), request.deadline);
-  if (!cancelled) co_return TryLater("owner-unavailable");
+  if (!cancelled) {
+    log_.Write("cancel-not-done", request.job_text, cancelled.error().message());
+    co_return TryLater("owner-unavailable");
+  }
   if (!cancelled.value()) co_return Problem(kGone, "unknown-job");
   co_return HttpReply{.status = kOk, .body = "{}"};
 }
--- a/src/job_client/internal/job_front.h
+++ b/src/job_client/internal/job_front.h
@@ -8,7 +8,8 @@
 
 class JobFront {
  public:
-  JobFront(JobService& service, JobProtocol protocol) : service_(service), protocol_(protocol) {}
+  JobFront(JobService& service, JobProtocol protocol, DecisionLog& log)
+      : service_(service), protocol_(protocol), log_(log) {}
 
   // One call of a caller.
   Task<HttpReply> Answer(HttpCall call);
@@ -38,6 +39,7 @@
 
   JobService& service_;
   const JobProtocol protocol_;
+  DecisionLog& log_;
 };
 
 }  // namespace dn
--- a/src/node/internal/node_module.cc
+++ b/src/node/internal/node_module.cc
@@ -39,9 +39,9 @@
                     {.gained = [this](int shard, FencingToken token) { Gained(shard, token); },
                      .lost = [this](int shard) { Lost(shard); }}),
         service_(local_, membership_, http_, settings->instances),
-        front_(service_, adapter.jobs),
+        front_(service_, adapter.jobs, log_),
         instance_server_(local_),
-        catalogue_(store_, adapter.operator_records, {.wait = kConfigurationWait},
+        catalogue_(store_, adapter.operator_records, {.wait = kConfigurationWait}, log_,
                    [this](const auto& records, bool) { Configure(records); }) {}
 
   int Run() {
@@ -79,14 +79,17 @@
 
   Task<HttpReply> Counted(Task<HttpReply> answer) {
     ++in_flight_;
+    const Time began = Now();
     HttpReply reply = co_await std::move(answer);
+    metrics_.Took(Latency::kCallerCall, Now() - began);
     --in_flight_;
     co_return reply;
   }
 
   Task<HttpReply> AnswerInstances(HttpCall call) {
     if (call.path == "/metrics") {
-      co_return HttpReply{.body = metrics_.Prometheus(), .content_type = "text/plain"};
+      co_return HttpReply{.body = metrics_.Prometheus() + log_.Prometheus(),
+                          .content_type = "text/plain"};
     }
     co_return co_await instance_server_.Answer(std::move(call));
   }
@@ -122,6 +125,7 @@
                             .store = store_,
                             .adapter = adapter_,
                             .log = log_,
+                            .metrics = metrics_,
                             .policy = CurrentPolicy(),
                             .fenced = [this](int) { membership_.Renew(); }},
         shard, token);
--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -38,9 +38,9 @@
       job_cleaner_(std::make_shared<RecordWriter>(context_.store, JobsOf(shard),
                                                   "cleaner-" + std::to_string(token), 0)),
       jobs_(context_.store, JobsOf(shard), {.wait = kFollowWait, .pause = Duration(0)},
-            [this](const auto& records, bool) { HandleJobs(records); }),
+            context_.log, [this](const auto& records, bool) { HandleJobs(records); }),
       workers_(context_.store, context_.adapter.worker_records,
-               {.wait = kFollowWait, .pause = kWorkerPause},
+               {.wait = kFollowWait, .pause = kWorkerPause}, context_.log,
                [this](const auto& records, bool complete) { HandleWorkers(records, complete); }) {}
 
 void ShardOwner::Drop(const char* cause) {
@@ -64,6 +64,7 @@
                      "token=" + std::to_string(token_) + " jobs=" + std::to_string(jobs) +
                          " workers=" + std::to_string(workers) +
                          " took_ms=" + std::to_string((Now() - began).count()));
+  context_.metrics.Took(Latency::kTakeOver, Now() - began);
   context_.pool.Spawn(FollowJobs());
   context_.pool.Spawn(FollowWorkers());
   context_.pool.Spawn(RecordLoop());
@@ -179,8 +180,9 @@
   table_.With([&](Table& table) {
     for (const WorkerEntry& entry : table.shard.WorkersInCare()) {
       if (table.links.count(entry->id) > 0) continue;
-      auto link = std::make_shared<WorkerLink>(
-          entry->id, shared_from_this(), context_.adapter.workers, context_.http, context_.pool);
+      auto link =
+          std::make_shared<WorkerLink>(entry->id, shared_from_this(), context_.adapter.workers,
+                                       context_.http, context_.pool, context_.log);
       table.links.emplace(entry->id, link);
       opened.push_back(std::move(link));
       ids.push_back(entry->id);
@@ -231,6 +233,7 @@
 
 void ShardOwner::LogDecisions(const std::vector<Decision>& decisions) {
   for (const Decision& decision : decisions) {
+    if (decision->waited) context_.metrics.Took(Latency::kFirstStart, *decision->waited);
     context_.log.Write(decision->kind, decision->subject, decision->detail);
   }
 }
@@ -296,6 +299,7 @@
       if (cleaned) records.insert(records.end(), gone.begin(), gone.end());
     }
     if (!records.empty()) {
+      const Time began = Now();
       auto stored = co_await progress_->Append(std::move(records), Now() + kNoDeadline);
       if (!active_) co_return;
       if (!stored) {
@@ -303,6 +307,7 @@
         context_.fenced(shard_);
         co_return;
       }
+      context_.metrics.Took(Latency::kRecord, Now() - began);
     }
     const Time now = Now();
     const Orders orders = table_.With([&](Table& table) {
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -17,6 +17,7 @@
     StoreClient& store;
     const NodeAdapter& adapter;
     DecisionLog& log;
+    Metrics& metrics;
     Policy policy;
     std::function<void(int shard)> fenced;  // A later owner was met.
   };
--- a/src/runtime/internal/decision_log.cc
+++ b/src/runtime/internal/decision_log.cc
@@ -34,9 +34,26 @@
   return budget_.With([](const Budget& budget) { return budget.left_out; });
 }
 
+std::string DecisionLog::Prometheus() const {
+  return budget_.With([](const Budget& budget) {
+    std::string out = "# TYPE dn_decisions_total counter\n";
+    for (const auto& [kind, count] : budget.by_kind) {
+      out += "dn_decisions_total{kind=\"" + kind + "\"} " + std::to_string(count) + '\n';
+    }
+    return out + "# TYPE dn_log_lines_left_out_total counter\ndn_log_lines_left_out_total " +
+           std::to_string(budget.left_out) + '\n';
+  });
+}
+
 void DecisionLog::Write(std::string_view kind, std::string_view subject, std::string_view detail) {
   const Time now = Now();
   const auto pending = budget_.With([&](Budget& budget) -> std::optional<std::uint64_t> {
+    const auto counted = budget.by_kind.find(kind);
+    if (counted == budget.by_kind.end()) {
+      budget.by_kind.emplace(kind, 1);
+    } else {
+      ++counted->second;
+    }
     if (now - budget.window >= kWindow) {
       budget.window = now;
       budget.lines = 0;
--- a/src/runtime/internal/decision_log.h
+++ b/src/runtime/internal/decision_log.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 
@@ -20,6 +21,9 @@
   void Write(std::string_view kind, std::string_view subject, std::string_view detail);
   // Lines that were left out so far.
   std::uint64_t left_out() const;
+  // Number of decisions by kind, also of those left out, in Prometheus text
+  // format.
+  std::string Prometheus() const;
 
  private:
   struct Budget {
@@ -27,6 +31,7 @@
     int lines = 0;               // In this window.
     std::uint64_t pending = 0;   // Left out and not reported.
     std::uint64_t left_out = 0;  // In total.
+    std::map<std::string, std::uint64_t, std::less<>> by_kind;
   };
 
   const std::string instance_;
--- a/src/runtime/internal/metrics.cc
+++ b/src/runtime/internal/metrics.cc
@@ -1,6 +1,7 @@
 // Metrics over Boost.Accumulators.
 #include "runtime/internal/metrics.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics.hpp>
@@ -45,6 +46,12 @@
                                                                    "tasks_cancelled",
                                                                    "tasks_throttled"};
 
+constexpr std::size_t kLatencies = EnumNames<Latency>::kNames.size();
+// Upper bounds of histogram buckets, in ms: from a call in one zone to the
+// longest that a caller waits.
+constexpr std::array<std::int64_t, 12> kBounds = {1,   2,   5,   10,    20,    50,
+                                                  100, 200, 500, 1'000, 2'000, 5'000};
+
 using Accumulator =
     acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::mean, acc::tag::max,
                                             acc::tag::extended_p_square_quantile>>;
@@ -52,6 +59,9 @@
 }  // namespace
 
 struct Metrics::Impl {
+  // By latency and bucket; the last bucket has no bound.
+  std::array<std::array<std::atomic<std::uint64_t>, kBounds.size() + 1>, kLatencies> histograms{};
+  std::array<std::atomic<std::uint64_t>, kLatencies> sums_ms{};
   std::array<std::atomic<std::uint64_t>, kCounters> counters{};
   std::array<std::atomic<std::uint64_t>, kKinds> bytes{};
   Shared<Accumulator, LockRank::kMetrics> request_times{
@@ -81,6 +91,16 @@
   impl_->request_times.With([&](Accumulator& times) { times(microseconds); });
 }
 
+void Metrics::Took(Latency latency, Duration time) {
+  const auto index = static_cast<std::size_t>(latency);
+  const auto bucket = static_cast<std::size_t>(
+      std::lower_bound(kBounds.begin(), kBounds.end(), time.count()) - kBounds.begin());
+  impl_->histograms.at(index).at(bucket).fetch_add(1, std::memory_order_relaxed);
+  impl_->sums_ms.at(index).fetch_add(
+      static_cast<std::uint64_t>(std::max<std::int64_t>(0, time.count())),
+      std::memory_order_relaxed);
+}
+
 Distribution Metrics::RequestTimes() const {
   return impl_->request_times.With([](Accumulator& times) {
     const auto quantile = [&](double probability) {
@@ -117,6 +137,19 @@
       << "dn_request_time_us{quantile=\"0.99\"} " << times.p99 << '\n'
       << "dn_request_time_us{quantile=\"0.999\"} " << times.p999 << '\n'
       << "dn_request_time_us_count " << times.count << '\n';
+  for (const auto& entry : EnumNames<Latency>::kNames) {
+    const auto index = static_cast<std::size_t>(entry.value);
+    std::uint64_t below = 0;
+    out << "# TYPE dn_" << entry.name << "_ms histogram\n";
+    for (std::size_t i = 0; i <= kBounds.size(); ++i) {
+      below += impl_->histograms.at(index).at(i).load();
+      out << "dn_" << entry.name << "_ms_bucket{le=\""
+          << (i < kBounds.size() ? std::to_string(kBounds.at(i)) : "+Inf") << "\"} " << below
+          << '\n';
+    }
+    out << "dn_" << entry.name << "_ms_sum " << impl_->sums_ms.at(index).load() << '\n'
+        << "dn_" << entry.name << "_ms_count " << below << '\n';
+  }
   return out.str();
 }
 
--- a/src/runtime/internal/metrics.h
+++ b/src/runtime/internal/metrics.h
@@ -59,6 +59,22 @@
   }
 };
 
+// What is timed, beside the requests of callers to backend servers.
+enum class Latency {
+  kCallerCall,  // A call of a caller that hands in jobs, until its answer is ready.
+  kRecord,      // An append of an owner, until it is durable.
+  kTakeOver,    // Of a shard, until it is open.
+  kFirstStart,  // From a job's arrival at its owner to its first start.
+};
+template <>
+struct EnumNames<Latency> {
+  static constexpr std::array<EnumName<Latency>, 4> kNames = {
+      {{Latency::kCallerCall, "caller_call"},
+       {Latency::kRecord, "record"},
+       {Latency::kTakeOver, "take_over"},
+       {Latency::kFirstStart, "first_start"}}};
+};
+
 class Metrics {
  public:
   Metrics();
@@ -71,6 +87,7 @@
   // Time of an answered request, in microseconds.
   void RequestTook(double microseconds);
   Distribution RequestTimes() const;
+  void Took(Latency latency, Duration time);
   // Prometheus text format.
   std::string Prometheus() const;
   static std::string_view NameOf(Counter counter);
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -645,6 +645,14 @@
       continue;
     }
     task->stage = StartStage::kSent;
+    if (!job.begun) {
+      decisions_.emplace_back(
+          DecisionFields{.kind = "job-begun",
+                         .subject = FormatJobId(key.job),
+                         .detail = "worker=" + task->worker.value +
+                                   " waited_ms=" + std::to_string((now - job.seen).count()),
+                         .waited = now - job.seen});
+    }
     job.begun = true;
     starts_.push_back(*std::move(start));
   }
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -23,6 +23,8 @@
   std::string kind;
   std::string subject;
   std::string detail;
+  // Of a job's first start: time since the job came to this owner.
+  std::optional<Duration> waited = std::nullopt;
 
   friend auto operator<=>(const DecisionFields&, const DecisionFields&) = default;
 };
--- /dev/null
+++ b/src/scheduling/tests/shard_interleavings_test.cc
@@ -0,0 +1,499 @@
+// Seeded interleavings of owners, workers, store and network in virtual time.
+// A checker that knows nothing of the shard looks at what the workers ran.
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+
+#include "scheduling/scheduling.h"
+#include "tests/support/seeds.h"
+
+namespace dn {
+namespace {
+
+constexpr int kWorkers = 4;
+constexpr int kRoom = 4;  // Tasks of one core each that fit on a worker.
+constexpr int kJobs = 30;
+constexpr int kMaxAttempts = 3;
+constexpr Duration kEnd{60'000};
+constexpr Duration kStrikesEnd{20'000};
+
+// What goes wrong, each as a chance in a thousand.
+struct Faults {
+  std::string name;
+  int lost_requests = 0;
+  int lost_answers = 0;
+  int late_orders = 0;  // No answer, carried out 2 to 8 s later.
+  int failing_tasks = 0;
+  int owner_kills = 0;     // For each 100 ms.
+  int owner_freezes = 0;   // For each 100 ms; 4 s long, and another takes over.
+  int redeals = 0;         // For each 100 ms; the old owner is not told.
+  int worker_crashes = 0;  // For each 100 ms.
+  int worker_cuts = 0;     // For each 100 ms; runs on, unlisted, for 5 s.
+  int slow_store = 0;      // For each append; 2 s.
+};
+
+struct RunLog {
+  int worker = 0;
+  TaskKey task;
+  int run = 0;
+  Time started{};
+  std::optional<Time> ended;
+  std::string how;
+  bool noted = false;  // The end was passed to the worker as seen.
+};
+
+struct SimWorker {
+  bool up = true;
+  bool cut = false;
+  std::int64_t born = 1;
+  double rate = 1.0;  // Of its clock.
+  FencingToken token = 0;
+  std::int64_t until = 0;
+  std::map<TaskKey, std::pair<std::size_t, Time>> running;  // Log index, end.
+  std::map<TaskKey, int> last_run;
+  std::map<std::int64_t, std::size_t> ends;  // Number -> log index.
+  std::int64_t next_end = 1;
+};
+
+struct Owner {
+  Owner(FencingToken token, PolicyFields policy) : shard(Policy(policy), token) {}
+  Shard shard;
+  bool alive = true;
+  bool open = false;
+  bool appending = false;
+  Time frozen_until{};
+};
+
+class World {
+ public:
+  World(const Faults& faults, std::uint64_t seed) : faults_(faults), random_(seed) {
+    for (SimWorker& worker : workers_) {
+      worker.rate = 1.0 - 0.02 * static_cast<double>(Pick(0, 100)) / 100;
+    }
+    for (int i = 0; i < kJobs; ++i) {
+      At(Time(Duration(Pick(0, 15'000))), [this, i] { SubmitJob(static_cast<JobId>(i + 1)); });
+    }
+    TakeOver();
+    Every(Duration(100), [this] { Strike(); });
+    Every(Duration(10), [this] { AdvanceWorkers(); });
+  }
+
+  void Run() {
+    while (!events_.empty() && events_.begin()->first <= Time(kEnd)) {
+      auto event = events_.extract(events_.begin());
+      now_ = event.key();
+      event.mapped()();
+    }
+  }
+
+  std::vector<std::string> Check() const;
+
+ private:
+  using Event = std::function<void()>;
+
+  std::int64_t Pick(std::int64_t from, std::int64_t to) {
+    return std::uniform_int_distribution<std::int64_t>(from, to)(random_);
+  }
+  bool Chance(int of_thousand) { return Pick(0, 999) < of_thousand; }
+  void At(Time time, Event event) { events_.emplace(time, std::move(event)); }
+  void After(Duration delay, Event event) { At(now_ + delay, std::move(event)); }
+  void Every(Duration period, const Event& event) {
+    After(period, [this, period, event] {
+      event();
+      Every(period, event);
+    });
+  }
+  // Runs `event` in the owner's process: not if it is dead, later if frozen.
+  void Inside(const std::shared_ptr<Owner>& owner, Time time, const Event& event) {
+    At(time, [this, owner, event] {
+      if (!owner->alive) return;
+      if (owner->frozen_until > now_) {
+        Inside(owner, owner->frozen_until, event);
+        return;
+      }
+      event();
+    });
+  }
+
+  static JobSpec SpecOf(JobId id) {
+    StepFields first{
+        .count = 2, .demand = {.millicores = 1'000, .memory_mb = 1}, .estimate_ms = 300};
+    StepFields second = first;
+    second.after = {0};
+    if (id % 3 == 0) second.checkpointing = second.fills = true;
+    return JobSpec({.payload = "p", .steps = {StepSpec(first), StepSpec(second)}});
+  }
+
+  void SubmitJob(JobId id) {
+    accepted_.emplace_back(AcceptedJobFields{
+        .id = id,
+        .queue = Queue({.name = "q", .service = "s", .max_attempts = kMaxAttempts}),
+        .accepted_ms = now_.time_since_epoch().count(),
+        .spec = SpecOf(id)});
+  }
+
+  // A new owner with a higher token; the previous one may live on.
+  void TakeOver() {
+    if (owner_ && owner_->alive) strays_.push_back(owner_);
+    owner_ = std::make_shared<Owner>(++last_token_, PolicyFields());
+    const auto owner = owner_;
+    Inside(owner, now_ + Duration(Pick(5, 300)), [this, owner] { Open(owner); });
+  }
+
+  void Open(const std::shared_ptr<Owner>& owner) {
+    if (owner->shard.token() < fence_) {
+      owner->alive = false;
+      return;
+    }
+    fence_ = owner->shard.token();
+    for (const AcceptedJob& job : accepted_) owner->shard.Accept(job, now_);
+    for (const auto& [id, progress] : progress_) {
+      const auto decoded = DecodeJobProgress(progress);
+      REQUIRE(decoded);
+      owner->shard.Restore(decoded.value(), now_);
+    }
+    owner->open = true;
+    Plan(owner);
+    for (int i = 0; i < kWorkers; ++i) Renew(owner, i);
+  }
+
+  void Plan(const std::shared_ptr<Owner>& owner) {
+    for (const AcceptedJob& job : accepted_) owner->shard.Accept(job, now_);
+    for (int i = 0; i < kWorkers; ++i) {
+      const SimWorker& worker = workers_[i];
+      if (!worker.up || worker.cut) {
+        owner->shard.WorkerUnlisted(IdOf(i), now_);
+        continue;
+      }
+      owner->shard.WorkerListed(WorkerEntry({.id = IdOf(i),
+                                             .service = "s",
+                                             .address = {"127.0.0.1", 1},
+                                             .born_ms = worker.born,
+                                             .capacity = {kRoom * 1'000, 1'000, 0}}),
+                                now_);
+    }
+    owner->shard.Plan(now_, now_.time_since_epoch().count());
+    owner->shard.TakeDecisions();
+    Send(owner);
+    if (!owner->appending) Append(owner);
+    Inside(owner, now_ + Duration(20), [this, owner] { Plan(owner); });
+  }
+
+  void Append(const std::shared_ptr<Owner>& owner) {
+    const auto batch = std::make_shared<RecordBatch>(owner->shard.TakeBatch());
+    if (batch->empty()) return;
+    owner->appending = true;
+    const Duration delay(Chance(faults_.slow_store) ? 2'000 : Pick(3, 40));
+    // Takes effect at the store whatever becomes of the owner.
+    After(delay, [this, owner, batch] {
+      if (owner->shard.token() < fence_) {
+        owner->alive = false;
+        return;
+      }
+      for (const JobProgress& record : batch->records) {
+        progress_[record->id] = EncodeJobProgress(record);
+      }
+      Inside(owner, now_ + Duration(2), [this, owner, batch] {
+        owner->appending = false;
+        owner->shard.Recorded(*batch, now_);
+        Send(owner);
+      });
+    });
+  }
+
+  void Send(const std::shared_ptr<Owner>& owner) {
+    const Orders orders = owner->shard.TakeOrders(now_);
+    for (const StartOrder& order : orders.starts) {
+      Carry(
+          owner, IndexOf(order->worker), [this, order] { return Start(order); },
+          [this, owner, order](const auto& answer) {
+            owner->shard.StartAnswered(order, answer, now_);
+          });
+    }
+    for (const StopOrder& order : orders.stops) {
+      Carry(
+          owner, IndexOf(order->worker), [this, order] { return Stop(order); },
+          [this, owner, order](const auto& answer) {
+            owner->shard.StopAnswered(order, answer, now_);
+          });
+    }
+  }
+
+  void Renew(const std::shared_ptr<Owner>& owner, int index) {
+    const Time asked = now_;
+    const Renewal renewal = owner->shard.NextRenewal(IdOf(index), now_);
+    Carry(
+        owner, index, [this, renewal, index] { return Hold(renewal, index); },
+        [this, owner, index, asked](const auto& answer) {
+          if (answer && answer->operator->()->refusal == OrderRefusal::kFenced) {
+            owner->alive = false;
+            return;
+          }
+          if (answer) owner->shard.Reported(IdOf(index), *answer, asked, now_);
+          Inside(owner, now_ + Duration(answer ? 50 : 200),
+                 [this, owner, index] { Renew(owner, index); });
+        });
+  }
+
+  // One call over the network. The answer is nothing after a time-out.
+  void Carry(const std::shared_ptr<Owner>& owner, int index,
+             const std::function<OrderAnswer()>& effect,
+             const std::function<void(const std::optional<OrderAnswer>&)>& answered) {
+    static constexpr Duration kTimeout{1'000};
+    const auto give_up = [this, owner, answered] {
+      Inside(owner, now_ + kTimeout, [answered] { answered(std::nullopt); });
+    };
+    if (Chance(faults_.lost_requests)) return give_up();
+    if (Chance(faults_.late_orders)) {
+      After(Duration(Pick(2'000, 8'000)), [this, index, effect] {
+        if (workers_[index].up) effect();
+      });
+      return give_up();
+    }
+    const bool lose_answer = Chance(faults_.lost_answers);
+    After(Duration(Pick(1, 20)), [this, owner, index, effect, answered, lose_answer, give_up] {
+      if (!workers_[index].up || workers_[index].cut) return give_up();
+      const OrderAnswer answer = effect();
+      if (lose_answer) return give_up();
+      Inside(owner, now_ + Duration(Pick(1, 20)), [answered, answer] { answered(answer); });
+    });
+  }
+
+  static WorkerId IdOf(int index) { return {"w" + std::to_string(index)}; }
+  static int IndexOf(const WorkerId& id) { return id.value[1] - '0'; }
+  std::int64_t ClockOf(const SimWorker& worker) const {
+    return static_cast<std::int64_t>(static_cast<double>(now_.time_since_epoch().count()) *
+                                     worker.rate) +
+           1;
+  }
+  OrderAnswer Refuse(const SimWorker& worker, OrderRefusal refusal) const {
+    return OrderAnswer({.refusal = refusal, .clock = ClockOf(worker)});
+  }
+  void Extend(SimWorker& worker, std::int64_t until) const {
+    worker.until = std::max(worker.until, std::min(until, ClockOf(worker) + 6'000));
+  }
+
+  OrderAnswer Start(const StartOrder& order) {
+    const int index = IndexOf(order->worker);
+    SimWorker& worker = workers_[index];
+    if (order->token < worker.token) return Refuse(worker, OrderRefusal::kFenced);
+    worker.token = order->token;
+    if (order->lease_until <= ClockOf(worker)) return Refuse(worker, OrderRefusal::kLeaseExpired);
+    Extend(worker, order->lease_until);
+    const auto running = worker.running.find(order->task);
+    if (running != worker.running.end()) {
+      const bool same = log_[running->second.first].run == order->run;
+      return Refuse(worker, same ? OrderRefusal::kNone : OrderRefusal::kObsolete);
+    }
+    const auto last = worker.last_run.find(order->task);
+    if (last != worker.last_run.end() && order->run <= last->second) {
+      return Refuse(worker, OrderRefusal::kObsolete);
+    }
+    if (worker.running.size() >= 2 * kRoom) return Refuse(worker, OrderRefusal::kNoRoom);
+    worker.running[order->task] = {log_.size(), now_ + Duration(Pick(200, 900))};
+    log_.push_back({.worker = index, .task = order->task, .run = order->run, .started = now_});
+    return Refuse(worker, OrderRefusal::kNone);
+  }
+
+  OrderAnswer Stop(const StopOrder& order) {
+    SimWorker& worker = workers_[IndexOf(order->worker)];
+    if (order->token < worker.token) return Refuse(worker, OrderRefusal::kFenced);
+    const auto running = worker.running.find(order->task);
+    if (running != worker.running.end() && log_[running->second.first].run <= order->run) {
+      EndRun(worker, order->task, "stopped");
+    }
+    worker.last_run[order->task] = std::max(worker.last_run[order->task], order->run);
+    return Refuse(worker, OrderRefusal::kNone);
+  }
+
+  OrderAnswer Hold(const Renewal& renewal, int index) {
+    SimWorker& worker = workers_[index];
+    if (renewal->token < worker.token) return Refuse(worker, OrderRefusal::kFenced);
+    worker.token = renewal->token;
+    Extend(worker, renewal->lease_until);
+    while (!worker.ends.empty() && worker.ends.begin()->first <= renewal->ends_seen) {
+      log_[worker.ends.begin()->second].noted = true;
+      worker.ends.erase(worker.ends.begin());
+    }
+    RunReportFields report{.clock = ClockOf(worker), .born_ms = worker.born};
+    for (const auto& [task, run] : worker.running) {
+      report.running.emplace_back(
+          ReportedRunFields{.task = task, .run = log_[run.first].run, .progress_percent = 1});
+    }
+    for (const auto& [number, entry] : worker.ends) {
+      const RunLog& run = log_[entry];
+      EndKind kind = EndKind::kDone;
+      for (const auto& name : EnumNames<EndKind>::kNames) {
+        if (name.name == run.how) kind = name.value;
+      }
+      report.ended.emplace_back(
+          ReportedEndFields{.number = number, .task = run.task, .run = run.run, .kind = kind});
+    }
+    return OrderAnswer({.clock = ClockOf(worker), .report = RunReport(std::move(report))});
+  }
+
+  void EndRun(SimWorker& worker, const TaskKey& task, const std::string& how) {
+    const std::size_t entry = worker.running.at(task).first;
+    log_[entry].ended = now_;
+    log_[entry].how = how;
+    worker.last_run[task] = std::max(worker.last_run[task], log_[entry].run);
+    worker.ends[worker.next_end++] = entry;
+    worker.running.erase(task);
+  }
+
+  void AdvanceWorkers() {
+    for (SimWorker& worker : workers_) {
+      if (!worker.up) continue;
+      std::vector<TaskKey> over;
+      for (const auto& [task, run] : worker.running) {
+        if (now_ >= run.second) over.push_back(task);
+      }
+      for (const TaskKey& task : over) {
+        EndRun(worker, task, Chance(faults_.failing_tasks) ? "failed" : "done");
+      }
+      if (ClockOf(worker) <= worker.until) continue;
+      while (!worker.running.empty()) EndRun(worker, worker.running.begin()->first, "lapsed");
+    }
+  }
+
+  void Strike() {
+    if (now_ > Time(kStrikesEnd)) return;
+    if (Chance(faults_.owner_kills)) {
+      owner_->alive = false;
+      After(Duration(1'800), [this] { TakeOver(); });
+    }
+    if (Chance(faults_.owner_freezes) && owner_->frozen_until <= now_) {
+      owner_->frozen_until = now_ + Duration(4'000);
+      After(Duration(1'800), [this] { TakeOver(); });
+    }
+    if (Chance(faults_.redeals)) TakeOver();
+    for (SimWorker& worker : workers_) {
+      if (worker.up && Chance(faults_.worker_crashes)) Crash(worker);
+      if (worker.up && !worker.cut && Chance(faults_.worker_cuts)) {
+        worker.cut = true;
+        After(Duration(5'000), [&worker] { worker.cut = false; });
+      }
+    }
+  }
+
+  // The worker comes back under its identifier and knows nothing.
+  void Crash(SimWorker& worker) {
+    while (!worker.running.empty()) EndRun(worker, worker.running.begin()->first, "lost");
+    const std::int64_t born = worker.born + 1;
+    const double rate = worker.rate;
+    worker = SimWorker{.up = false, .born = born, .rate = rate};
+    After(Duration(Pick(100, 4'000)), [&worker] { worker.up = true; });
+  }
+
+  const Faults faults_;
+  std::mt19937_64 random_;
+  Time now_{};
+  std::multimap<Time, Event> events_;
+  std::array<SimWorker, kWorkers> workers_;
+  std::vector<RunLog> log_;
+  std::vector<AcceptedJob> accepted_;
+  std::map<JobId, std::string> progress_;  // Durable.
+  FencingToken fence_ = 0;
+  FencingToken last_token_ = 0;
+  std::shared_ptr<Owner> owner_;
+  std::vector<std::shared_ptr<Owner>> strays_;
+};
+
+std::vector<std::string> World::Check() const {
+  std::vector<std::string> findings;
+  const auto name = [](const RunLog& run) {
+    return FormatJobId(run.task.job) + "." + std::to_string(run.task.step) + "." +
+           std::to_string(run.task.index) + " run " + std::to_string(run.run) + " on w" +
+           std::to_string(run.worker) + " at " +
+           std::to_string(run.started.time_since_epoch().count());
+  };
+  std::map<TaskKey, std::vector<const RunLog*>> by_task;
+  for (const RunLog& run : log_) by_task[run.task].push_back(&run);
+  std::map<std::pair<JobId, int>, Time> step_done;  // Last first success of a step.
+  for (const auto& [task, runs] : by_task) {
+    int failures = 0;
+    for (std::size_t i = 0; i < runs.size(); ++i) {
+      const RunLog& run = *runs[i];
+      for (std::size_t j = 0; j < i; ++j) {
+        const RunLog& before = *runs[j];
+        if (!before.ended || *before.ended > run.started) {
+          findings.push_back("twice at once: " + name(before) + " and " + name(run));
+        }
+        if (before.how == "done" && before.noted) {
+          findings.push_back("again after done: " + name(run));
+        }
+      }
+      if (failures >= kMaxAttempts) findings.push_back("over its attempts: " + name(run));
+      if (run.how == "failed" && run.noted) ++failures;
+    }
+  }
+  for (const auto& [task, runs] : by_task) {
+    for (const RunLog* run : runs) {
+      if (run->how != "done") continue;
+      Time& last = step_done[{task.job, task.step}];
+      last = std::max(last, *run->ended);
+      break;
+    }
+  }
+  for (const RunLog& run : log_) {
+    if (run.task.step == 0) continue;
+    const auto before = step_done.find({run.task.job, 0});
+    if (before == step_done.end() || run.started < before->second) {
+      findings.push_back("before its turn: " + name(run));
+    }
+  }
+  for (const AcceptedJob& job : accepted_) {
+    const ShownState state = owner_->shard.StateOf(job->id);
+    const bool over = state == ShownState::kCompleted ||
+                      (faults_.failing_tasks > 0 && state == ShownState::kFailed);
+    if (!over) {
+      findings.push_back("lost: " + FormatJobId(job->id) + " is " + std::string(NameOf(state)));
+    }
+  }
+  return findings;
+}
+
+TEST_CASE("every task is done once, whatever interleaves", "[scheduling][interleavings]") {
+  const auto faults = GENERATE(values<Faults>({
+      {.name = "none"},
+      {.name = "lost requests", .lost_requests = 100},
+      {.name = "lost answers", .lost_answers = 100},
+      {.name = "late orders", .late_orders = 60},
+      {.name = "failing tasks", .failing_tasks = 150},
+      {.name = "owner killed", .owner_kills = 15},
+      {.name = "owner frozen", .owner_freezes = 15},
+      {.name = "shard dealt anew", .redeals = 30},
+      {.name = "workers crash", .worker_crashes = 4},
+      {.name = "workers cut off", .worker_cuts = 4},
+      {.name = "slow store", .slow_store = 100},
+      {.name = "slow store, owner killed", .owner_kills = 15, .slow_store = 200},
+      {.name = "late orders, owner frozen", .late_orders = 60, .owner_freezes = 15},
+      {.name = "lost answers, workers cut off, shard dealt anew",
+       .lost_answers = 60,
+       .redeals = 20,
+       .worker_cuts = 3},
+      {.name = "all but crashes",
+       .lost_requests = 30,
+       .lost_answers = 30,
+       .late_orders = 20,
+       .failing_tasks = 30,
+       .owner_kills = 8,
+       .owner_freezes = 8,
+       .redeals = 8,
+       .worker_cuts = 1,
+       .slow_store = 30},
+  }));
+  for (const std::uint64_t seed : testing::Seeds(12)) {
+    CAPTURE(faults.name, seed);
+    World world(faults, seed);
+    world.Run();
+    const std::vector<std::string> findings = world.Check();
+    CAPTURE(findings);
+    CHECK(findings.empty());
+  }
+}
+
+}  // namespace
+}  // namespace dn
--- a/src/store/internal/keyed_follower.cc
+++ b/src/store/internal/keyed_follower.cc
@@ -1,8 +1,6 @@
 // Newest records first, then records as they come.
 #include "store/internal/keyed_follower.h"
 
-#include <glog/logging.h>
-
 namespace dn {
 namespace {
 // Pause after a failed read, doubled up to the largest: keeps the store from a
@@ -23,10 +21,14 @@
 Task<Result<>> KeyedFollower::Poll(Duration wait) {
   auto page = co_await store_.Read(partition_, position_, wait);
   if (!page) co_return page.error();
-  if (page.value()->expired) co_return co_await Load();
+  if (page.value()->expired) {
+    log_.Write("history-dropped", partition_->topic,
+               "position=" + std::to_string(position_) + " newest records are read");
+    co_return co_await Load();
+  }
   if (page.value()->skipped > 0) {
-    LOG(WARNING) << R"({"kind":"records-skipped","topic":")" << partition_->topic << R"(","count":)"
-                 << page.value()->skipped << "}";
+    log_.Write("records-skipped", partition_->topic,
+               "count=" + std::to_string(page.value()->skipped));
   }
   position_ = page.value()->next;
   last_success_ = Now();
@@ -38,6 +40,11 @@
   Duration pause = kRetryPause;
   while (active()) {
     auto polled = co_await Poll(options_.wait);
+    if (polled.has_value() != reached_) {
+      reached_ = polled.has_value();
+      log_.Write(reached_ ? "store-regained" : "store-lost", partition_->topic,
+                 polled ? "" : polled.error().message());
+    }
     if (polled) {
       pause = kRetryPause;
       if (options_.pause > Duration(0)) co_await SleepFor(options_.pause);
--- a/src/store/internal/keyed_follower.h
+++ b/src/store/internal/keyed_follower.h
@@ -16,8 +16,10 @@
   // Records in order. `complete`: these are all keys that exist.
   using Handler = std::function<void(const std::vector<KeyedRecord>& records, bool complete)>;
 
-  KeyedFollower(StoreClient& store, Partition partition, Options options, Handler handler)
+  KeyedFollower(StoreClient& store, Partition partition, Options options, DecisionLog& log,
+                Handler handler)
       : store_(store),
+        log_(log),
         partition_(std::move(partition)),
         options_(options),
         handler_(std::move(handler)) {}
@@ -35,11 +37,13 @@
 
  private:
   StoreClient& store_;
+  DecisionLog& log_;
   const Partition partition_;
   const Options options_;
   const Handler handler_;
   std::int64_t position_ = 0;
   Time last_success_{};
+  bool reached_ = true;  // The last read succeeded.
 };
 
 }  // namespace dn
--- a/src/task_worker/internal/worker_link.cc
+++ b/src/task_worker/internal/worker_link.cc
@@ -1,8 +1,6 @@
 // Renewals by long poll; orders on a few connections.
 #include "task_worker/internal/worker_link.h"
 
-#include <glog/logging.h>
-
 namespace dn {
 namespace {
 
@@ -19,12 +17,13 @@
 }  // namespace
 
 WorkerLink::WorkerLink(WorkerId worker, std::shared_ptr<WorkerCare> care, WorkerProtocol protocol,
-                       HttpClient& http, WorkerPool& pool)
+                       HttpClient& http, WorkerPool& pool, DecisionLog& log)
     : worker_(std::move(worker)),
       care_(std::move(care)),
       protocol_(protocol),
       http_(http),
-      pool_(pool) {}
+      pool_(pool),
+      log_(log) {}
 
 Task<std::optional<OrderAnswer>> WorkerLink::Call(HttpCall call, Duration timeout) {
   const auto entry = care_->EntryOf(worker_);
@@ -34,8 +33,8 @@
   if (!reply) co_return std::nullopt;
   auto answer = protocol_.answer(reply.value());
   if (!answer) {
-    LOG(WARNING) << R"({"kind":"answer-unreadable","worker":")" << worker_.value << R"(","status":)"
-                 << reply.value().status << "}";
+    log_.Write("answer-unreadable", worker_.value,
+               "status=" + std::to_string(reply.value().status));
     co_return std::nullopt;
   }
   if (answer.value()->refusal == OrderRefusal::kFenced) care_->Fenced(worker_);
@@ -48,6 +47,11 @@
     const Time asked = Now();
     auto answer =
         co_await Call(protocol_.renew(renewal), Duration(renewal->wait_ms) + kOrderTimeout);
+    if (answer.has_value() != reached_) {
+      reached_ = answer.has_value();
+      log_.Write(reached_ ? "worker-regained" : "worker-lost", worker_.value,
+                 "waited_ms=" + std::to_string((Now() - asked).count()));
+    }
     if (answer) {
       care_->Reported(worker_, *answer, asked);
       co_await SleepFor((*answer)->refusal == OrderRefusal::kNone ? kRenewalPause : kRetryPause);
--- a/src/task_worker/internal/worker_link.h
+++ b/src/task_worker/internal/worker_link.h
@@ -28,7 +28,7 @@
 class WorkerLink : public std::enable_shared_from_this<WorkerLink> {
  public:
   WorkerLink(WorkerId worker, std::shared_ptr<WorkerCare> care, WorkerProtocol protocol,
-             HttpClient& http, WorkerPool& pool);
+             HttpClient& http, WorkerPool& pool, DecisionLog& log);
 
   // Renews until the worker is no longer in care.
   Task<> Run();
@@ -50,6 +50,8 @@
   const WorkerProtocol protocol_;
   HttpClient& http_;
   WorkerPool& pool_;
+  DecisionLog& log_;
+  bool reached_ = true;  // The last renewal was answered. Used by Run alone.
   Shared<Queue, LockRank::kOrders> queue_;
 };
 
