Nodes that the store turns away find owners through other nodes

Change: members are read every 3 s; a node that the store turns away asks the others who the owner is, and hands jobs to any of them.

--- a/src/instance_link/internal/instance_link.cc
+++ b/src/instance_link/internal/instance_link.cc
@@ -14,6 +14,7 @@
 constexpr std::string_view kJobs = "/jobs";
 constexpr std::string_view kJob = "/jobs/";
 constexpr std::string_view kQueue = "/queues/";
+constexpr std::string_view kOwner = "/owners/";
 // Longest call: a lost owner must not use up a caller's patience.
 constexpr Duration kCallLimit{900};
 // Time that the called instance has: callers of instances wait a little longer.
@@ -29,6 +30,13 @@
   return path.substr(prefix.size());
 }
 
+std::optional<std::int64_t> ParseNumber(std::string_view text) {
+  std::int64_t number = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return number;
+}
+
 ShownState StateNamed(std::string_view name) {
   for (const auto& entry : EnumNames<ShownState>::kNames) {
     if (entry.name == name) return entry.value;
@@ -65,9 +73,28 @@
     if (!waiting) co_return HttpReply{.status = kUnavailable};
     co_return HttpReply{.status = kOk, .body = std::to_string(waiting.value())};
   }
+  if (const auto shard = After(kOwner, call.path)) {
+    const auto number = ParseNumber(*shard);
+    if (!number) co_return HttpReply{.status = kNotFound};
+    const auto owner = owner_of_(static_cast<int>(*number));
+    if (!owner) co_return HttpReply{.status = kUnavailable};
+    co_return HttpReply{.status = kOk, .body = owner.value().ToString()};
+  }
   co_return HttpReply{.status = kNotFound};
 }
 
+Task<Result<Endpoint>> RemoteInstance::OwnerOf(int shard, Time deadline) {
+  auto reply =
+      co_await Call(HttpMethod::kGet, std::string(kOwner) + std::to_string(shard), {}, deadline);
+  if (!reply) co_return reply.error();
+  const std::string& text = reply.value().body;
+  const std::size_t colon = text.rfind(':');
+  if (reply.value().status != kOk || colon == std::string::npos) co_return Errc::kUnavailable;
+  const auto port = ParseNumber(std::string_view(text).substr(colon + 1));
+  if (!port) co_return Errc::kMalformed;
+  co_return Endpoint{.host = text.substr(0, colon), .port = static_cast<std::uint16_t>(*port)};
+}
+
 Task<Result<HttpReply>> RemoteInstance::Call(HttpMethod method, std::string path, std::string body,
                                              Time deadline) {
   const Duration rest = std::min(kCallLimit, deadline - Now());
@@ -108,11 +135,9 @@
 Task<Result<std::int64_t>> RemoteInstance::WaitingOf(std::string queue, Time deadline) {
   auto reply = co_await Call(HttpMethod::kGet, std::string(kQueue) + queue, {}, deadline);
   if (!reply) co_return reply.error();
-  std::int64_t waiting = 0;
-  const std::string& text = reply.value().body;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), waiting);
-  if (reply.value().status != kOk || error != std::errc()) co_return Errc::kUnavailable;
-  co_return waiting;
+  const auto waiting = ParseNumber(reply.value().body);
+  if (reply.value().status != kOk || !waiting) co_return Errc::kUnavailable;
+  co_return *waiting;
 }
 
 }  // namespace dn
--- a/src/instance_link/internal/instance_link.h
+++ b/src/instance_link/internal/instance_link.h
@@ -4,6 +4,7 @@
 //   GET    /jobs/<id>       200 with the state's name, 503
 //   DELETE /jobs/<id>       200, 410, 503
 //   GET    /queues/<name>   200 with the number of waiting jobs, 503
+//   GET    /owners/<shard>  200 with the owner's address, 503
 #pragma once
 
 #include "job_client/job_client.h"
@@ -13,11 +14,14 @@
 // Serves calls of other instances with this instance's own knowledge.
 class InstanceServer {
  public:
-  explicit InstanceServer(JobService& local) : local_(local) {}
+  // `owner_of`: what is known here of a shard's owner, without asking anyone.
+  InstanceServer(JobService& local, std::function<Result<Endpoint>(int shard)> owner_of)
+      : local_(local), owner_of_(std::move(owner_of)) {}
   Task<HttpReply> Answer(HttpCall call);
 
  private:
   JobService& local_;
+  const std::function<Result<Endpoint>(int)> owner_of_;
 };
 
 // The same service at another instance. A call that reaches no owner there
@@ -30,6 +34,7 @@
   Task<Result<ShownState>> StateOf(JobId id, Time deadline);
   Task<Result<bool>> Cancel(JobId id, Time deadline);
   Task<Result<std::int64_t>> WaitingOf(std::string queue, Time deadline);
+  Task<Result<Endpoint>> OwnerOf(int shard, Time deadline);
 
  private:
   Task<Result<HttpReply>> Call(HttpMethod method, std::string path, std::string body,
--- a/src/node/internal/node_module.cc
+++ b/src/node/internal/node_module.cc
@@ -40,7 +40,7 @@
                      .lost = [this](int shard) { Lost(shard); }}),
         service_(local_, membership_, http_, settings->instances),
         front_(service_, adapter.jobs, log_),
-        instance_server_(local_),
+        instance_server_(local_, [this](int shard) { return membership_.KnownOwnerOf(shard); }),
         catalogue_(store_, adapter.operator_records, {.wait = kConfigurationWait}, log_,
                    [this](const auto& records, bool) { Configure(records); }) {}
 
--- a/src/node/internal/node_service.cc
+++ b/src/node/internal/node_service.cc
@@ -11,6 +11,9 @@
 // caller does better to come back than to wait longer.
 constexpr Duration kOwnerSearch{2'200};
 constexpr Duration kOwnerRetry{120};
+// Longest wait for one instance's word on who the owner is: several round trips
+// between regions.
+constexpr Duration kAskLimit{250};
 
 }  // namespace
 
@@ -85,13 +88,24 @@
   co_return owner->WaitingOf(queue);
 }
 
+Task<Result<Endpoint>> NodeService::FindOwner(int shard, Time deadline) {
+  auto owner = co_await membership_.OwnerOf(shard);
+  if (owner || owner.error() == Errc::kNotFound) co_return owner;
+  for (const Endpoint& member : membership_.OtherMembers()) {
+    RemoteInstance instance(member, http_);
+    auto told = co_await instance.OwnerOf(shard, std::min(deadline, Now() + kAskLimit));
+    if (told) co_return told;
+  }
+  co_return Errc::kUnavailable;
+}
+
 template <class T, class AskLocal, class AskRemote>
 Task<Result<T>> NodeService::AskOwner(int shard, Time deadline, AskLocal local, AskRemote remote) {
   deadline = std::min(deadline, Now() + kOwnerSearch);
   while (true) {
     Result<T> answer = co_await local();
     if (answer) co_return answer;
-    auto owner = co_await membership_.OwnerOf(shard);
+    auto owner = co_await FindOwner(shard, deadline);
     if (owner && owner.value() != own_address_) {
       RemoteInstance instance(owner.value(), http_);
       answer = co_await remote(instance);
@@ -106,11 +120,18 @@
 Task<SubmitOutcome> NodeService::Submit(AcceptedJob job, Time deadline) {
   const SubmitOutcome outcome = co_await local_.Submit(job, deadline);
   if (outcome != SubmitOutcome::kRefused) co_return outcome;
-  // The store turns this node away; the owner may still reach it.
-  auto owner = co_await membership_.OwnerOf(ShardOf(job->id));
-  if (!owner || owner.value() == own_address_) co_return SubmitOutcome::kRefused;
-  RemoteInstance instance(owner.value(), http_);
-  co_return co_await instance.Submit(std::move(job), deadline);
+  // The store turns this node away; others may still reach it.
+  std::vector<Endpoint> others = membership_.OtherMembers();
+  auto owner = co_await FindOwner(ShardOf(job->id), deadline);
+  if (owner && owner.value() != own_address_) others.insert(others.begin(), owner.value());
+  for (const Endpoint& other : others) {
+    if (Now() + kAskLimit >= deadline) break;
+    RemoteInstance instance(other, http_);
+    const SubmitOutcome there = co_await instance.Submit(job, deadline);
+    // Once a copy may have been accepted, the job can no longer be refused.
+    if (there != SubmitOutcome::kRefused) co_return there;
+  }
+  co_return SubmitOutcome::kRefused;
 }
 
 Task<Result<ShownState>> NodeService::StateOf(JobId id, Time deadline) {
--- a/src/node/internal/node_service.h
+++ b/src/node/internal/node_service.h
@@ -56,6 +56,9 @@
   bool Ready() override { return local_.Ready(); }
 
  private:
+  // The shard's owner by the store or, if the store turns this node away, by the
+  // other instances.
+  Task<Result<Endpoint>> FindOwner(int shard, Time deadline);
   // Asks this node, then the owner, again and again until there is an answer.
   template <class T, class AskLocal, class AskRemote>
   Task<Result<T>> AskOwner(int shard, Time deadline, AskLocal local, AskRemote remote);
--- a/src/node/internal/shard_membership.cc
+++ b/src/node/internal/shard_membership.cc
@@ -11,6 +11,8 @@
 constexpr int kJoinsPerLife = 3;
 // Age up to which the list of owners is used without asking again.
 constexpr Duration kOwnerAge{1'000};
+// Age up to which the list of members is kept without asking again.
+constexpr Duration kMembersAge{3'000};
 
 std::string NewMember(const Endpoint& address) {
   return address.ToString() + "/" + std::to_string(NewIncarnation());
@@ -63,6 +65,10 @@
     }
     auto joined = co_await store_.JoinGroup(join);
     if (joined) Apply(joined.value());
+    // Kept fresh for when the store turns this node away.
+    const bool old =
+        table_.With([](Table& table) { return Now() - table.members_read > kMembersAge; });
+    if (joined && old) co_await ReadOwners();
     co_await SleepFor(time_to_live_ / kJoinsPerLife);
   }
 }
@@ -110,26 +116,55 @@
   const Time now = Now();
   const bool stale = table_.With([&](Table& table) { return now - table.owners_read > kOwnerAge; });
   if (stale) {
-    auto owners = co_await store_.Owners(kOwnerGroup, kJobsTopic);
-    if (owners) {
-      table_.With([&](Table& table) {
-        table.owners.clear();
-        for (const PartitionOwner& owner : owners.value()) {
-          table.owners[owner->partition] = owner->member;
-        }
-        table.owners_read = Now();
-      });
-    }
+    auto read = co_await ReadOwners();
+    if (!read) co_return read.error();
   }
-  // With the store away, the last known owner is the best guess: whoever is
-  // asked there knows whether it still owns the shard.
+  co_return FindOwner(shard);
+}
+
+Task<Result<>> ShardMembership::ReadOwners() {
+  auto owners = co_await store_.Owners(kOwnerGroup, kJobsTopic);
+  if (!owners) co_return owners.error();
+  table_.With([&](Table& table) {
+    table.owners.clear();
+    for (const PartitionOwner& owner : owners.value()) {
+      table.owners[owner->partition] = owner->member;
+    }
+    table.owners_read = Now();
+    table.members_read = Now();
+  });
+  co_return boost::outcome_v2::success();
+}
+
+Result<Endpoint> ShardMembership::KnownOwnerOf(int shard) {
+  const Time now = Now();
+  const bool held = table_.With([&](Table& table) { return table.held.count(shard) > 0; });
+  if (held) return own_address_;
+  const bool stale = table_.With([&](Table& table) { return now - table.owners_read > kOwnerAge; });
+  if (stale) return Errc::kUnavailable;
+  return FindOwner(shard);
+}
+
+Result<Endpoint> ShardMembership::FindOwner(int shard) {
   const auto member = table_.With([&](Table& table) -> std::optional<std::string> {
     const auto found = table.owners.find(shard);
     if (found == table.owners.end()) return std::nullopt;
     return found->second;
   });
-  if (!member) co_return Errc::kNotFound;
-  co_return AddressOf(*member);
+  if (!member) return Errc::kNotFound;
+  return AddressOf(*member);
+}
+
+// All partitions are dealt, also those that no shard uses, so that their
+// holders are all members.
+std::vector<Endpoint> ShardMembership::OtherMembers() {
+  const auto owners = table_.With([](Table& table) { return table.owners; });
+  std::set<Endpoint> addresses;
+  for (const auto& [partition, member] : owners) {
+    const auto address = AddressOf(member);
+    if (address && address.value() != own_address_) addresses.insert(address.value());
+  }
+  return {addresses.begin(), addresses.end()};
 }
 
 }  // namespace dn
--- a/src/node/internal/shard_membership.h
+++ b/src/node/internal/shard_membership.h
@@ -27,9 +27,13 @@
   // A later owner was met although the group still shows this node: joins anew,
   // so that the next deal brings a higher token.
   void Renew();
-  // Address of the shard's owner; kNotFound: nobody owns it. The answer may be
-  // `kOwnerAge` old.
+  // Address of the shard's owner by the store, at most about a second old.
+  // kNotFound: nobody owns it; other errors: the store cannot be asked.
   Task<Result<Endpoint>> OwnerOf(int shard);
+  // The same from what is known here already; kUnavailable: it may be old.
+  Result<Endpoint> KnownOwnerOf(int shard);
+  // Addresses of all members that were seen last, without this node's own.
+  std::vector<Endpoint> OtherMembers();
   void ForgetOwners();
 
  private:
@@ -38,13 +42,16 @@
     std::int64_t generation = 0;
     std::set<int> held;
     std::map<int, std::string> owners;
-    Time owners_read{};
+    Time owners_read{};   // Time() once the owners are known to be out of date.
+    Time members_read{};  // When `owners` was read.
     bool leaving = false;
     bool renew = false;
   };
 
   Join JoinOf(const Table& table) const;
   void Apply(const Membership& membership);
+  Task<Result<>> ReadOwners();
+  Result<Endpoint> FindOwner(int shard);
 
   StoreClient& store_;
   const Endpoint own_address_;
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -40,8 +40,8 @@
 
 }  // namespace
 
-Shard::Shard(Policy policy, FencingToken token)
-    : policy_(policy), token_(token), workers_(std::move(policy)) {}
+Shard::Shard(const Policy& policy, FencingToken token)
+    : policy_(policy), token_(token), workers_(policy) {}
 
 void Shard::Decide(std::string kind, std::string subject, std::string detail) {
   decisions_.emplace_back(DecisionFields{
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -64,7 +64,7 @@
 
 class Shard {
  public:
-  Shard(Policy policy, FencingToken token);
+  Shard(const Policy& policy, FencingToken token);
 
   // Take-over: jobs, then their progress, in any number of calls.
   void Accept(const AcceptedJob& job, Time now);
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -45,7 +45,7 @@
 
 class WorkerTable {
  public:
-  explicit WorkerTable(Policy policy) : policy_(std::move(policy)) {}
+  explicit WorkerTable(const Policy& policy) : policy_(policy) {}
 
   // The worker registered itself, or its entry changed.
   void Listed(const WorkerEntry& entry, Time now);
--- a/standins/internal/store_standin.cc
+++ b/standins/internal/store_standin.cc
@@ -47,12 +47,27 @@
 
 Result<> StoreStandin::Start() {
   auto server = HttpServer::Start(pool_, {.host = "127.0.0.1", .port = 0},
-                                  [this](HttpCall call) { return Handle(std::move(call)); });
+                                  [this](HttpCall call) { return Handle(-1, std::move(call)); });
   if (!server) return server.error();
   server_ = std::move(server).value();
   return boost::outcome_v2::success();
 }
 
+Result<Endpoint> StoreStandin::OpenDoor() {
+  const int door = static_cast<int>(doors_.size());
+  book_.With([](Book& book) { book.door_faults.emplace_back(); });
+  auto server =
+      HttpServer::Start(pool_, {.host = "127.0.0.1", .port = 0},
+                        [this, door](HttpCall call) { return Handle(door, std::move(call)); });
+  if (!server) return server.error();
+  doors_.push_back(std::move(server).value());
+  return doors_.back()->address();
+}
+
+void StoreStandin::SetDoorFault(int door, const StoreFault& fault) {
+  book_.With([&](Book& book) { book.door_faults[static_cast<std::size_t>(door)] = fault; });
+}
+
 void StoreStandin::SetFault(const StoreFault& fault) {
   book_.With([&](Book& book) { book.fault = fault; });
 }
@@ -103,14 +118,24 @@
   part.records.push_back(std::move(record));
 }
 
-Task<HttpReply> StoreStandin::Handle(HttpCall call) {
+Task<HttpReply> StoreStandin::Handle(int door, HttpCall call) {
   using Serve = HttpReply (StoreStandin::*)(Book&, const HttpCall&);
   static const std::map<std::string, Serve> kRoutes = {{"/api/log-append", &StoreStandin::Append},
                                                        {"/api/log-newest", &StoreStandin::Newest},
                                                        {"/api/log-join", &StoreStandin::Join},
                                                        {"/api/log-leave", &StoreStandin::Leave},
                                                        {"/api/log-owners", &StoreStandin::Owners}};
-  const auto fault = [this] { return book_.With([](Book& book) { return book.fault; }); };
+  const auto fault = [this, door] {
+    return book_.With([&](Book& book) {
+      StoreFault all = book.fault;
+      if (door < 0) return all;
+      const StoreFault& own = book.door_faults[static_cast<std::size_t>(door)];
+      all.busy = all.busy || own.busy;
+      all.silent = all.silent || own.silent;
+      all.delay = std::max(all.delay, own.delay);
+      return all;
+    });
+  };
   while (fault().silent) co_await SleepFor(kSilentPoll);
   const StoreFault now = fault();
   if (now.busy) co_return HttpReply{.status = 503};
--- a/standins/internal/store_standin.h
+++ b/standins/internal/store_standin.h
@@ -29,8 +29,12 @@
   // Listens on a free port of 127.0.0.1.
   Result<> Start();
   Endpoint address() const { return server_->address(); }
+  // One more address, with a fault of its own beside that of the store.
+  Result<Endpoint> OpenDoor();
 
   void SetFault(const StoreFault& fault);
+  // Doors are numbered from 0 in the order in which they were opened.
+  void SetDoorFault(int door, const StoreFault& fault);
   // Deletes all records of all partitions but the newest of each key.
   void DropHistory();
   // Deals all partitions of all groups anew.
@@ -74,10 +78,12 @@
     std::map<std::pair<std::string, int>, Part> parts;
     std::map<std::string, Group> groups;
     StoreFault fault;
+    std::vector<StoreFault> door_faults;
     std::uint64_t appends = 0;
   };
 
-  Task<HttpReply> Handle(HttpCall call);
+  // `door`: -1 for the main address.
+  Task<HttpReply> Handle(int door, HttpCall call);
   Task<HttpReply> Read(HttpCall call);
   HttpReply Append(Book& book, const HttpCall& call);
   HttpReply Newest(Book& book, const HttpCall& call);
@@ -92,6 +98,7 @@
   Shared<Book, LockRank::kRoster> book_;
   Notifier appended_;
   std::unique_ptr<HttpServer> server_;
+  std::vector<std::unique_ptr<HttpServer>> doors_;
 };
 
 }  // namespace dn::standins
--- a/tests/node_process_test.cc
+++ b/tests/node_process_test.cc
@@ -149,6 +149,32 @@
   for (const std::string& finding : fleet.Findings()) FAIL_CHECK(finding);
 }
 
+TEST_CASE("a node that the store turns away learns of a new owner from the others",
+          "[node][processes]") {
+  const auto fault =
+      GENERATE(standins::StoreFault{.busy = true}, standins::StoreFault{.silent = true});
+  CAPTURE(fault.busy, fault.silent);
+  Runner runner;
+  NodeFleet fleet(runner.pool(), DN_BIN, kNodes, kWorkers);
+  REQUIRE(runner.Wait(fleet.WaitReady(Duration(15'000))));
+  REQUIRE(runner.Wait(fleet.Submit(1, 4, kSubmitLimit, "long")));
+  REQUIRE(runner.Wait(fleet.WaitState(1, "running", kFinishLimit)));
+  // Long enough for every node to have heard of every other.
+  std::this_thread::sleep_for(std::chrono::seconds(5));
+  const int owner = fleet.Owner();
+  const int turned_away = (owner + 1) % kNodes;
+  fleet.store().SetDoorFault(turned_away, fault);
+  fleet.Signal(owner, SIGKILL);
+  fleet.WaitExit(owner, Duration(1'000));
+  std::this_thread::sleep_for(std::chrono::seconds(5));
+  const HttpReply state =
+      runner.Wait(fleet.Call(turned_away, HttpMethod::kGet, "/queue/0000000000000001"));
+  CAPTURE(state.body, fleet.LogOf(turned_away), fleet.LogOf((owner + 2) % kNodes));
+  CHECK(state.status == 200);
+  CHECK(state.body.find("running") != std::string::npos);
+  CHECK(fleet.RunsOf(1) == 4);
+}
+
 TEST_CASE("a cancelled job stops, an unknown one is gone", "[node][processes]") {
   Runner runner;
   NodeFleet fleet(runner.pool(), DN_BIN, kNodes, kWorkers);
--- a/tests/support/node_fleet.cc
+++ b/tests/support/node_fleet.cc
@@ -53,6 +53,7 @@
     static_cast<void>(workers_.back()->Start());
   }
   for (int i = 0; i < nodes; ++i) {
+    const Endpoint door = store_.OpenDoor().value();  // Of the node's own number.
     Node node{.id = "node-" + std::to_string(i),
               .settings = folder_ + "/node-" + std::to_string(i) + ".conf",
               .log = folder_ + "/node-" + std::to_string(i) + ".log",
@@ -63,8 +64,7 @@
                                  << "\nZone=z1\nRegion=r1\nListen.Front=" << node.front.ToString()
                                  << "\nListen.Ready=" << node.ready.ToString()
                                  << "\nPortRange=" << node.instances.port << ","
-                                 << node.instances.port
-                                 << "\nplatform.Address=" << store_.address().ToString()
+                                 << node.instances.port << "\nplatform.Address=" << door.ToString()
                                  << "\nBounds.GraceS=6\nBounds.HoldMaxMs=6000\n";
     nodes_.push_back(std::move(node));
   }
