--- a/src/scheduling/internal/placement_policy.cc
+++ b/src/scheduling/internal/placement_policy.cc
@@ -42,77 +42,74 @@
   static constexpr double kImageMixCost = 1.5;
 };
 
+constexpr double kMillicores = 1'000;
+// Least share of its cores that a task uses at full pace.
+constexpr double kLeastUse = 0.66;
+
+std::int64_t LeftoverOf(const WorkerRow& worker, const PlacementView& view) {
+  auto leftover = static_cast<double>(worker.entry->capacity.millicores) -
+                  static_cast<double>(worker.serving_millicores) * view.policy->serving_use;
+  for (const TaskRef& ref : worker.tasks) {
+    const JobRow& job = view.jobs.at(ref.job);
+    const StepSpec& step = job.StepOf(ref.position);
+    if (step->long_running) continue;
+    const TaskRow& task = job.tasks[ref.position];
+    const auto demand = static_cast<double>(step->demand.millicores);
+    const bool shown = view.now - task.since >= kReportLag;
+    // By reported use where reports show it already, but a paced fill will need
+    // its cores again.
+    leftover -= shown ? std::max(static_cast<double>(task.observed), demand * kLeastUse)
+                      : demand * view.policy->fill_use;
+  }
+  return static_cast<std::int64_t>(leftover);
+}
+
+double HarmOf(const std::string& serving_image, const StepSpec& fill, const PlacementView& view) {
+  return view.interference.HarmPerCore(serving_image, fill->image) *
+         static_cast<double>(fill->demand.millicores) / kMillicores;
+}
+
+FillOutlook LookAt(const WorkerRow& worker, const PlacementView& view) {
+  FillOutlook outlook{.leftover = LeftoverOf(worker, view), .serving = {}};
+  for (const TaskRef& ref : worker.tasks) {
+    const JobRow& job = view.jobs.at(ref.job);
+    const StepSpec& step = job.StepOf(ref.position);
+    if (!step->long_running || step->target_latency_ms <= 0) continue;
+    double& worst = outlook.serving[step->image];
+    worst = std::max(worst, ShareOf(job.tasks[ref.position].observed, step->target_latency_ms));
+  }
+  for (const TaskRef& ref : worker.tasks) {
+    const JobRow& job = view.jobs.at(ref.job);
+    const StepSpec& fill = job.StepOf(ref.position);
+    // Placed too recently to show in the reported figures.
+    if (!fill->fills || view.now - job.tasks[ref.position].since >= kReportLag) continue;
+    for (auto& [image, expected] : outlook.serving) expected += HarmOf(image, fill, view);
+  }
+  return outlook;
+}
+
 // Fills use cores that others leave, where they harm least.
 class FillRule final : public PlacementRule {
  public:
   std::optional<double> Cost(const WorkerRow& worker, const StepSpec& step,
                              const PlacementView& view) const override {
-    const std::int64_t leftover = LeftoverOf(worker, view);
-    if (leftover < UseOf(step, view)) return std::nullopt;
+    const FillOutlook& outlook = view.outlooks.Of(worker, view);
+    const double use = static_cast<double>(step->demand.millicores) * view.policy->fill_use;
+    if (static_cast<double>(outlook.leftover) < use) return std::nullopt;
     double worst = 0;
-    for (const TaskRef& ref : worker.tasks) {
-      const JobRow& job = view.jobs.at(ref.job);
-      const StepSpec& serving = job.StepOf(ref.position);
-      if (!serving->long_running || serving->target_latency_ms <= 0) continue;
-      const double added = HarmOf(serving, step, view);
-      const double expected =
-          ShareOf(job.tasks[ref.position].observed, serving->target_latency_ms) +
-          HarmUnderWay(worker, serving, view) + added;
-      if (added > kNegligible && expected > view.policy->harm_bound) return std::nullopt;
+    for (const auto& [image, expected] : outlook.serving) {
+      const double added = HarmOf(image, step, view);
+      if (added > kNegligible && expected + added > view.policy->harm_bound) return std::nullopt;
       worst = std::max(worst, added);
     }
     // Among workers with equal harm: the one with most left over.
-    return worst - kLeftoverWeight * ShareOf(leftover, worker.entry->capacity.millicores);
+    return worst - kLeftoverWeight * ShareOf(outlook.leftover, worker.entry->capacity.millicores);
   }
 
  private:
   static constexpr double kLeftoverWeight = 0.3;
-  // Least share of its cores that a task uses at full pace.
-  static constexpr double kLeastUse = 0.66;
   // Added harm, as a share of the target, that is not worth a refusal.
   static constexpr double kNegligible = 0.04;
-  static constexpr double kMillicores = 1'000;
-
-  static std::int64_t UseOf(const StepSpec& fill, const PlacementView& view) {
-    return static_cast<std::int64_t>(static_cast<double>(fill->demand.millicores) *
-                                     view.policy->fill_use);
-  }
-
-  static double HarmOf(const StepSpec& serving, const StepSpec& fill, const PlacementView& view) {
-    return view.interference.HarmPerCore(serving->image, fill->image) *
-           static_cast<double>(fill->demand.millicores) / kMillicores;
-  }
-
-  // Harm of fills that were placed too recently to show in the reported figure.
-  static double HarmUnderWay(const WorkerRow& worker, const StepSpec& serving,
-                             const PlacementView& view) {
-    double harm = 0;
-    for (const TaskRef& ref : worker.tasks) {
-      const JobRow& job = view.jobs.at(ref.job);
-      const StepSpec& fill = job.StepOf(ref.position);
-      if (!fill->fills || view.now - job.tasks[ref.position].since >= kReportLag) continue;
-      harm += HarmOf(serving, fill, view);
-    }
-    return harm;
-  }
-
-  // Cores that no task uses, by reported use where reports show it already.
-  static std::int64_t LeftoverOf(const WorkerRow& worker, const PlacementView& view) {
-    auto leftover = static_cast<double>(worker.entry->capacity.millicores) -
-                    static_cast<double>(worker.serving_millicores) * view.policy->serving_use;
-    for (const TaskRef& ref : worker.tasks) {
-      const JobRow& job = view.jobs.at(ref.job);
-      const StepSpec& step = job.StepOf(ref.position);
-      if (step->long_running) continue;
-      const TaskRow& task = job.tasks[ref.position];
-      const auto demand = static_cast<double>(step->demand.millicores);
-      const bool shown = view.now - task.since >= kReportLag;
-      // A paced fill will need its cores again.
-      leftover -= shown ? std::max(static_cast<double>(task.observed), demand * kLeastUse)
-                        : demand * view.policy->fill_use;
-    }
-    return static_cast<std::int64_t>(leftover);
-  }
 };
 
 }  // namespace
@@ -129,6 +126,12 @@
   return *kRules.at(static_cast<std::size_t>(kind));
 }
 
+const FillOutlook& OutlookCache::Of(const WorkerRow& worker, const PlacementView& view) {
+  const auto found = outlooks_.find(&worker);
+  if (found != outlooks_.end()) return found->second;
+  return outlooks_.emplace(&worker, LookAt(worker, view)).first->second;
+}
+
 bool MayHold(const WorkerRow& worker, const JobRow& job, std::size_t position, Time now) {
   const StepSpec& step = job.StepOf(position);
   const WorkerEntry& entry = worker.entry;
--- a/src/scheduling/internal/placement_policy.h
+++ b/src/scheduling/internal/placement_policy.h
@@ -1,6 +1,7 @@
 // Which worker a task goes to. One strategy for each kind of step.
 #pragma once
 
+#include <map>
 #include <optional>
 
 #include "scheduling/internal/interference.h"
@@ -8,11 +9,33 @@
 
 namespace dn {
 
+// What matters of a worker for fills.
+struct FillOutlook {
+  std::int64_t leftover = 0;  // Cores that no task uses, in thousandths.
+  // Expected tail latency as a share of the target, by serving image: the worst
+  // task of the image, with fills that reports do not show yet.
+  std::map<std::string, double> serving;
+};
+
+struct PlacementView;
+
+// Outlooks of workers, worked out once and kept until the worker changes.
+class OutlookCache {
+ public:
+  const FillOutlook& Of(const WorkerRow& worker, const PlacementView& view);
+  void Forget(const WorkerRow& worker) { outlooks_.erase(&worker); }
+  void Clear() { outlooks_.clear(); }
+
+ private:
+  std::map<const WorkerRow*, FillOutlook> outlooks_;
+};
+
 // What the strategies see besides the worker.
 struct PlacementView {
   const std::map<JobId, JobRow>& jobs;
   const Interference& interference;
   const Policy& policy;
+  OutlookCache& outlooks;
   Time now;
 };
 
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -229,6 +229,7 @@
   if (task.phase == TaskPhase::kPlaced) {
     if (WorkerRow* worker = workers_.Find(task.worker)) {
       WorkerTable::Release(*worker, {job.accepted->id, position}, job.StepOf(position));
+      outlooks_.Forget(*worker);
     }
   }
   task.worker = {};
@@ -383,6 +384,7 @@
 }
 
 void Shard::Plan(Time now, std::int64_t wall_ms) {
+  outlooks_.Clear();
   ReleaseDeadWorkers(now);
   MoveStalled(now);
   for (const Waiting& waiting : CollectWaiting(now, wall_ms)) {
@@ -490,8 +492,11 @@
   constexpr double kOffRackCost = 10;
   const StepSpec& step = job.StepOf(position);
   const PlacementRule& rule = PlacementRuleFor(KindOf(step));
-  const PlacementView view{
-      .jobs = jobs_.jobs(), .interference = interference_, .policy = policy_, .now = now};
+  const PlacementView view{.jobs = jobs_.jobs(),
+                           .interference = interference_,
+                           .policy = policy_,
+                           .outlooks = outlooks_,
+                           .now = now};
   std::string rack = step->data_rack;
   if (step->same_rack) {
     const TaskKey key = job.KeyOf(position);
@@ -528,6 +533,7 @@
   task.observed = 0;
   task.paced = Time();
   WorkerTable::Reserve(worker, {job.accepted->id, position}, job.StepOf(position));
+  outlooks_.Forget(worker);
   jobs_.SetPhase(job, position, TaskPhase::kPlaced, now);
   planned_.push_back(job.KeyOf(position));
 }
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -153,6 +153,7 @@
   JobTable jobs_;
   WorkerTable workers_;
   Interference interference_;
+  OutlookCache outlooks_;         // Of this plan.
   std::vector<TaskKey> planned_;  // Intents that are not in a batch yet.
   std::vector<StartOrder> starts_;
   std::vector<StopOrder> stray_stops_;  // Of runs that no task accounts for.
--- a/src/scheduling/tests/shard_interleavings_test.cc
+++ b/src/scheduling/tests/shard_interleavings_test.cc
@@ -73,7 +73,7 @@
       worker.rate = 1.0 - 0.02 * static_cast<double>(Pick(0, 100)) / 100;
     }
     for (int i = 0; i < kJobs; ++i) {
-      At(Time(Duration(Pick(0, 15'000))), [this, i] { SubmitJob(static_cast<JobId>(i + 1)); });
+      At(Time(Duration(Pick(0, 15'000))), [this, i] { SubmitJob(static_cast<JobId>(i) + 1); });
     }
     TakeOver();
     Every(Duration(100), [this] { Strike(); });
--- a/standins/internal/task_worker_standin.cc
+++ b/standins/internal/task_worker_standin.cc
@@ -155,8 +155,7 @@
   if (until <= Clock()) return refuse("late");
   book.until = std::max(book.until, until);
   const auto running = book.running.find(task);
-  const HttpReply accepted{.status = 200,
-                           .body = json::serialize(json::object{{"ClockMs", Clock()}})};
+  HttpReply accepted{.status = 200, .body = json::serialize(json::object{{"ClockMs", Clock()}})};
   if (running != book.running.end()) {
     return book.runs[running->second.record].run == run ? accepted : refuse("old");
   }
--- a/tests/node_process_test.cc
+++ b/tests/node_process_test.cc
@@ -67,11 +67,11 @@
     }
     // While the store or a node is away, callers come back later.
     accepted =
-        co_await fleet.Submit(static_cast<JobId>(0x100 + i), kTasks, kSubmitLimit) && accepted;
+        co_await fleet.Submit(static_cast<JobId>(i) + 0x100, kTasks, kSubmitLimit) && accepted;
     if (i == kJobs / 2 && !accepted) scenario.heal(fleet);
   }
   for (int i = 0; i < kJobs; ++i) {
-    const auto id = static_cast<JobId>(0x100 + i);
+    const auto id = static_cast<JobId>(i) + 0x100;
     accepted = co_await fleet.WaitState(id, "completed", kFinishLimit) && accepted;
   }
   co_return accepted;
--- a/tests/support/node_fleet.cc
+++ b/tests/support/node_fleet.cc
@@ -29,16 +29,17 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
   socklen_t size = sizeof(address);
+  const bool bound = ::bind(fd, reinterpret_cast<sockaddr*>(&address), size) == 0;
   ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
   ::close(fd);
-  return ntohs(address.sin_port);
+  return bound ? ntohs(address.sin_port) : std::uint16_t{0};
 }
 
 std::string MakeFolder() {
   std::string pattern = (std::filesystem::temp_directory_path() / "dn-nodes-XXXXXX").string();
-  return ::mkdtemp(pattern.data());
+  const char* const made = ::mkdtemp(pattern.data());
+  return made != nullptr ? made : pattern;
 }
 
 }  // namespace
