One clock reading, limits of harm from the platform's settings

Cause: three copies of the same function; the limits of harm were constants although the platform states its tolerance in the settings. Change: WallMs stands beside Now; patience and limit are 3 and 6 tenths of the stated tolerance (the same figures where it is 4 s).

--- a/src/core/internal/time.h
+++ b/src/core/internal/time.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace dn {
 
@@ -15,4 +16,11 @@
   return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
 }
 
+// Time of day of this process, in ms since 1970. May jump.
+inline std::int64_t WallMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 }  // namespace dn
--- a/src/job_client/internal/job_front.cc
+++ b/src/job_client/internal/job_front.cc
@@ -2,7 +2,6 @@
 #include "job_client/internal/job_front.h"
 
 #include <algorithm>
-#include <chrono>
 
 namespace dn {
 namespace {
@@ -29,12 +28,6 @@
   return host;
 }
 
-std::int64_t WallMs() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 }  // namespace
 
 const std::array<JobFront::Method, 4> JobFront::kMethods = {
--- a/src/node/internal/node_module.cc
+++ b/src/node/internal/node_module.cc
@@ -144,7 +144,9 @@
     const NodeSettings latest = latest_.With([](const NodeSettings& settings) { return settings; });
     return Policy({.lease = std::min(PolicyFields().lease, latest->longest_lease),
                    .stop_limit = latest->longest_stop,
-                   .finished_kept = latest->finished_shown});
+                   .finished_kept = latest->finished_shown,
+                   .harm_patience = latest->harm_limit * 3 / 10,
+                   .harm_limit = latest->harm_limit * 3 / 5});
   }
 
   // Reads the settings file again on SIGHUP, and from time to time, since it may
--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -1,8 +1,6 @@
 // Take-over, and the loops of an owner.
 #include "node/internal/shard_owner.h"
 
-#include <chrono>
-
 namespace dn {
 namespace {
 
@@ -21,12 +19,6 @@
 // process lives between two looks at it.
 constexpr Duration kNoDeadline{24 * 3'600'000};
 
-std::int64_t WallMs() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 }  // namespace
 
 ShardOwner::ShardOwner(Context context, int shard, FencingToken token)
--- a/src/runtime/internal/decision_log.cc
+++ b/src/runtime/internal/decision_log.cc
@@ -4,8 +4,6 @@
 #include <fcntl.h>
 #include <unistd.h>
 
-#include <chrono>
-
 namespace dn {
 namespace {
 
@@ -66,10 +64,7 @@
     return std::exchange(budget.pending, 0);
   });
   if (!pending) return;
-  const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
-                        std::chrono::system_clock::now().time_since_epoch())
-                        .count();
-  std::string line = R"({"at_ms":)" + std::to_string(wall) + R"(,"instance":)";
+  std::string line = R"({"at_ms":)" + std::to_string(WallMs()) + R"(,"instance":)";
   AppendQuoted(line, instance_);
   line += R"(,"kind":)";
   AppendQuoted(line, kind);
--- a/src/scheduling/internal/job_spec.cc
+++ b/src/scheduling/internal/job_spec.cc
@@ -16,6 +16,11 @@
   return text;
 }
 
+std::string FormatTaskKey(const TaskKey& key) {
+  return FormatJobId(key.job) + "." + std::to_string(key.occurrence) + "." +
+         std::to_string(key.step) + "." + std::to_string(key.index);
+}
+
 Result<JobId> ParseJobId(std::string_view text) {
   JobId id = 0;
   if (text.size() != kIdDigits) return Errc::kMalformed;
--- a/src/scheduling/internal/job_spec.h
+++ b/src/scheduling/internal/job_spec.h
@@ -112,5 +112,6 @@
 
   friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
 };
+std::string FormatTaskKey(const TaskKey& key);  // JOB.OCCURRENCE.STEP.INDEX
 
 }  // namespace dn
--- a/src/scheduling/internal/policy.h
+++ b/src/scheduling/internal/policy.h
@@ -41,7 +41,7 @@
   // figure is rough and half a second old.
   double target_share = 0.9;
   // Time over target after which fills are paced down, and after which they
-  // are stopped altogether. The platform tolerates 4 s.
+  // are stopped altogether: 3 and 6 tenths of what the platform tolerates.
   Duration harm_patience{1'200};
   Duration harm_limit{2'400};
   // Time under target after which a paced fill is raised a step.
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -23,20 +23,7 @@
 // Reports in a row without a confirmed run until it counts as lost; one may
 // have overtaken the start's answer.
 constexpr int kMaxMissing = 3;
-// Jobs that are late by more than this multiple of their objective earn
-// nothing and go last.
-constexpr std::int64_t kWorthlessFactor = 3;
 constexpr int kWhole = 100;  // Percent of a task at work.
-// A fill slower than this is moved to a worker where it harms nobody, unless it
-// has nearly ended, or would lose more than a little progress.
-constexpr int kSlowPace = 50;
-constexpr int kNearlyDone = 85;
-constexpr int kLittleProgress = 15;
-
-std::string TextOf(const TaskKey& key) {
-  return FormatJobId(key.job) + "." + std::to_string(key.occurrence) + "." +
-         std::to_string(key.step) + "." + std::to_string(key.index);
-}
 
 }  // namespace
 
@@ -138,7 +125,7 @@
 void Shard::ApplyEnd(WorkerRow& worker, const ReportedEnd& end, Time now) {
   TaskRow* task = jobs_.Find(end->task);
   if (task == nullptr || task->phase == TaskPhase::kDone || end->run != task->run) {
-    Decide("end-ignored", TextOf(end->task),
+    Decide("end-ignored", FormatTaskKey(end->task),
            "run=" + std::to_string(end->run) + " how=" + std::string(NameOf(end->kind)));
     if (task != nullptr) task->run = std::max(task->run, end->run);
     return;
@@ -164,7 +151,7 @@
     return;
   }
   if (task->phase != TaskPhase::kPlaced) return;
-  Decide("task-ended", TextOf(end->task),
+  Decide("task-ended", FormatTaskKey(end->task),
          "run=" + std::to_string(end->run) + " worker=" + worker.entry->id.value +
              " how=" + std::string(NameOf(end->kind)));
   Unplace(job, position, TaskPhase::kWaiting, now);
@@ -195,7 +182,7 @@
   job.phase = JobPhase::kFailed;
   job.finished_at = now;
   Decide("job-failed", FormatJobId(key.job),
-         "task=" + TextOf(key) + " failures=" + std::to_string(counted.failures));
+         "task=" + FormatTaskKey(key) + " failures=" + std::to_string(counted.failures));
   StopAll(job);
 }
 
@@ -249,7 +236,7 @@
   const bool ours = task != nullptr && task->phase == TaskPhase::kPlaced &&
                     task->worker == worker.entry->id && task->run == running->run;
   if (!ours) {
-    Decide("stray-run", TextOf(running->task),
+    Decide("stray-run", FormatTaskKey(running->task),
            "run=" + std::to_string(running->run) + " worker=" + worker.entry->id.value);
     stray_stops_.emplace_back(StopOrderFields{
         .worker = worker.entry->id, .task = running->task, .run = running->run, .token = token_});
@@ -294,7 +281,7 @@
     if (task.inherited) lost = "never-started";
     if (lost == nullptr) continue;
     Decide(
-        "task-lost", TextOf(job.KeyOf(ref.position)),
+        "task-lost", FormatTaskKey(job.KeyOf(ref.position)),
         "run=" + std::to_string(task.run) + " worker=" + worker.entry->id.value + " cause=" + lost);
     Unplace(job, ref.position, TaskPhase::kWaiting, now);
   }
@@ -334,7 +321,7 @@
       if (auto again = StartOf(job, position, now)) starts_.push_back(*std::move(again));
       return;
     }
-    Decide("start-revoked", TextOf(order->task),
+    Decide("start-revoked", FormatTaskKey(order->task),
            "run=" + std::to_string(order->run) + " worker=" + order->worker.value);
     task->stopping = true;
     return;
@@ -347,7 +334,7 @@
     task->progressed = now;
     return;
   }
-  Decide("start-refused", TextOf(order->task),
+  Decide("start-refused", FormatTaskKey(order->task),
          "run=" + std::to_string(order->run) + " worker=" + order->worker.value +
              " reason=" + std::string(NameOf(refusal)));
   // An earlier copy of this start got no answer: it may still take effect.
@@ -383,228 +370,6 @@
   return true;
 }
 
-void Shard::Plan(Time now, std::int64_t wall_ms) {
-  outlooks_.Clear();
-  ReleaseDeadWorkers(now);
-  MoveStalled(now);
-  for (const Waiting& waiting : CollectWaiting(now, wall_ms)) {
-    const StepSpec& step = waiting.job->accepted->spec->steps[waiting.step];
-    if (step->gang) {
-      PlaceGang(waiting, now);
-    } else {
-      PlaceStep(waiting, now);
-    }
-  }
-  ControlPace(now);
-}
-
-void Shard::ReleaseDeadWorkers(Time now) {
-  for (auto entry = workers_.workers().begin(); entry != workers_.workers().end();) {
-    WorkerRow& worker = entry->second;
-    if (!workers_.CertainlyDead(worker, now)) {
-      ++entry;
-      continue;
-    }
-    const std::set<TaskRef> placed = worker.tasks;
-    for (const TaskRef& ref : placed) {
-      JobRow& job = *jobs_.Find(ref.job);
-      Decide("task-lost", TextOf(job.KeyOf(ref.position)),
-             "run=" + std::to_string(job.tasks[ref.position].run) +
-                 " worker=" + entry->first.value + " cause=lease-over");
-      Unplace(job, ref.position, TaskPhase::kWaiting, now);
-    }
-    Decide("worker-gone", entry->first.value, "tasks=" + std::to_string(placed.size()));
-    entry = workers_.workers().erase(entry);
-  }
-}
-
-void Shard::MoveStalled(Time now) {
-  for (auto& [id, worker] : workers_.workers()) {
-    const bool leaving = worker.entry->draining;
-    const bool last_call = leaving && now + 2 * policy_->stop_limit >= worker.leaves_at;
-    bool stalled = false;
-    for (const TaskRef& ref : worker.tasks) {
-      JobRow& job = *jobs_.Find(ref.job);
-      TaskRow& task = job.tasks[ref.position];
-      if (task.stage != StartStage::kConfirmed || task.stopping) continue;
-      const StepSpec& step = job.StepOf(ref.position);
-      const bool stands = !step->gang && task.progress < kWhole && task.pace >= kWhole &&
-                          now - task.progressed > policy_->stall_limit &&
-                          worker.last_report > task.progressed + policy_->stall_limit;
-      stalled = stalled || stands;
-      if (stands || (leaving && step->long_running) || (last_call && step->checkpointing)) {
-        task.stopping = true;
-        Decide("task-moved", TextOf(job.KeyOf(ref.position)),
-               "worker=" + id.value +
-                   (stands ? " cause=stalled progress=" : " cause=draining progress=") +
-                   std::to_string(task.progress));
-      }
-    }
-    if (stalled) worker.avoid_until = std::max(worker.avoid_until, now + policy_->quarantine);
-  }
-}
-
-std::vector<Shard::Waiting> Shard::CollectWaiting(Time now, std::int64_t wall_ms) {
-  std::vector<Waiting> out;
-  for (auto& [id, job] : jobs_.jobs()) {
-    if (job.phase != JobPhase::kOpen) {
-      const bool over = job.finished_at && now - *job.finished_at > policy_->finished_kept;
-      const bool placed = job.waiting + job.done < job.tasks.size();
-      if (over && !placed && !job.dirty) expired_.insert(id);
-      continue;
-    }
-    if (job.accepted->spec->occurrences > 0) jobs_.Unfold(job, wall_ms);
-    if (job.waiting == 0) continue;
-    if (job.accepted->queue->needs_advice) {
-      if (!advice_reported_) Decide("advice-not-supported", FormatJobId(id), "waits");
-      advice_reported_ = true;
-      continue;
-    }
-    const std::int64_t age = wall_ms - job.accepted->accepted_ms;
-    const std::int64_t objective = job.objective_ms();
-    for (std::size_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
-      for (std::size_t step = 0; step < job.step_offset.size(); ++step) {
-        const auto [first, last] = job.RangeOf(occurrence, step);
-        const bool any = std::any_of(
-            job.tasks.begin() + static_cast<std::ptrdiff_t>(first),
-            job.tasks.begin() + static_cast<std::ptrdiff_t>(last), [&](const TaskRow& task) {
-              return task.phase == TaskPhase::kWaiting && task.not_before <= now;
-            });
-        if (!any || !job.StepReady(occurrence, step)) continue;
-        const bool serving = job.accepted->spec->steps[step]->long_running;
-        const bool worthless = !serving && age > kWorthlessFactor * objective;
-        const std::int64_t rank =
-            serving ? -1 : job.accepted->queue->priority + (worthless ? 1'000 : 0);
-        out.push_back({.job = &job,
-                       .occurrence = occurrence,
-                       .step = step,
-                       .rank = rank,
-                       .slack = objective - age});
-      }
-    }
-  }
-  std::sort(out.begin(), out.end());
-  return out;
-}
-
-WorkerRow* Shard::BestWorker(const JobRow& job, std::size_t position, Time now) {
-  // Running on another rack than the data, or than the step's other tasks.
-  constexpr double kOffRackCost = 10;
-  const StepSpec& step = job.StepOf(position);
-  const PlacementRule& rule = PlacementRuleFor(KindOf(step));
-  const PlacementView view{.jobs = jobs_.jobs(),
-                           .interference = interference_,
-                           .policy = policy_,
-                           .outlooks = outlooks_,
-                           .now = now};
-  std::string rack = step->data_rack;
-  if (step->same_rack) {
-    const TaskKey key = job.KeyOf(position);
-    const auto [first, last] =
-        job.RangeOf(static_cast<std::size_t>(key.occurrence), static_cast<std::size_t>(key.step));
-    for (std::size_t i = first; i < last && rack.empty(); ++i) {
-      if (job.tasks[i].phase != TaskPhase::kPlaced) continue;
-      if (const WorkerRow* peer = workers_.Find(job.tasks[i].worker)) rack = peer->entry->rack;
-    }
-  }
-  WorkerRow* best = nullptr;
-  double best_cost = 0;
-  for (auto& [id, worker] : workers_.workers()) {
-    if (!MayHold(worker, job, position, now)) continue;
-    std::optional<double> cost = rule.Cost(worker, step, view);
-    if (!cost) continue;
-    if (!rack.empty() && worker.entry->rack != rack) *cost += kOffRackCost;
-    if (best == nullptr || *cost < best_cost) {
-      best = &worker;
-      best_cost = *cost;
-    }
-  }
-  return best;
-}
-
-void Shard::Place(JobRow& job, std::size_t position, WorkerRow& worker, Time now) {
-  TaskRow& task = job.tasks[position];
-  ++task.run;
-  task.worker = worker.entry->id;
-  task.born_ms = worker.born_ms;
-  task.stage = StartStage::kUnrecorded;
-  task.progress = 0;
-  task.progressed = now;
-  task.observed = 0;
-  task.paced = Time();
-  WorkerTable::Reserve(worker, {job.accepted->id, position}, job.StepOf(position));
-  outlooks_.Forget(worker);
-  jobs_.SetPhase(job, position, TaskPhase::kPlaced, now);
-  planned_.push_back(job.KeyOf(position));
-}
-
-void Shard::PlaceStep(const Waiting& waiting, Time now) {
-  JobRow& job = *waiting.job;
-  const auto [first, last] = job.RangeOf(waiting.occurrence, waiting.step);
-  for (std::size_t i = first; i < last; ++i) {
-    const TaskRow& task = job.tasks[i];
-    if (task.phase != TaskPhase::kWaiting || task.not_before > now) continue;
-    WorkerRow* worker = BestWorker(job, i, now);
-    if (worker == nullptr) return;  // Its other tasks ask for the same.
-    Place(job, i, *worker, now);
-  }
-}
-
-bool Shard::PlaceGang(const Waiting& waiting, Time now) {
-  JobRow& job = *waiting.job;
-  const auto [first, last] = job.RangeOf(waiting.occurrence, waiting.step);
-  int run = 0;
-  for (std::size_t i = first; i < last; ++i) {
-    const TaskRow& task = job.tasks[i];
-    if (task.phase != TaskPhase::kWaiting || task.not_before > now) return false;
-    run = std::max(run, task.run);
-  }
-  const std::size_t planned_before = planned_.size();
-  for (std::size_t i = first; i < last; ++i) {
-    WorkerRow* worker = BestWorker(job, i, now);
-    if (worker == nullptr) {
-      planned_.resize(planned_before);
-      for (std::size_t j = first; j < i; ++j) Unplace(job, j, TaskPhase::kWaiting, now);
-      return false;
-    }
-    job.tasks[i].run = run;  // All members carry the same number.
-    Place(job, i, *worker, now);
-  }
-  return true;
-}
-
-void Shard::ControlPace(Time now) {
-  for (auto& [id, worker] : workers_.workers()) {
-    for (const PaceChange& change :
-         PaceChanges(worker, jobs_.jobs(), interference_, policy_, now)) {
-      JobRow& job = *jobs_.Find(change.task.job);
-      TaskRow& task = job.tasks[change.task.position];
-      const TaskKey key = job.KeyOf(change.task.position);
-      Decide("pace", TextOf(key),
-             "worker=" + id.value + " from=" + std::to_string(task.pace) +
-                 " to=" + std::to_string(change.percent));
-      task.pace = change.percent;
-      task.paced = now;
-      task.progressed = now;
-      paces_.emplace_back(PaceOrderFields{
-          .worker = id, .task = key, .run = task.run, .percent = change.percent, .token = token_});
-      MoveIfSlow(job, change.task.position, now);
-    }
-  }
-}
-
-void Shard::MoveIfSlow(JobRow& job, std::size_t position, Time now) {
-  TaskRow& task = job.tasks[position];
-  const StepSpec& step = job.StepOf(position);
-  const bool keeps_work = step->checkpointing || task.progress <= kLittleProgress;
-  const bool worth_it = task.pace < kSlowPace && task.progress < kNearlyDone;
-  if (!keeps_work || !worth_it || step->gang) return;
-  if (BestWorker(job, position, now) == nullptr) return;
-  task.stopping = true;
-  Decide("task-moved", TextOf(job.KeyOf(position)),
-         "worker=" + task.worker.value + " cause=harm progress=" + std::to_string(task.progress));
-}
-
 RecordBatch Shard::TakeBatch() {
   RecordBatch batch;
   for (const JobId id : jobs_.dirty())
--- /dev/null
+++ b/src/scheduling/internal/shard_plan.cc
@@ -0,0 +1,243 @@
+// Plans of a shard: what starts where, what moves, and at which pace fills work.
+#include <algorithm>
+
+#include "scheduling/internal/shard.h"
+
+namespace dn {
+namespace {
+
+// Jobs that are late by more than this multiple of their objective earn
+// nothing and go last.
+constexpr std::int64_t kWorthlessFactor = 3;
+constexpr int kWhole = 100;  // Percent of a task at work.
+// A fill slower than this is moved to a worker where it harms nobody, unless it
+// has nearly ended, or would lose more than a little progress.
+constexpr int kSlowPace = 50;
+constexpr int kNearlyDone = 85;
+constexpr int kLittleProgress = 15;
+
+}  // namespace
+
+void Shard::Plan(Time now, std::int64_t wall_ms) {
+  outlooks_.Clear();
+  ReleaseDeadWorkers(now);
+  MoveStalled(now);
+  for (const Waiting& waiting : CollectWaiting(now, wall_ms)) {
+    const StepSpec& step = waiting.job->accepted->spec->steps[waiting.step];
+    if (step->gang) {
+      PlaceGang(waiting, now);
+    } else {
+      PlaceStep(waiting, now);
+    }
+  }
+  ControlPace(now);
+}
+
+void Shard::ReleaseDeadWorkers(Time now) {
+  for (auto entry = workers_.workers().begin(); entry != workers_.workers().end();) {
+    WorkerRow& worker = entry->second;
+    if (!workers_.CertainlyDead(worker, now)) {
+      ++entry;
+      continue;
+    }
+    const std::set<TaskRef> placed = worker.tasks;
+    for (const TaskRef& ref : placed) {
+      JobRow& job = *jobs_.Find(ref.job);
+      Decide("task-lost", FormatTaskKey(job.KeyOf(ref.position)),
+             "run=" + std::to_string(job.tasks[ref.position].run) +
+                 " worker=" + entry->first.value + " cause=lease-over");
+      Unplace(job, ref.position, TaskPhase::kWaiting, now);
+    }
+    Decide("worker-gone", entry->first.value, "tasks=" + std::to_string(placed.size()));
+    entry = workers_.workers().erase(entry);
+  }
+}
+
+void Shard::MoveStalled(Time now) {
+  for (auto& [id, worker] : workers_.workers()) {
+    const bool leaving = worker.entry->draining;
+    const bool last_call = leaving && now + 2 * policy_->stop_limit >= worker.leaves_at;
+    bool stalled = false;
+    for (const TaskRef& ref : worker.tasks) {
+      JobRow& job = *jobs_.Find(ref.job);
+      TaskRow& task = job.tasks[ref.position];
+      if (task.stage != StartStage::kConfirmed || task.stopping) continue;
+      const StepSpec& step = job.StepOf(ref.position);
+      const bool stands = !step->gang && task.progress < kWhole && task.pace >= kWhole &&
+                          now - task.progressed > policy_->stall_limit &&
+                          worker.last_report > task.progressed + policy_->stall_limit;
+      stalled = stalled || stands;
+      if (stands || (leaving && step->long_running) || (last_call && step->checkpointing)) {
+        task.stopping = true;
+        Decide("task-moved", FormatTaskKey(job.KeyOf(ref.position)),
+               "worker=" + id.value +
+                   (stands ? " cause=stalled progress=" : " cause=draining progress=") +
+                   std::to_string(task.progress));
+      }
+    }
+    if (stalled) worker.avoid_until = std::max(worker.avoid_until, now + policy_->quarantine);
+  }
+}
+
+std::vector<Shard::Waiting> Shard::CollectWaiting(Time now, std::int64_t wall_ms) {
+  std::vector<Waiting> out;
+  for (auto& [id, job] : jobs_.jobs()) {
+    if (job.phase != JobPhase::kOpen) {
+      const bool over = job.finished_at && now - *job.finished_at > policy_->finished_kept;
+      const bool placed = job.waiting + job.done < job.tasks.size();
+      if (over && !placed && !job.dirty) expired_.insert(id);
+      continue;
+    }
+    if (job.accepted->spec->occurrences > 0) jobs_.Unfold(job, wall_ms);
+    if (job.waiting == 0) continue;
+    if (job.accepted->queue->needs_advice) {
+      if (!advice_reported_) Decide("advice-not-supported", FormatJobId(id), "waits");
+      advice_reported_ = true;
+      continue;
+    }
+    const std::int64_t age = wall_ms - job.accepted->accepted_ms;
+    const std::int64_t objective = job.objective_ms();
+    for (std::size_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
+      for (std::size_t step = 0; step < job.step_offset.size(); ++step) {
+        const auto [first, last] = job.RangeOf(occurrence, step);
+        const bool any = std::any_of(
+            job.tasks.begin() + static_cast<std::ptrdiff_t>(first),
+            job.tasks.begin() + static_cast<std::ptrdiff_t>(last), [&](const TaskRow& task) {
+              return task.phase == TaskPhase::kWaiting && task.not_before <= now;
+            });
+        if (!any || !job.StepReady(occurrence, step)) continue;
+        const bool serving = job.accepted->spec->steps[step]->long_running;
+        const bool worthless = !serving && age > kWorthlessFactor * objective;
+        const std::int64_t rank =
+            serving ? -1 : job.accepted->queue->priority + (worthless ? 1'000 : 0);
+        out.push_back({.job = &job,
+                       .occurrence = occurrence,
+                       .step = step,
+                       .rank = rank,
+                       .slack = objective - age});
+      }
+    }
+  }
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
+WorkerRow* Shard::BestWorker(const JobRow& job, std::size_t position, Time now) {
+  // Running on another rack than the data, or than the step's other tasks.
+  constexpr double kOffRackCost = 10;
+  const StepSpec& step = job.StepOf(position);
+  const PlacementRule& rule = PlacementRuleFor(KindOf(step));
+  const PlacementView view{.jobs = jobs_.jobs(),
+                           .interference = interference_,
+                           .policy = policy_,
+                           .outlooks = outlooks_,
+                           .now = now};
+  std::string rack = step->data_rack;
+  if (step->same_rack) {
+    const TaskKey key = job.KeyOf(position);
+    const auto [first, last] =
+        job.RangeOf(static_cast<std::size_t>(key.occurrence), static_cast<std::size_t>(key.step));
+    for (std::size_t i = first; i < last && rack.empty(); ++i) {
+      if (job.tasks[i].phase != TaskPhase::kPlaced) continue;
+      if (const WorkerRow* peer = workers_.Find(job.tasks[i].worker)) rack = peer->entry->rack;
+    }
+  }
+  WorkerRow* best = nullptr;
+  double best_cost = 0;
+  for (auto& [id, worker] : workers_.workers()) {
+    if (!MayHold(worker, job, position, now)) continue;
+    std::optional<double> cost = rule.Cost(worker, step, view);
+    if (!cost) continue;
+    if (!rack.empty() && worker.entry->rack != rack) *cost += kOffRackCost;
+    if (best == nullptr || *cost < best_cost) {
+      best = &worker;
+      best_cost = *cost;
+    }
+  }
+  return best;
+}
+
+void Shard::Place(JobRow& job, std::size_t position, WorkerRow& worker, Time now) {
+  TaskRow& task = job.tasks[position];
+  ++task.run;
+  task.worker = worker.entry->id;
+  task.born_ms = worker.born_ms;
+  task.stage = StartStage::kUnrecorded;
+  task.progress = 0;
+  task.progressed = now;
+  task.observed = 0;
+  task.paced = Time();
+  WorkerTable::Reserve(worker, {job.accepted->id, position}, job.StepOf(position));
+  outlooks_.Forget(worker);
+  jobs_.SetPhase(job, position, TaskPhase::kPlaced, now);
+  planned_.push_back(job.KeyOf(position));
+}
+
+void Shard::PlaceStep(const Waiting& waiting, Time now) {
+  JobRow& job = *waiting.job;
+  const auto [first, last] = job.RangeOf(waiting.occurrence, waiting.step);
+  for (std::size_t i = first; i < last; ++i) {
+    const TaskRow& task = job.tasks[i];
+    if (task.phase != TaskPhase::kWaiting || task.not_before > now) continue;
+    WorkerRow* worker = BestWorker(job, i, now);
+    if (worker == nullptr) return;  // Its other tasks ask for the same.
+    Place(job, i, *worker, now);
+  }
+}
+
+bool Shard::PlaceGang(const Waiting& waiting, Time now) {
+  JobRow& job = *waiting.job;
+  const auto [first, last] = job.RangeOf(waiting.occurrence, waiting.step);
+  int run = 0;
+  for (std::size_t i = first; i < last; ++i) {
+    const TaskRow& task = job.tasks[i];
+    if (task.phase != TaskPhase::kWaiting || task.not_before > now) return false;
+    run = std::max(run, task.run);
+  }
+  const std::size_t planned_before = planned_.size();
+  for (std::size_t i = first; i < last; ++i) {
+    WorkerRow* worker = BestWorker(job, i, now);
+    if (worker == nullptr) {
+      planned_.resize(planned_before);
+      for (std::size_t j = first; j < i; ++j) Unplace(job, j, TaskPhase::kWaiting, now);
+      return false;
+    }
+    job.tasks[i].run = run;  // All members carry the same number.
+    Place(job, i, *worker, now);
+  }
+  return true;
+}
+
+void Shard::ControlPace(Time now) {
+  for (auto& [id, worker] : workers_.workers()) {
+    for (const PaceChange& change :
+         PaceChanges(worker, jobs_.jobs(), interference_, policy_, now)) {
+      JobRow& job = *jobs_.Find(change.task.job);
+      TaskRow& task = job.tasks[change.task.position];
+      const TaskKey key = job.KeyOf(change.task.position);
+      Decide("pace", FormatTaskKey(key),
+             "worker=" + id.value + " from=" + std::to_string(task.pace) +
+                 " to=" + std::to_string(change.percent));
+      task.pace = change.percent;
+      task.paced = now;
+      task.progressed = now;
+      paces_.emplace_back(PaceOrderFields{
+          .worker = id, .task = key, .run = task.run, .percent = change.percent, .token = token_});
+      MoveIfSlow(job, change.task.position, now);
+    }
+  }
+}
+
+void Shard::MoveIfSlow(JobRow& job, std::size_t position, Time now) {
+  TaskRow& task = job.tasks[position];
+  const StepSpec& step = job.StepOf(position);
+  const bool keeps_work = step->checkpointing || task.progress <= kLittleProgress;
+  const bool worth_it = task.pace < kSlowPace && task.progress < kNearlyDone;
+  if (!keeps_work || !worth_it || step->gang) return;
+  if (BestWorker(job, position, now) == nullptr) return;
+  task.stopping = true;
+  Decide("task-moved", FormatTaskKey(job.KeyOf(position)),
+         "worker=" + task.worker.value + " cause=harm progress=" + std::to_string(task.progress));
+}
+
+}  // namespace dn
--- a/standins/internal/task_worker_standin.cc
+++ b/standins/internal/task_worker_standin.cc
@@ -2,7 +2,6 @@
 #include "standins/internal/task_worker_standin.h"
 
 #include <boost/json.hpp>
-#include <chrono>
 
 namespace dn::standins {
 namespace {
@@ -15,12 +14,6 @@
 constexpr int kCores = 4'000;
 constexpr int kMemoryMb = 4'000;
 
-std::int64_t WallMs() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 std::int64_t NumberIn(const json::object& body, const char* name) {
   const json::value* value = body.if_contains(name);
   return value == nullptr ? 0 : value->to_number<std::int64_t>();
--- a/tests/node_process_test.cc
+++ b/tests/node_process_test.cc
@@ -77,6 +77,13 @@
   co_return accepted;
 }
 
+// Job 1: four tasks that run until it is cancelled.
+Task<bool> StartLongJob(NodeFleet& fleet) {
+  if (!co_await fleet.WaitReady(Duration(15'000))) co_return false;
+  if (!co_await fleet.Submit(1, 4, kSubmitLimit, "long")) co_return false;
+  co_return co_await fleet.WaitState(1, "running", kFinishLimit);
+}
+
 TEST_CASE("accepted jobs are completed, each task done once", "[node][processes]") {
   const auto nothing = [](NodeFleet&) {};
   const auto scenario = GENERATE_COPY(values<Scenario>({
@@ -131,9 +138,7 @@
   CAPTURE(fault.busy, fault.silent);
   Runner runner;
   NodeFleet fleet(runner.pool(), DN_BIN, kNodes, kWorkers);
-  REQUIRE(runner.Wait(fleet.WaitReady(Duration(15'000))));
-  REQUIRE(runner.Wait(fleet.Submit(1, 4, kSubmitLimit, "long")));
-  REQUIRE(runner.Wait(fleet.WaitState(1, "running", kFinishLimit)));
+  REQUIRE(runner.Wait(StartLongJob(fleet)));
   std::this_thread::sleep_for(std::chrono::seconds(1));
   fleet.store().SetFault(fault);
   const HttpReply reply = runner.Wait(
@@ -156,9 +161,7 @@
   CAPTURE(fault.busy, fault.silent);
   Runner runner;
   NodeFleet fleet(runner.pool(), DN_BIN, kNodes, kWorkers);
-  REQUIRE(runner.Wait(fleet.WaitReady(Duration(15'000))));
-  REQUIRE(runner.Wait(fleet.Submit(1, 4, kSubmitLimit, "long")));
-  REQUIRE(runner.Wait(fleet.WaitState(1, "running", kFinishLimit)));
+  REQUIRE(runner.Wait(StartLongJob(fleet)));
   // Long enough for every node to have heard of every other.
   std::this_thread::sleep_for(std::chrono::seconds(5));
   const int owner = fleet.Owner();
@@ -178,9 +181,7 @@
 TEST_CASE("a cancelled job stops, an unknown one is gone", "[node][processes]") {
   Runner runner;
   NodeFleet fleet(runner.pool(), DN_BIN, kNodes, kWorkers);
-  REQUIRE(runner.Wait(fleet.WaitReady(Duration(15'000))));
-  REQUIRE(runner.Wait(fleet.Submit(1, 4, kSubmitLimit, "long")));
-  REQUIRE(runner.Wait(fleet.WaitState(1, "running", kFinishLimit)));
+  REQUIRE(runner.Wait(StartLongJob(fleet)));
   REQUIRE(runner.Wait(fleet.Cancel(1, kSubmitLimit)));
   CHECK(runner.Wait(fleet.WaitState(1, "cancelled", kFinishLimit)));
   std::this_thread::sleep_for(std::chrono::seconds(2));
