Remove what nothing uses

WorkerTable::Erase and KeyedFollower::position() had no caller. Healing early in the process scenarios could only follow a job that was not accepted, after which the scenario fails anyway. Behaviour is unchanged: no code that runs on the platform calls what is gone. Checked: format of the three files, [scheduling] and [platform] (6,709 assertions), 'a cancelled job stops' (25).

--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -54,7 +54,6 @@
   WorkerRow& FindOrAdd(const WorkerId& id, Time now);
   std::map<WorkerId, WorkerRow>& workers() { return workers_; }
   const std::map<WorkerId, WorkerRow>& workers() const { return workers_; }
-  void Erase(const WorkerId& id) { workers_.erase(id); }
 
   static void Reserve(WorkerRow& worker, const TaskRef& ref, const StepSpec& step);
   static void Release(WorkerRow& worker, const TaskRef& ref, const StepSpec& step);
--- a/src/store/internal/keyed_follower.h
+++ b/src/store/internal/keyed_follower.h
@@ -32,8 +32,6 @@
   // Polls until `active` returns false.
   Task<> Follow(std::function<bool()> active);
 
-  // Offset up to which records were handled.
-  std::int64_t position() const { return position_; }
   Time last_success() const { return Time(Duration(last_success_ms_.load())); }
 
  private:
--- a/tests/node_process_test.cc
+++ b/tests/node_process_test.cc
@@ -71,7 +71,6 @@
     const bool now =
         co_await fleet.Submit(static_cast<JobId>(i) + 0x100, kTasks, kSubmitLimit, payload);
     accepted = accepted && now;
-    if (i == kJobs / 2 && !accepted) scenario.heal(fleet);
   }
   for (int i = 0; i < kJobs; ++i) {
     const auto id = static_cast<JobId>(i) + 0x100;
