Give every fleet of nodes loopback addresses of its own

The fleet drew nine free ports by binding and closing; a drawn port can be drawn again before its process listens, and the process then ends with listen-failed, so that not all nodes get ready.

Change: addresses by NextNet, which fleets of entry instances used already, with fixed ports. A job that does not start now prints what the nodes wrote.

--- a/tests/node_process_test.cc
+++ b/tests/node_process_test.cc
@@ -92,6 +92,13 @@
   co_return co_await fleet.WaitState(1, running, kFinishLimit);
 }
 
+// Requires a running job 1; what the nodes wrote explains why there is none.
+void RequireLongJob(Runner& runner, NodeFleet& fleet) {
+  const bool running = runner.Wait(StartLongJob(fleet));
+  CAPTURE(fleet.LogOf(0), fleet.LogOf(1), fleet.LogOf(2));
+  REQUIRE(running);
+}
+
 TEST_CASE("accepted jobs are completed, each task done once", "[node][processes]") {
   const auto nothing = [](NodeFleet&) {};
   const auto scenario = GENERATE_COPY(values<Scenario>({
@@ -146,7 +153,7 @@
   CAPTURE(fault.busy, fault.silent);
   Runner runner;
   NodeFleet fleet(runner.pool(), DN_BIN, kNodes, kWorkers);
-  REQUIRE(runner.Wait(StartLongJob(fleet)));
+  RequireLongJob(runner, fleet);
   std::this_thread::sleep_for(std::chrono::seconds(1));
   fleet.store().SetFault(fault);
   const HttpReply reply = runner.Wait(
@@ -169,7 +176,7 @@
   CAPTURE(fault.busy, fault.silent);
   Runner runner;
   NodeFleet fleet(runner.pool(), DN_BIN, kNodes, kWorkers);
-  REQUIRE(runner.Wait(StartLongJob(fleet)));
+  RequireLongJob(runner, fleet);
   // Long enough for every node to have heard of every other.
   std::this_thread::sleep_for(std::chrono::seconds(5));
   const int owner = fleet.Owner();
@@ -189,7 +196,7 @@
 TEST_CASE("a cancelled job stops, an unknown one is gone", "[node][processes]") {
   Runner runner;
   NodeFleet fleet(runner.pool(), DN_BIN, kNodes, kWorkers);
-  REQUIRE(runner.Wait(StartLongJob(fleet)));
+  RequireLongJob(runner, fleet);
   REQUIRE(runner.Wait(fleet.Cancel(1, kSubmitLimit)));
   CHECK(runner.Wait(fleet.WaitState(1, "cancelled", kFinishLimit)));
   std::this_thread::sleep_for(std::chrono::seconds(2));
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -7,11 +7,12 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <atomic>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
 
+#include "tests/support/loopback_net.h"
+
 namespace dn::testing {
 namespace {
 
@@ -20,14 +21,6 @@
 constexpr Duration kPoll{50};
 constexpr Duration kCallTimeout{3000};
 
-// Every fleet of every test process has a network of its own.
-std::string NextNet() {
-  static std::atomic<int> next{0};
-  const int pid = static_cast<int>(getpid());
-  return "127." + std::to_string(1 + pid / 250 % 250) + "." +
-         std::to_string((pid + 37 * next.fetch_add(1)) % 250) + ".";
-}
-
 void Check(const Result<std::shared_ptr<standins::TcpRelay>>& relay) {
   if (!relay) throw std::runtime_error("relay: " + relay.error().message());
 }
--- a/tests/support/node_fleet.cc
+++ b/tests/support/node_fleet.cc
@@ -2,9 +2,7 @@
 #include "tests/support/node_fleet.h"
 
 #include <fcntl.h>
-#include <netinet/in.h>
 #include <spawn.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -15,27 +13,19 @@
 #include <sstream>
 #include <thread>
 
+#include "tests/support/loopback_net.h"
+
 namespace dn::testing {
 namespace {
 
 constexpr const char* kHost = "jobs.example";
 constexpr const char* kPrefix = "/queue/";
+constexpr std::uint16_t kFrontPort = 8080;
+constexpr std::uint16_t kReadyPort = 8081;
+constexpr std::uint16_t kInstancePort = 8082;
 constexpr Duration kPoll{50};
 constexpr Duration kTaskTime{300};
 
-// A port that is free now, on an address of this fleet's own.
-std::uint16_t FreePort() {
-  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  const bool bound = ::bind(fd, reinterpret_cast<sockaddr*>(&address), size) == 0;
-  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(fd);
-  return bound ? ntohs(address.sin_port) : std::uint16_t{0};
-}
-
 std::string MakeFolder() {
   std::string pattern = (std::filesystem::temp_directory_path() / "dn-nodes-XXXXXX").string();
   const char* const made = ::mkdtemp(pattern.data());
@@ -53,14 +43,16 @@
         pool, store_, "worker-" + std::to_string(i), "service", kTaskTime));
     static_cast<void>(workers_.back()->Start());
   }
+  const std::string net = NextNet();
   for (int i = 0; i < nodes; ++i) {
+    const std::string host = net + std::to_string(i + 1);
     const Endpoint door = store_.OpenDoor().value();  // Of the node's own number.
     Node node{.id = "node-" + std::to_string(i),
               .settings = folder_ + "/node-" + std::to_string(i) + ".conf",
               .log = folder_ + "/node-" + std::to_string(i) + ".log",
-              .front = {"127.0.0.1", FreePort()},
-              .ready = {"127.0.0.1", FreePort()},
-              .instances = {"127.0.0.1", FreePort()}};
+              .front = {host, kFrontPort},
+              .ready = {host, kReadyPort},
+              .instances = {host, kInstancePort}};
     std::ofstream(node.settings) << "Node=" << node.id
                                  << "\nZone=z1\nRegion=r1\nListen.Front=" << node.front.ToString()
                                  << "\nListen.Ready=" << node.ready.ToString()
