Let small instances stand back while a much larger one can own shards

It used up its share; answers, renewals and starts came late: LOST 1153, MIXED 2, 19 of 34 cancels unanswered.

Change: a member's name tells its share; an instance that sees a member with twice its own or more is no candidate and leaves the group (Candidacy). Instances of one size behave as before.

--- a/src/core/internal/node_settings.h
+++ b/src/core/internal/node_settings.h
@@ -21,6 +21,7 @@
   Endpoint instances;  // Calls of other instances, and metrics.
   Endpoint store;
   int cores = 1;
+  double processor_share = 1.0;           // Cores that this instance may use, above 0.
   Duration stop_grace{6'000};             // From a stop signal to the forced end.
   Duration longest_lease{6'000};          // That a worker grants.
   Duration longest_stop{900};             // Until a stopped task is gone.
--- a/src/node/internal/node_module.cc
+++ b/src/node/internal/node_module.cc
@@ -34,7 +34,7 @@
         log_(settings->id),
         store_(settings->store, adapter.store, http_),
         local_(store_, settings->id),
-        membership_(store_, settings->instances,
+        membership_(store_, settings->instances, settings->processor_share,
                     std::max(kTimeToLive, settings->shortest_time_to_live),
                     {.gained = [this](int shard, FencingToken token) { Gained(shard, token); },
                      .lost = [this](int shard) { Lost(shard); }}),
--- a/src/node/internal/shard_membership.cc
+++ b/src/node/internal/shard_membership.cc
@@ -1,5 +1,6 @@
-// Membership in the group that deals shards. A member's name starts with its
-// address, so that the list of owners tells where to find them.
+// Membership in the group that deals shards. A member's name tells its address
+// and its size, so that the list of owners says where to find them and which
+// nodes may stand back.
 #include "node/internal/shard_membership.h"
 
 #include <charconv>
@@ -13,32 +14,52 @@
 constexpr Duration kOwnerAge{1'000};
 // Age up to which the list of members is kept without asking again.
 constexpr Duration kMembersAge{3'000};
-
-std::string NewMember(const Endpoint& address) {
-  return address.ToString() + "/" + std::to_string(NewIncarnation());
+// The same for a node that stands back, and is to notice when nobody owns.
+constexpr Duration kStandbyAge{1'500};
+// Pause after a read that failed.
+constexpr Duration kRetryPause{500};
+// Between looks at the members before the first join.
+constexpr Duration kFirstLook{150};
+constexpr double kThousandths = 1'000;
+
+// Name of a member: "host:port/share in thousandths of a core/incarnation".
+std::string NewMember(const Endpoint& address, double processor_share) {
+  const auto thousandths = static_cast<std::int64_t>(processor_share * kThousandths);
+  return address.ToString() + "/" + std::to_string(thousandths) + "/" +
+         std::to_string(NewIncarnation());
 }
 
-Result<Endpoint> AddressOf(const std::string& member) {
+struct MemberName {
+  Endpoint address;
+  double processor_share = 0;
+};
+
+Result<MemberName> ParseMember(const std::string& member) {
   const std::size_t slash = member.find('/');
   const std::size_t colon = member.rfind(':', slash);
   if (slash == std::string::npos || colon == std::string::npos) return Errc::kMalformed;
-  Endpoint out{.host = member.substr(0, colon), .port = 0};
-  const auto [end, error] =
-      std::from_chars(member.data() + colon + 1, member.data() + slash, out.port);
-  if (error != std::errc() || end != member.data() + slash) return Errc::kMalformed;
+  MemberName out{.address = {.host = member.substr(0, colon), .port = 0}, .processor_share = 0};
+  const char* const text = member.data();
+  const auto port = std::from_chars(text + colon + 1, text + slash, out.address.port);
+  if (port.ec != std::errc() || port.ptr != text + slash) return Errc::kMalformed;
+  std::int64_t thousandths = 0;
+  const auto share = std::from_chars(text + slash + 1, text + member.size(), thousandths);
+  if (share.ec != std::errc()) return Errc::kMalformed;
+  out.processor_share = static_cast<double>(thousandths) / kThousandths;
   return out;
 }
 
 }  // namespace
 
-ShardMembership::ShardMembership(StoreClient& store, Endpoint own_address, Duration time_to_live,
-                                 Events events)
+ShardMembership::ShardMembership(StoreClient& store, Endpoint own_address, double processor_share,
+                                 Duration time_to_live, Events events)
     : store_(store),
       own_address_(std::move(own_address)),
+      processor_share_(processor_share),
       time_to_live_(time_to_live),
-      events_(std::move(events)) {
-  table_.With([&](Table& table) { table.member = NewMember(own_address_); });
-}
+      events_(std::move(events)),
+      table_(Table{.member = NewMember(own_address_, processor_share),
+                   .candidacy = Candidacy(processor_share)}) {}
 
 Join ShardMembership::JoinOf(const Table& table) const {
   return Join({.group = kOwnerGroup,
@@ -50,29 +71,46 @@
 
 Task<> ShardMembership::Run() {
   while (true) {
-    const auto [leaving, renew, join] = table_.With([&](Table& table) {
-      return std::make_tuple(table.leaving, std::exchange(table.renew, false), JoinOf(table));
+    const auto [leaving, renew, offers, join] = table_.With([&](Table& table) {
+      return std::make_tuple(table.leaving, std::exchange(table.renew, false),
+                             table.candidacy.Offers(), JoinOf(table));
     });
     if (leaving) co_return;
-    if (renew) {
-      Apply(Membership({.generation = join->generation, .partitions = {}}));
-      co_await store_.LeaveGroup(join);
-      table_.With([&](Table& table) {
-        table.member = NewMember(own_address_);
-        table.generation = 0;
-      });
-      continue;
+    const bool joined = table_.With([](Table& table) { return table.joined; });
+    if (joined && (renew || !offers)) {
+      co_await StepDown(join);
+    } else if (offers) {
+      co_await KeepJoined(join);
+      co_await SleepFor(time_to_live_ / kJoinsPerLife);
+    } else {
+      auto read = co_await ReadOwners();
+      const bool rivalled = table_.With([](Table& table) { return table.candidacy.Rivalled(); });
+      co_await SleepFor(!read ? kRetryPause : rivalled ? kStandbyAge : kFirstLook);
     }
-    auto joined = co_await store_.JoinGroup(join);
-    if (joined) Apply(joined.value());
-    // Kept fresh for when the store turns this node away.
-    const bool old =
-        table_.With([](Table& table) { return Now() - table.members_read > kMembersAge; });
-    if (joined && old) co_await ReadOwners();
-    co_await SleepFor(time_to_live_ / kJoinsPerLife);
   }
 }
 
+Task<> ShardMembership::KeepJoined(Join join) {
+  table_.With([](Table& table) { table.joined = true; });
+  auto joined = co_await store_.JoinGroup(join);
+  if (joined) Apply(joined.value());
+  // Kept fresh for when the store turns this node away, and to step down for a
+  // larger node.
+  const bool old =
+      table_.With([](Table& table) { return Now() - table.members_read > kMembersAge; });
+  if (joined && old) co_await ReadOwners();
+}
+
+Task<> ShardMembership::StepDown(Join join) {
+  Apply(Membership({.generation = join->generation, .partitions = {}}));
+  co_await store_.LeaveGroup(join);
+  table_.With([&](Table& table) {
+    table.member = NewMember(own_address_, processor_share_);
+    table.generation = 0;
+    table.joined = false;
+  });
+}
+
 void ShardMembership::Apply(const Membership& membership) {
   std::vector<int> gained;
   std::vector<int> lost;
@@ -124,14 +162,24 @@
 
 Task<Result<>> ShardMembership::ReadOwners() {
   auto owners = co_await store_.Owners(kOwnerGroup, kJobsTopic);
-  if (!owners) co_return owners.error();
+  if (!owners) {
+    table_.With([](Table& table) { table.candidacy.Unknown(); });
+    co_return owners.error();
+  }
+  const Time now = Now();
   table_.With([&](Table& table) {
     table.owners.clear();
+    std::vector<double> shares;
     for (const PartitionOwner& owner : owners.value()) {
       table.owners[owner->partition] = owner->member;
+      const auto member = ParseMember(owner->member);
+      if (member && member.value().address != own_address_) {
+        shares.push_back(member.value().processor_share);
+      }
     }
-    table.owners_read = Now();
-    table.members_read = Now();
+    table.candidacy.Seen(shares, now);
+    table.owners_read = now;
+    table.members_read = now;
   });
   co_return boost::outcome_v2::success();
 }
@@ -152,7 +200,9 @@
     return found->second;
   });
   if (!member) return Errc::kNotFound;
-  return AddressOf(*member);
+  auto parsed = ParseMember(*member);
+  if (!parsed) return parsed.error();
+  return parsed.value().address;
 }
 
 // All partitions are dealt, also those that no shard uses, so that their
@@ -161,8 +211,8 @@
   const auto owners = table_.With([](Table& table) { return table.owners; });
   std::set<Endpoint> addresses;
   for (const auto& [partition, member] : owners) {
-    const auto address = AddressOf(member);
-    if (address && address.value() != own_address_) addresses.insert(address.value());
+    const auto parsed = ParseMember(member);
+    if (parsed && parsed.value().address != own_address_) addresses.insert(parsed.value().address);
   }
   return {addresses.begin(), addresses.end()};
 }
--- a/src/node/internal/shard_membership.h
+++ b/src/node/internal/shard_membership.h
@@ -18,9 +18,11 @@
     std::function<void(int shard)> lost;
   };
 
-  ShardMembership(StoreClient& store, Endpoint own_address, Duration time_to_live, Events events);
+  // `processor_share`: cores that this node may use.
+  ShardMembership(StoreClient& store, Endpoint own_address, double processor_share,
+                  Duration time_to_live, Events events);
 
-  // Keeps the membership until Leave.
+  // Keeps the membership until Leave, while this node is a candidate.
   Task<> Run();
   // Gives all shards up at once.
   Task<> Leave();
@@ -44,17 +46,23 @@
     std::map<int, std::string> owners;
     Time owners_read{};   // Time() once the owners are known to be out of date.
     Time members_read{};  // When `owners` was read.
+    Candidacy candidacy;
+    bool joined = false;  // The store may show this node as a member.
     bool leaving = false;
     bool renew = false;
   };
 
   Join JoinOf(const Table& table) const;
+  Task<> KeepJoined(Join join);
+  // Gives all shards up; the next join is that of a new member.
+  Task<> StepDown(Join join);
   void Apply(const Membership& membership);
   Task<Result<>> ReadOwners();
   Result<Endpoint> FindOwner(int shard);
 
   StoreClient& store_;
   const Endpoint own_address_;
+  const double processor_share_;
   const Duration time_to_live_;
   const Events events_;
   Shared<Table, LockRank::kMembership> table_;
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -2,6 +2,7 @@
 // first, and how fast fills may work. No I/O; time is passed in.
 #pragma once
 
+#include "scheduling/internal/candidacy.h"
 #include "scheduling/internal/interference.h"
 #include "scheduling/internal/job_spec.h"
 #include "scheduling/internal/job_table.h"
