--- a/src/scheduling/internal/interference.cc
+++ b/src/scheduling/internal/interference.cc
@@ -26,25 +26,34 @@
 
 }  // namespace
 
-std::size_t Interference::ColumnOf(const std::string& fill_image) {
-  return columns_.try_emplace(fill_image, kFixedColumns + columns_.size()).first->second;
+std::size_t Interference::ColumnOf(ImageId fill_image) {
+  if (columns_.size() <= fill_image) columns_.resize(fill_image + 1, 0);
+  std::size_t& column = columns_[fill_image];
+  if (column == 0) {
+    fill_images_.push_back(fill_image);
+    column = fill_images_.size();
+  }
+  return column;
 }
 
-void Interference::Widen(Model& model, std::size_t columns) {
+Interference::Model& Interference::ModelOf(ImageId serving_image) {
+  if (models_.size() <= serving_image) models_.resize(serving_image + 1);
+  Model& model = models_[serving_image];
+  const std::size_t columns = kFixedColumns + fill_images_.size();
   for (auto& row : model.gain) row.resize(columns, 0.0);
   for (std::size_t i = model.weights.size(); i < columns; ++i) {
     model.weights.push_back(i < kFixedColumns ? kPriorBase : kPriorHarm);
     model.gain.emplace_back(columns, 0.0);
     model.gain[i][i] = i < kFixedColumns ? kBaseVariance : kPriorVariance;
   }
+  return model;
 }
 
-void Interference::Observe(const std::string& serving_image, const Fills& fills, double ratio) {
+void Interference::Observe(ImageId serving_image, const Fills& fills, double ratio) {
   std::vector<std::pair<std::size_t, double>> inputs = {{0, 1.0}};
   for (const auto& [image, cores] : fills) inputs.emplace_back(ColumnOf(image), cores);
-  Model& model = models_[serving_image];
-  const std::size_t columns = kFixedColumns + columns_.size();
-  Widen(model, columns);
+  Model& model = ModelOf(serving_image);
+  const std::size_t columns = model.weights.size();
 
   std::vector<double> spread(columns, 0.0);  // gain x inputs
   double predicted = 0;
@@ -67,45 +76,38 @@
   }
 }
 
-std::vector<HarmEstimate> Interference::Export() const {
+std::vector<HarmEstimate> Interference::Export(const ImageTable& images) const {
   std::vector<HarmEstimate> out;
-  for (const auto& [image, model] : models_) {
-    out.emplace_back(HarmEstimateFields{.serving_image = image,
-                                        .fill_image = {},
-                                        .weight = model.weights[0],
-                                        .variance = model.gain[0][0]});
-    for (const auto& [fill, column] : columns_) {
-      if (column >= model.weights.size()) continue;
-      out.emplace_back(HarmEstimateFields{.serving_image = image,
-                                          .fill_image = fill,
-                                          .weight = model.weights[column],
-                                          .variance = model.gain[column][column]});
+  for (ImageId serving = 0; serving < models_.size(); ++serving) {
+    const Model& model = models_[serving];
+    for (std::size_t column = 0; column < model.weights.size(); ++column) {
+      const bool base = column < kFixedColumns;
+      out.emplace_back(HarmEstimateFields{
+          .serving_image = images.NameOf(serving),
+          .fill_image = base ? "" : images.NameOf(fill_images_[column - kFixedColumns]),
+          .weight = model.weights[column],
+          .variance = model.gain[column][column]});
     }
   }
   return out;
 }
 
-void Interference::Import(const std::vector<HarmEstimate>& estimates) {
-  for (const HarmEstimate& estimate : estimates) {
-    if (!estimate->fill_image.empty()) ColumnOf(estimate->fill_image);
-  }
-  const std::size_t columns = kFixedColumns + columns_.size();
+void Interference::Import(const std::vector<HarmEstimate>& estimates, ImageTable& images) {
   for (const HarmEstimate& estimate : estimates) {
-    Model& model = models_[estimate->serving_image];
-    Widen(model, columns);
-    const std::size_t column = estimate->fill_image.empty() ? 0 : columns_.at(estimate->fill_image);
+    const bool base = estimate->fill_image.empty();
+    const std::size_t column = base ? 0 : ColumnOf(images.Of(estimate->fill_image));
+    Model& model = ModelOf(images.Of(estimate->serving_image));
     model.weights[column] = estimate->weight;
     model.gain[column][column] = std::clamp(estimate->variance, 0.0, kMaxVariance);
   }
 }
 
-double Interference::HarmPerCore(const std::string& serving_image,
-                                 const std::string& fill_image) const {
-  const auto column = columns_.find(fill_image);
-  const auto model = models_.find(serving_image);
-  if (column == columns_.end() || model == models_.end()) return kPriorHarm;
-  if (column->second >= model->second.weights.size()) return kPriorHarm;
-  return std::max(0.0, model->second.weights[column->second]);
+double Interference::HarmPerCore(ImageId serving_image, ImageId fill_image) const {
+  if (fill_image >= columns_.size() || serving_image >= models_.size()) return kPriorHarm;
+  const std::size_t column = columns_[fill_image];
+  const std::vector<double>& weights = models_[serving_image].weights;
+  if (column == 0 || column >= weights.size()) return kPriorHarm;
+  return std::max(0.0, weights[column]);
 }
 
 }  // namespace dn
--- a/src/scheduling/internal/interference.h
+++ b/src/scheduling/internal/interference.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "scheduling/internal/images.h"
 
 namespace dn {
 
@@ -26,33 +27,35 @@
 class Interference {
  public:
   // Cores that fills used, by image.
-  using Fills = std::map<std::string, double>;
+  using Fills = std::map<ImageId, double>;
 
   // The tail latency of a task of `serving_image` was `ratio` times its target
   // while `fills` worked beside it.
-  void Observe(const std::string& serving_image, const Fills& fills, double ratio);
+  void Observe(ImageId serving_image, const Fills& fills, double ratio);
 
   // Rise of the ratio for each core that `fill_image` uses; at least 0.
-  double HarmPerCore(const std::string& serving_image, const std::string& fill_image) const;
+  double HarmPerCore(ImageId serving_image, ImageId fill_image) const;
 
   // Everything learned, to hand it to a later owner.
-  std::vector<HarmEstimate> Export() const;
+  std::vector<HarmEstimate> Export(const ImageTable& images) const;
   // Takes what an earlier owner learned; replaces what is known of its pairs.
-  void Import(const std::vector<HarmEstimate>& estimates);
+  void Import(const std::vector<HarmEstimate>& estimates, ImageTable& images);
 
  private:
   // Recursive least squares for one serving image: ratio = base + sum of harm x
   // cores.
   struct Model {
-    std::vector<double> weights;            // By column.
+    std::vector<double> weights;            // By column; empty: nothing is known.
     std::vector<std::vector<double>> gain;  // Inverse correlation, symmetric.
   };
 
-  std::size_t ColumnOf(const std::string& fill_image);
-  static void Widen(Model& model, std::size_t columns);
+  std::size_t ColumnOf(ImageId fill_image);
+  // The model of a serving image, as wide as there are columns.
+  Model& ModelOf(ImageId serving_image);
 
-  std::map<std::string, std::size_t> columns_;  // Fill image -> column, from 1.
-  std::map<std::string, Model> models_;         // By serving image.
+  std::vector<std::size_t> columns_;  // By fill image, from 1; 0: none yet.
+  std::vector<ImageId> fill_images_;  // By column, from 1.
+  std::vector<Model> models_;         // By serving image.
 };
 
 }  // namespace dn
--- a/src/scheduling/internal/job_table.cc
+++ b/src/scheduling/internal/job_table.cc
@@ -31,18 +31,13 @@
 
 TaskKey JobRow::KeyOf(std::size_t position) const {
   const std::size_t within = position % tasks_per_occurrence;
-  const auto next = std::upper_bound(step_offset.begin(), step_offset.end(), within);
-  const auto step = static_cast<std::size_t>(next - step_offset.begin()) - 1;
+  const std::size_t step = step_of[within];
   return {.job = accepted->id,
           .occurrence = static_cast<int>(position / tasks_per_occurrence),
           .step = static_cast<int>(step),
           .index = static_cast<int>(within - step_offset[step])};
 }
 
-const StepSpec& JobRow::StepOf(std::size_t position) const {
-  return accepted->spec->steps[static_cast<std::size_t>(KeyOf(position).step)];
-}
-
 std::pair<std::size_t, std::size_t> JobRow::RangeOf(std::size_t occurrence,
                                                     std::size_t step) const {
   const std::size_t first = occurrence * tasks_per_occurrence + step_offset[step];
@@ -76,7 +71,10 @@
   job.accepted = accepted;
   job.seen = now;
   for (const StepSpec& step : accepted->spec->steps) {
+    job.step_of.insert(job.step_of.end(), static_cast<std::size_t>(step->count),
+                       job.step_offset.size());
     job.step_offset.push_back(job.tasks_per_occurrence);
+    job.images.push_back(images_.Of(step->image));
     job.tasks_per_occurrence += static_cast<std::size_t>(step->count);
   }
   job.longest_chain_ms = LongestChain(accepted->spec->steps);
--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "scheduling/internal/images.h"
 #include "scheduling/internal/orders.h"
 #include "scheduling/internal/record_codec.h"
 
@@ -66,6 +67,8 @@
   // By occurrence, then step, then index; occurrences are added when due.
   std::vector<TaskRow> tasks;
   std::vector<std::size_t> step_offset;  // Of each step within an occurrence.
+  std::vector<std::size_t> step_of;      // Of each task within an occurrence.
+  std::vector<ImageId> images;           // By step.
   std::size_t tasks_per_occurrence = 0;
   std::size_t done = 0;     // Tasks in kDone.
   std::size_t waiting = 0;  // Tasks in kWaiting.
@@ -74,7 +77,13 @@
   std::size_t occurrences() const { return tasks.size() / tasks_per_occurrence; }
   std::size_t PositionOf(const TaskKey& key) const;
   TaskKey KeyOf(std::size_t position) const;
-  const StepSpec& StepOf(std::size_t position) const;
+  std::size_t StepIndexOf(std::size_t position) const {
+    return step_of[position < tasks_per_occurrence ? position : position % tasks_per_occurrence];
+  }
+  const StepSpec& StepOf(std::size_t position) const {
+    return accepted->spec->steps[StepIndexOf(position)];
+  }
+  ImageId ImageOf(std::size_t position) const { return images[StepIndexOf(position)]; }
   // Positions [first, last) of one step.
   std::pair<std::size_t, std::size_t> RangeOf(std::size_t occurrence, std::size_t step) const;
   bool StepDone(std::size_t occurrence, std::size_t step) const;
@@ -95,6 +104,8 @@
   JobRow* Find(JobId id);
   const JobRow* Find(JobId id) const;
   TaskRow* Find(const TaskKey& key);
+  ImageTable& images() { return images_; }
+  const ImageTable& images() const { return images_; }
   std::map<JobId, JobRow>& jobs() { return jobs_; }
   const std::map<JobId, JobRow>& jobs() const { return jobs_; }
 
@@ -109,7 +120,8 @@
   static JobProgress ProgressOf(const JobRow& job);
 
  private:
-  std::map<JobId, JobRow> jobs_;
+  std::map<JobId, JobRow> jobs_;  // Rows stay where they are until erased.
+  ImageTable images_;
   std::set<JobId> dirty_;  // Exactly the jobs with `dirty` set.
 };
 
--- a/src/scheduling/internal/pace_control.cc
+++ b/src/scheduling/internal/pace_control.cc
@@ -2,6 +2,7 @@
 #include "scheduling/internal/pace_control.h"
 
 #include <algorithm>
+#include <set>
 
 namespace dn {
 namespace {
@@ -30,32 +31,29 @@
   Time last_change{};
 };
 
-Situation Survey(const WorkerRow& worker, const std::map<JobId, JobRow>& jobs,
-                 const Interference& interference, Time now) {
+Situation Survey(const WorkerRow& worker, const Interference& interference, Time now) {
   Situation out;
-  std::vector<const std::string*> images;       // Of all serving tasks.
-  std::vector<const std::string*> over_images;  // Of those over target.
-  for (const TaskRef& ref : worker.tasks) {
-    const JobRow& job = jobs.at(ref.job);
-    const StepSpec& step = job.StepOf(ref.position);
+  std::set<ImageId> images;       // Of all serving tasks.
+  std::set<ImageId> over_images;  // Of those over target.
+  for (const auto& [ref, job] : worker.tasks) {
+    const StepSpec& step = job->StepOf(ref.position);
     if (!step->long_running || step->target_latency_ms <= 0) continue;
-    const TaskRow& task = job.tasks[ref.position];
-    images.push_back(&step->image);
+    const TaskRow& task = job->tasks[ref.position];
+    images.insert(job->ImageOf(ref.position));
     out.worst_ratio = std::max(out.worst_ratio, static_cast<double>(task.observed) /
                                                     static_cast<double>(step->target_latency_ms));
     if (!task.over_target_since) continue;
-    over_images.push_back(&step->image);
+    over_images.insert(job->ImageOf(ref.position));
     out.longest_over = std::max(out.longest_over, now - *task.over_target_since);
   }
   const auto& affected = over_images.empty() ? images : over_images;
-  for (const TaskRef& ref : worker.tasks) {
-    const JobRow& job = jobs.at(ref.job);
-    const StepSpec& step = job.StepOf(ref.position);
-    const TaskRow& task = job.tasks[ref.position];
+  for (const auto& [ref, job] : worker.tasks) {
+    const StepSpec& step = job->StepOf(ref.position);
+    const TaskRow& task = job->tasks[ref.position];
     if (!step->fills || task.stage != StartStage::kConfirmed || task.stopping) continue;
     double harm = 0;
-    for (const std::string* image : affected) {
-      harm = std::max(harm, interference.HarmPerCore(*image, step->image));
+    for (const ImageId image : affected) {
+      harm = std::max(harm, interference.HarmPerCore(image, job->ImageOf(ref.position)));
     }
     harm *= static_cast<double>(step->demand.millicores) / kMillicores;
     out.fills.push_back({.ref = ref, .task = &task, .harm = harm});
@@ -110,11 +108,10 @@
 
 }  // namespace
 
-std::vector<PaceChange> PaceChanges(const WorkerRow& worker, const std::map<JobId, JobRow>& jobs,
-                                    const Interference& interference, const Policy& policy,
-                                    Time now) {
+std::vector<PaceChange> PaceChanges(const WorkerRow& worker, const Interference& interference,
+                                    const Policy& policy, Time now) {
   if (worker.fill_millicores == 0) return {};
-  const Situation there = Survey(worker, jobs, interference, now);
+  const Situation there = Survey(worker, interference, now);
   if (there.longest_over >= policy->harm_limit) return StopAll(there);
   if (now - there.last_change < kSettling) return {};
   if (there.longest_over >= policy->harm_patience) return Lower(there);
--- a/src/scheduling/internal/pace_control.h
+++ b/src/scheduling/internal/pace_control.h
@@ -20,8 +20,7 @@
 // Changes that `worker` needs now. Only confirmed runs are changed. Fills that
 // are known not to matter to the tasks over target go on, until the limit of
 // the policy is near.
-std::vector<PaceChange> PaceChanges(const WorkerRow& worker, const std::map<JobId, JobRow>& jobs,
-                                    const Interference& interference, const Policy& policy,
-                                    Time now);
+std::vector<PaceChange> PaceChanges(const WorkerRow& worker, const Interference& interference,
+                                    const Policy& policy, Time now);
 
 }  // namespace dn
--- a/src/scheduling/internal/placement_policy.cc
+++ b/src/scheduling/internal/placement_policy.cc
@@ -21,18 +21,18 @@
 // are kept together: the fewer images on a worker, the fewer fills harm it.
 class PackingRule final : public PlacementRule {
  public:
-  std::optional<double> Cost(const WorkerRow& worker, const StepSpec& step,
-                             const PlacementView& view) const override {
+  std::optional<double> Cost(const WorkerRow& worker, const StepSpec& step, ImageId image,
+                             const PlacementView& /*view*/) const override {
     const Resources free = worker.Free();
     const Resources& capacity = worker.entry->capacity;
     double cost =
         ShareOf(free.millicores - step->demand.millicores, capacity.millicores) +
         kMemoryWeight * ShareOf(free.memory_mb - step->demand.memory_mb, capacity.memory_mb);
     if (!step->long_running) return cost;
-    std::set<std::string> others;
-    for (const TaskRef& ref : worker.tasks) {
-      const StepSpec& beside = view.jobs.at(ref.job).StepOf(ref.position);
-      if (beside->long_running && beside->image != step->image) others.insert(beside->image);
+    std::set<ImageId> others;
+    for (const auto& [ref, job] : worker.tasks) {
+      const ImageId beside = job->ImageOf(ref.position);
+      if (job->StepOf(ref.position)->long_running && beside != image) others.insert(beside);
     }
     return cost + kImageMixCost * static_cast<double>(others.size());
   }
@@ -49,11 +49,10 @@
 std::int64_t LeftoverOf(const WorkerRow& worker, const PlacementView& view) {
   auto leftover = static_cast<double>(worker.entry->capacity.millicores) -
                   static_cast<double>(worker.serving_millicores) * view.policy->serving_use;
-  for (const TaskRef& ref : worker.tasks) {
-    const JobRow& job = view.jobs.at(ref.job);
-    const StepSpec& step = job.StepOf(ref.position);
+  for (const auto& [ref, job] : worker.tasks) {
+    const StepSpec& step = job->StepOf(ref.position);
     if (step->long_running) continue;
-    const TaskRow& task = job.tasks[ref.position];
+    const TaskRow& task = job->tasks[ref.position];
     const auto demand = static_cast<double>(step->demand.millicores);
     const bool shown = view.now - task.since >= kReportLag;
     // By reported use where reports show it already, but a paced fill will need
@@ -64,26 +63,31 @@
   return static_cast<std::int64_t>(leftover);
 }
 
-double HarmOf(const std::string& serving_image, const StepSpec& fill, const PlacementView& view) {
-  return view.interference.HarmPerCore(serving_image, fill->image) *
+double HarmOf(ImageId serving_image, const StepSpec& fill, ImageId fill_image,
+              const PlacementView& view) {
+  return view.interference.HarmPerCore(serving_image, fill_image) *
          static_cast<double>(fill->demand.millicores) / kMillicores;
 }
 
 FillOutlook LookAt(const WorkerRow& worker, const PlacementView& view) {
   FillOutlook outlook{.leftover = LeftoverOf(worker, view), .serving = {}};
-  for (const TaskRef& ref : worker.tasks) {
-    const JobRow& job = view.jobs.at(ref.job);
-    const StepSpec& step = job.StepOf(ref.position);
+  for (const auto& [ref, job] : worker.tasks) {
+    const StepSpec& step = job->StepOf(ref.position);
     if (!step->long_running || step->target_latency_ms <= 0) continue;
-    double& worst = outlook.serving[step->image];
-    worst = std::max(worst, ShareOf(job.tasks[ref.position].observed, step->target_latency_ms));
+    const ImageId image = job->ImageOf(ref.position);
+    auto entry = std::find_if(outlook.serving.begin(), outlook.serving.end(),
+                              [&](const auto& serving) { return serving.first == image; });
+    if (entry == outlook.serving.end()) entry = outlook.serving.insert(entry, {image, 0.0});
+    entry->second = std::max(entry->second,
+                             ShareOf(job->tasks[ref.position].observed, step->target_latency_ms));
   }
-  for (const TaskRef& ref : worker.tasks) {
-    const JobRow& job = view.jobs.at(ref.job);
-    const StepSpec& fill = job.StepOf(ref.position);
+  for (const auto& [ref, job] : worker.tasks) {
+    const StepSpec& fill = job->StepOf(ref.position);
     // Placed too recently to show in the reported figures.
-    if (!fill->fills || view.now - job.tasks[ref.position].since >= kReportLag) continue;
-    for (auto& [image, expected] : outlook.serving) expected += HarmOf(image, fill, view);
+    if (!fill->fills || view.now - job->tasks[ref.position].since >= kReportLag) continue;
+    for (auto& [image, expected] : outlook.serving) {
+      expected += HarmOf(image, fill, job->ImageOf(ref.position), view);
+    }
   }
   return outlook;
 }
@@ -91,14 +95,15 @@
 // Fills use cores that others leave, where they harm least.
 class FillRule final : public PlacementRule {
  public:
-  std::optional<double> Cost(const WorkerRow& worker, const StepSpec& step,
+  std::optional<double> Cost(const WorkerRow& worker, const StepSpec& step, ImageId image,
                              const PlacementView& view) const override {
-    const FillOutlook& outlook = view.outlooks.Of(worker, view);
+    if (!worker.outlook) worker.outlook = LookAt(worker, view);
+    const FillOutlook& outlook = *worker.outlook;
     const double use = static_cast<double>(step->demand.millicores) * view.policy->fill_use;
     if (static_cast<double>(outlook.leftover) < use) return std::nullopt;
     double worst = 0;
-    for (const auto& [image, expected] : outlook.serving) {
-      const double added = HarmOf(image, step, view);
+    for (const auto& [serving_image, expected] : outlook.serving) {
+      const double added = HarmOf(serving_image, step, image, view);
       if (added > kNegligible && expected + added > view.policy->harm_bound) return std::nullopt;
       worst = std::max(worst, added);
     }
@@ -126,12 +131,6 @@
   return *kRules.at(static_cast<std::size_t>(kind));
 }
 
-const FillOutlook& OutlookCache::Of(const WorkerRow& worker, const PlacementView& view) {
-  const auto found = outlooks_.find(&worker);
-  if (found != outlooks_.end()) return found->second;
-  return outlooks_.emplace(&worker, LookAt(worker, view)).first->second;
-}
-
 bool MayHold(const WorkerRow& worker, const JobRow& job, std::size_t position, Time now) {
   const StepSpec& step = job.StepOf(position);
   const WorkerEntry& entry = worker.entry;
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -49,9 +49,8 @@
   for (std::size_t i = 0; i < job->tasks.size(); ++i) {
     TaskRow& task = job->tasks[i];
     if (task.phase != TaskPhase::kPlaced) continue;
-    WorkerTable::Reserve(workers_.FindOrAdd(task.worker, now), {job->accepted->id, i},
-                         job->StepOf(i));
-    task.stopping = job->phase != JobPhase::kOpen;
+    WorkerTable::Reserve(workers_.FindOrAdd(task.worker, now), *job, i);
+    if (job->phase != JobPhase::kOpen) Stop(*job, i);
   }
 }
 
@@ -112,6 +111,7 @@
   worker->clock = {report->clock, now};
   worker->confirmed = true;
   worker->last_report = now;
+  worker->outlook.reset();
   for (const ReportedEnd& end : report->ended) {
     if (end->number <= worker->ends_seen) continue;
     ApplyEnd(*worker, end, now);
@@ -198,6 +198,11 @@
              " objective_ms=" + std::to_string(job.objective_ms()));
 }
 
+void Shard::Stop(JobRow& job, std::size_t position) {
+  job.tasks[position].stopping = true;
+  stopping_.insert({.job = job.accepted->id, .position = position});
+}
+
 void Shard::StopAll(JobRow& job) {
   jobs_.MarkDirty(job);
   for (std::size_t i = 0; i < job.tasks.size(); ++i) {
@@ -206,7 +211,7 @@
     if (task.stage == StartStage::kUnrecorded) {
       Unplace(job, i, TaskPhase::kWaiting, task.since);
     } else {
-      task.stopping = true;
+      Stop(job, i);
     }
   }
 }
@@ -215,8 +220,7 @@
   TaskRow& task = job.tasks[position];
   if (task.phase == TaskPhase::kPlaced) {
     if (WorkerRow* worker = workers_.Find(task.worker)) {
-      WorkerTable::Release(*worker, {job.accepted->id, position}, job.StepOf(position));
-      outlooks_.Forget(*worker);
+      WorkerTable::Release(*worker, job, position);
     }
   }
   task.worker = {};
@@ -265,9 +269,9 @@
 void Shard::Reconcile(WorkerRow& worker, const RunReport& report, Time asked, Time now) {
   std::set<TaskKey> running;
   for (const ReportedRun& run : report->running) running.insert(run->task);
-  const std::set<TaskRef> placed = worker.tasks;
-  for (const TaskRef& ref : placed) {
-    JobRow& job = *jobs_.Find(ref.job);
+  const auto placed = worker.tasks;
+  for (const auto& [ref, row] : placed) {
+    JobRow& job = *row;
     TaskRow& task = job.tasks[ref.position];
     if (task.stage == StartStage::kUnrecorded || running.count(job.KeyOf(ref.position)) > 0) {
       continue;
@@ -291,19 +295,17 @@
   constexpr double kMillicores = 1'000;
   if (worker.serving_millicores == 0) return;
   Interference::Fills fills;
-  for (const TaskRef& ref : worker.tasks) {
-    const JobRow& job = *jobs_.Find(ref.job);
-    const StepSpec& step = job.StepOf(ref.position);
-    if (!step->fills) continue;
-    fills[step->image] += static_cast<double>(job.tasks[ref.position].observed) / kMillicores;
+  for (const auto& [ref, job] : worker.tasks) {
+    if (!job->StepOf(ref.position)->fills) continue;
+    fills[job->ImageOf(ref.position)] +=
+        static_cast<double>(job->tasks[ref.position].observed) / kMillicores;
   }
-  for (const TaskRef& ref : worker.tasks) {
-    const JobRow& job = *jobs_.Find(ref.job);
-    const StepSpec& step = job.StepOf(ref.position);
-    const TaskRow& task = job.tasks[ref.position];
+  for (const auto& [ref, job] : worker.tasks) {
+    const StepSpec& step = job->StepOf(ref.position);
+    const TaskRow& task = job->tasks[ref.position];
     if (!step->long_running || step->target_latency_ms <= 0 || task.progress < kWhole) continue;
     interference_.Observe(
-        step->image, fills,
+        job->ImageOf(ref.position), fills,
         static_cast<double>(task.observed) / static_cast<double>(step->target_latency_ms));
   }
 }
@@ -323,7 +325,7 @@
     }
     Decide("start-revoked", FormatTaskKey(order->task),
            "run=" + std::to_string(order->run) + " worker=" + order->worker.value);
-    task->stopping = true;
+    Stop(job, position);
     return;
   }
   // An obsolete run has started there and ended, perhaps done: a copy of this
@@ -339,7 +341,7 @@
              " reason=" + std::string(NameOf(refusal)));
   // An earlier copy of this start got no answer: it may still take effect.
   if (task->start_attempts > 0) {
-    task->stopping = true;
+    Stop(job, position);
     return;
   }
   if (WorkerRow* worker = workers_.Find(order->worker)) {
@@ -450,15 +452,21 @@
   Orders orders{.starts = std::exchange(starts_, {}),
                 .stops = std::exchange(stray_stops_, {}),
                 .paces = std::exchange(paces_, {})};
-  for (auto& [id, worker] : workers_.workers()) {
-    for (const TaskRef& ref : worker.tasks) {
-      JobRow& job = *jobs_.Find(ref.job);
-      TaskRow& task = job.tasks[ref.position];
-      if (!task.stopping || now - task.stop_ordered < kStopRepeat) continue;
+  for (auto entry = stopping_.begin(); entry != stopping_.end();) {
+    JobRow* const job = jobs_.Find(entry->job);
+    if (job == nullptr || !job->tasks[entry->position].stopping) {
+      entry = stopping_.erase(entry);
+      continue;
+    }
+    TaskRow& task = job->tasks[entry->position];
+    if (now - task.stop_ordered >= kStopRepeat) {
       task.stop_ordered = now;
-      orders.stops.emplace_back(StopOrderFields{
-          .worker = id, .task = job.KeyOf(ref.position), .run = task.run, .token = token_});
+      orders.stops.emplace_back(StopOrderFields{.worker = task.worker,
+                                                .task = job->KeyOf(entry->position),
+                                                .run = task.run,
+                                                .token = token_});
     }
+    ++entry;
   }
   return orders;
 }
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -14,6 +14,7 @@
 #include "scheduling/internal/interference.h"
 #include "scheduling/internal/pace_control.h"
 #include "scheduling/internal/placement_policy.h"
+#include "scheduling/internal/search_memo.h"
 #include "scheduling/internal/worker_table.h"
 
 namespace dn {
@@ -71,8 +72,10 @@
   void Restore(const JobProgress& progress, Time now);
 
   // What earlier owners learned of harm, and what a later one should know.
-  void RestoreHarm(const std::vector<HarmEstimate>& estimates) { interference_.Import(estimates); }
-  std::vector<HarmEstimate> LearnedHarm() const { return interference_.Export(); }
+  void RestoreHarm(const std::vector<HarmEstimate>& estimates) {
+    interference_.Import(estimates, jobs_.images());
+  }
+  std::vector<HarmEstimate> LearnedHarm() const { return interference_.Export(jobs_.images()); }
 
   void WorkerListed(const WorkerEntry& entry, Time now);
   void WorkerUnlisted(const WorkerId& id, Time now);
@@ -113,6 +116,8 @@
   std::size_t jobs() const { return jobs_.jobs().size(); }
   std::size_t workers() const { return workers_.workers().size(); }
   std::vector<Decision> TakeDecisions();
+  // Workers that were weighed for a task so far: what planning costs.
+  std::int64_t workers_weighed() const { return workers_weighed_; }
   FencingToken token() const { return token_; }
 
  private:
@@ -135,9 +140,11 @@
   void Unplace(JobRow& job, std::size_t position, TaskPhase phase, Time now);
   void CountFailure(WorkerRow& worker, JobRow& job, std::size_t position, Time now);
   void FinishIfDone(JobRow& job, Time now);
+  // Has the task's run stopped; the order is repeated until a report shows it.
+  void Stop(JobRow& job, std::size_t position);
   void StopAll(JobRow& job);
   std::vector<Waiting> CollectWaiting(Time now, std::int64_t wall_ms);
-  void PlaceStep(const Waiting& waiting, Time now);
+  void PlaceStep(const Waiting& waiting, SearchMemo& memo, Time now);
   bool PlaceGang(const Waiting& waiting, Time now);
   WorkerRow* BestWorker(const JobRow& job, std::size_t position, Time now);
   void Place(JobRow& job, std::size_t position, WorkerRow& worker, Time now);
@@ -153,7 +160,9 @@
   JobTable jobs_;
   WorkerTable workers_;
   Interference interference_;
-  OutlookCache outlooks_;         // Of this plan.
+  std::set<TaskRef> stopping_;  // All tasks with `stopping` set, and some without.
+  std::int64_t workers_weighed_ = 0;
+  Time swept_{};                  // When stalled tasks and dead workers were looked for.
   std::vector<TaskKey> planned_;  // Intents that are not in a batch yet.
   std::vector<StartOrder> starts_;
   std::vector<StopOrder> stray_stops_;  // Of runs that no task accounts for.
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -15,19 +15,27 @@
 constexpr int kSlowPace = 50;
 constexpr int kNearlyDone = 85;
 constexpr int kLittleProgress = 15;
+// Stalled tasks and dead workers show after seconds: a tenth of one is early
+// enough to look for them.
+constexpr Duration kSweepPeriod{100};
+// The pace of fills depends on reports, and on time alone by tenths of seconds.
+constexpr Duration kPacePeriod{100};
 
 }  // namespace
 
 void Shard::Plan(Time now, std::int64_t wall_ms) {
-  outlooks_.Clear();
-  ReleaseDeadWorkers(now);
-  MoveStalled(now);
+  if (now - swept_ >= kSweepPeriod) {
+    swept_ = now;
+    ReleaseDeadWorkers(now);
+    MoveStalled(now);
+  }
+  SearchMemo memo;
   for (const Waiting& waiting : CollectWaiting(now, wall_ms)) {
     const StepSpec& step = waiting.job->accepted->spec->steps[waiting.step];
     if (step->gang) {
       PlaceGang(waiting, now);
     } else {
-      PlaceStep(waiting, now);
+      PlaceStep(waiting, memo, now);
     }
   }
   ControlPace(now);
@@ -40,9 +48,9 @@
       ++entry;
       continue;
     }
-    const std::set<TaskRef> placed = worker.tasks;
-    for (const TaskRef& ref : placed) {
-      JobRow& job = *jobs_.Find(ref.job);
+    const auto placed = worker.tasks;
+    for (const auto& [ref, row] : placed) {
+      JobRow& job = *row;
       Decide("task-lost", FormatTaskKey(job.KeyOf(ref.position)),
              "run=" + std::to_string(job.tasks[ref.position].run) +
                  " worker=" + entry->first.value + " cause=lease-over");
@@ -58,8 +66,8 @@
     const bool leaving = worker.entry->draining;
     const bool last_call = leaving && now + 2 * policy_->stop_limit >= worker.leaves_at;
     bool stalled = false;
-    for (const TaskRef& ref : worker.tasks) {
-      JobRow& job = *jobs_.Find(ref.job);
+    for (const auto& [ref, row] : worker.tasks) {
+      JobRow& job = *row;
       TaskRow& task = job.tasks[ref.position];
       if (task.stage != StartStage::kConfirmed || task.stopping) continue;
       const StepSpec& step = job.StepOf(ref.position);
@@ -68,7 +76,7 @@
                           worker.last_report > task.progressed + policy_->stall_limit;
       stalled = stalled || stands;
       if (stands || (leaving && step->long_running) || (last_call && step->checkpointing)) {
-        task.stopping = true;
+        Stop(job, ref.position);
         Decide("task-moved", FormatTaskKey(job.KeyOf(ref.position)),
                "worker=" + id.value +
                    (stands ? " cause=stalled progress=" : " cause=draining progress=") +
@@ -127,11 +135,8 @@
   constexpr double kOffRackCost = 10;
   const StepSpec& step = job.StepOf(position);
   const PlacementRule& rule = PlacementRuleFor(KindOf(step));
-  const PlacementView view{.jobs = jobs_.jobs(),
-                           .interference = interference_,
-                           .policy = policy_,
-                           .outlooks = outlooks_,
-                           .now = now};
+  const PlacementView view{.interference = interference_, .policy = policy_, .now = now};
+  const ImageId image = job.ImageOf(position);
   std::string rack = step->data_rack;
   if (step->same_rack) {
     const TaskKey key = job.KeyOf(position);
@@ -145,8 +150,9 @@
   WorkerRow* best = nullptr;
   double best_cost = 0;
   for (auto& [id, worker] : workers_.workers()) {
+    ++workers_weighed_;
     if (!MayHold(worker, job, position, now)) continue;
-    std::optional<double> cost = rule.Cost(worker, step, view);
+    std::optional<double> cost = rule.Cost(worker, step, image, view);
     if (!cost) continue;
     if (!rack.empty() && worker.entry->rack != rack) *cost += kOffRackCost;
     if (best == nullptr || *cost < best_cost) {
@@ -167,20 +173,26 @@
   task.progressed = now;
   task.observed = 0;
   task.paced = Time();
-  WorkerTable::Reserve(worker, {job.accepted->id, position}, job.StepOf(position));
-  outlooks_.Forget(worker);
+  WorkerTable::Reserve(worker, job, position);
   jobs_.SetPhase(job, position, TaskPhase::kPlaced, now);
   planned_.push_back(job.KeyOf(position));
 }
 
-void Shard::PlaceStep(const Waiting& waiting, Time now) {
+void Shard::PlaceStep(const Waiting& waiting, SearchMemo& memo, Time now) {
   JobRow& job = *waiting.job;
+  const StepSpec& step = job.accepted->spec->steps[waiting.step];
+  const std::string& service = job.accepted->queue->service;
+  const ImageId image = job.images[waiting.step];
+  if (memo.Hopeless(service, step, image)) return;
   const auto [first, last] = job.RangeOf(waiting.occurrence, waiting.step);
   for (std::size_t i = first; i < last; ++i) {
     const TaskRow& task = job.tasks[i];
     if (task.phase != TaskPhase::kWaiting || task.not_before > now) continue;
     WorkerRow* worker = BestWorker(job, i, now);
-    if (worker == nullptr) return;  // Its other tasks ask for the same.
+    if (worker == nullptr) {
+      memo.Failed(service, step, image);
+      return;  // Its other tasks ask for the same.
+    }
     Place(job, i, *worker, now);
   }
 }
@@ -210,8 +222,9 @@
 
 void Shard::ControlPace(Time now) {
   for (auto& [id, worker] : workers_.workers()) {
-    for (const PaceChange& change :
-         PaceChanges(worker, jobs_.jobs(), interference_, policy_, now)) {
+    if (worker.last_report <= worker.paced && now - worker.paced < kPacePeriod) continue;
+    worker.paced = now;
+    for (const PaceChange& change : PaceChanges(worker, interference_, policy_, now)) {
       JobRow& job = *jobs_.Find(change.task.job);
       TaskRow& task = job.tasks[change.task.position];
       const TaskKey key = job.KeyOf(change.task.position);
@@ -235,7 +248,7 @@
   const bool worth_it = task.pace < kSlowPace && task.progress < kNearlyDone;
   if (!keeps_work || !worth_it || step->gang) return;
   if (BestWorker(job, position, now) == nullptr) return;
-  task.stopping = true;
+  Stop(job, position);
   Decide("task-moved", FormatTaskKey(job.KeyOf(position)),
          "worker=" + task.worker.value + " cause=harm progress=" + std::to_string(task.progress));
 }
--- a/src/scheduling/internal/worker_table.cc
+++ b/src/scheduling/internal/worker_table.cc
@@ -8,6 +8,7 @@
 
 // Adds `sign` times the share of a worker that a task of `step` takes.
 void Count(WorkerRow& worker, const StepSpec& step, int sign) {
+  worker.outlook.reset();
   const Resources& demand = step->demand;
   worker.reserved.memory_mb += sign * demand.memory_mb;
   worker.reserved.accelerators += sign * demand.accelerators;
@@ -57,12 +58,14 @@
   return entry->second;
 }
 
-void WorkerTable::Reserve(WorkerRow& worker, const TaskRef& ref, const StepSpec& step) {
-  if (worker.tasks.insert(ref).second) Count(worker, step, 1);
+void WorkerTable::Reserve(WorkerRow& worker, JobRow& job, std::size_t position) {
+  const TaskRef ref{.job = job.accepted->id, .position = position};
+  if (worker.tasks.emplace(ref, &job).second) Count(worker, job.StepOf(position), 1);
 }
 
-void WorkerTable::Release(WorkerRow& worker, const TaskRef& ref, const StepSpec& step) {
-  if (worker.tasks.erase(ref) > 0) Count(worker, step, -1);
+void WorkerTable::Release(WorkerRow& worker, JobRow& job, std::size_t position) {
+  const TaskRef ref{.job = job.accepted->id, .position = position};
+  if (worker.tasks.erase(ref) > 0) Count(worker, job.StepOf(position), -1);
 }
 
 std::optional<ClockReading> WorkerTable::LeaseEnd(const WorkerRow& worker, Time now) const {
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -12,12 +12,20 @@
 
 namespace dn {
 
+// What matters of a worker for fills.
+struct FillOutlook {
+  std::int64_t leftover = 0;  // Cores that no task uses, in thousandths.
+  // Expected tail latency as a share of the target, by serving image: the worst
+  // task of the image, with fills that reports do not show yet.
+  std::vector<std::pair<ImageId, double>> serving;
+};
+
 struct WorkerRow {
   WorkerEntry entry;
   bool listed = false;
   Time unlisted_at{};
   Resources reserved;                   // Of all placed tasks; fills reserve no cores.
-  std::set<TaskRef> tasks;              // Exactly the tasks placed here.
+  std::map<TaskRef, JobRow*> tasks;     // Exactly the tasks placed here.
   std::int64_t fill_millicores = 0;     // Of placed fills.
   std::int64_t serving_millicores = 0;  // Of placed serving tasks.
   // A report has come since this shard was taken over. Until then orders of
@@ -34,6 +42,9 @@
   Time avoid_until{};
   std::set<JobId> failed_jobs;  // Failed here since the last success.
   Time last_report{};
+  Time paced{};  // When the pace of fills was last considered.
+  // Worked out when first asked for after a report or a change of `tasks`.
+  mutable std::optional<FillOutlook> outlook;
 
   Resources Free() const {
     return {.millicores = entry->capacity.millicores - reserved.millicores,
@@ -55,8 +66,8 @@
   std::map<WorkerId, WorkerRow>& workers() { return workers_; }
   const std::map<WorkerId, WorkerRow>& workers() const { return workers_; }
 
-  static void Reserve(WorkerRow& worker, const TaskRef& ref, const StepSpec& step);
-  static void Release(WorkerRow& worker, const TaskRef& ref, const StepSpec& step);
+  static void Reserve(WorkerRow& worker, JobRow& job, std::size_t position);
+  static void Release(WorkerRow& worker, JobRow& job, std::size_t position);
 
   // Reading of the worker's clock at which a lease granted now ends; nothing
   // while the clock is not known.
--- a/src/scheduling/tests/record_codec_test.cc
+++ b/src/scheduling/tests/record_codec_test.cc
@@ -64,23 +64,30 @@
 }
 
 TEST_CASE("learned harm survives encoding and a change of owner", "[scheduling][records]") {
+  ImageTable images;
+  const ImageId s1 = images.Of("s1");
+  const ImageId s2 = images.Of("s2");
+  const ImageId f1 = images.Of("f1");
+  const ImageId f2 = images.Of("f2");
   Interference first;
   for (int i = 0; i < 200; ++i) {
-    first.Observe("s1", {{"f1", i % 3}, {"f2", (i + 1) % 2}}, 0.4 + 0.2 * (i % 3));
-    first.Observe("s2", {{"f1", i % 2}}, 0.3);
+    first.Observe(s1, {{f1, i % 3}, {f2, (i + 1) % 2}}, 0.4 + 0.2 * (i % 3));
+    first.Observe(s2, {{f1, i % 2}}, 0.3);
   }
-  CHECK(first.HarmPerCore("s1", "f1") == Approx(0.2).margin(0.02));
-  CHECK(first.HarmPerCore("s1", "f2") == Approx(0.0).margin(0.02));
-  CHECK(first.HarmPerCore("s2", "f1") == Approx(0.0).margin(0.02));
-  const auto decoded = DecodeHarm(EncodeHarm(first.Export()));
+  CHECK(first.HarmPerCore(s1, f1) == Approx(0.2).margin(0.02));
+  CHECK(first.HarmPerCore(s1, f2) == Approx(0.0).margin(0.02));
+  CHECK(first.HarmPerCore(s2, f1) == Approx(0.0).margin(0.02));
+  const auto decoded = DecodeHarm(EncodeHarm(first.Export(images)));
   REQUIRE(decoded);
   Interference second;
-  second.Import(decoded.value());
+  ImageTable later_images;
+  later_images.Of("f2");  // Numbered otherwise.
+  second.Import(decoded.value(), later_images);
   for (const char* serving : {"s1", "s2"}) {
     for (const char* fill : {"f1", "f2"}) {
       CAPTURE(serving, fill);
-      CHECK(second.HarmPerCore(serving, fill) ==
-            Approx(first.HarmPerCore(serving, fill)).margin(1e-5));
+      CHECK(second.HarmPerCore(later_images.Of(serving), later_images.Of(fill)) ==
+            Approx(first.HarmPerCore(images.Of(serving), images.Of(fill))).margin(1e-5));
     }
   }
   CHECK_FALSE(DecodeHarm("\x01\x05"));
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -202,5 +202,32 @@
   CHECK(bench.shard.NextRenewal(kWorker, bench.now)->ends_seen == 1);
 }
 
+// The pattern: wide jobs come faster than they are done, on a full fleet.
+TEST_CASE("a plan does not grow with waiting steps times workers", "[scheduling][shard][load]") {
+  struct Case {
+    std::string name;
+    StepFields step;
+  };
+  StepFields fill = kTask;
+  fill.fills = true;
+  fill.image = "f";
+  StepFields huge = kTask;
+  huge.demand.millicores = 17'000;
+  const auto c =
+      GENERATE_COPY(values<Case>({{"batch", kTask}, {"fill", fill}, {"too large", huge}}));
+  CAPTURE(c.name);
+  constexpr int kWorkers = 20;
+  constexpr int kJobs = 300;
+  Bench bench;
+  for (int i = 0; i < kWorkers; ++i) bench.AddWorker({"w" + std::to_string(i)});
+  for (int i = 0; i < kJobs; ++i) bench.Submit(c.step, static_cast<JobId>(i) + 1);
+  const std::size_t placed = bench.Turn().size();
+  const std::int64_t before = bench.shard.workers_weighed();
+  CHECK(before <= static_cast<std::int64_t>(placed + 1) * kWorkers);
+  CHECK(bench.Turn().empty());
+  // The first step that finds no room answers for all that want as much.
+  CHECK(bench.shard.workers_weighed() - before <= kWorkers);
+}
+
 }  // namespace
 }  // namespace dn
