Let what can still meet its objective go before what cannot

Cause: waiting steps went by the time left until the objective is missed, least first.

Change: Urgency. Within a priority, first what can still meet its objective (by estimates of the chain from this step on), least time left first; then what is late, nearest to its end first; what can earn nothing any more goes last of all.

Ruled out: shortest job first within what is on time; it would starve the largest jobs, which are judged by themselves.

--- a/src/scheduling/internal/job_table.cc
+++ b/src/scheduling/internal/job_table.cc
@@ -6,19 +6,18 @@
 namespace dn {
 namespace {
 
-// Longest path through the steps, by estimated run time.
-std::int64_t LongestChain(const std::vector<StepSpec>& steps) {
-  std::vector<std::int64_t> finish(steps.size(), 0);
-  std::int64_t longest = 0;
-  for (std::size_t i = 0; i < steps.size(); ++i) {
-    std::int64_t start = 0;
+// Longest path from each step to the end, by estimated run time. Steps wait only
+// for earlier ones.
+std::vector<std::int64_t> ChainsFrom(const std::vector<StepSpec>& steps) {
+  std::vector<std::int64_t> chains(steps.size(), 0);
+  for (std::size_t i = steps.size(); i-- > 0;) {
+    chains[i] += steps[i]->estimate_ms;
     for (const int earlier : steps[i]->after) {
-      start = std::max(start, finish[static_cast<std::size_t>(earlier)]);
+      std::int64_t& before = chains[static_cast<std::size_t>(earlier)];
+      before = std::max(before, chains[i]);
     }
-    finish[i] = start + steps[i]->estimate_ms;
-    longest = std::max(longest, finish[i]);
   }
-  return longest;
+  return chains;
 }
 
 }  // namespace
@@ -77,7 +76,10 @@
     job.images.push_back(images_.Of(step->image));
     job.tasks_per_occurrence += static_cast<std::size_t>(step->count);
   }
-  job.longest_chain_ms = LongestChain(accepted->spec->steps);
+  job.chain_from_ms = ChainsFrom(accepted->spec->steps);
+  for (const std::int64_t chain : job.chain_from_ms) {
+    job.longest_chain_ms = std::max(job.longest_chain_ms, chain);
+  }
   if (accepted->spec->occurrences == 0) {
     job.tasks.resize(job.tasks_per_occurrence);
     job.waiting = job.tasks.size();
--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -64,6 +64,8 @@
   std::optional<Time> finished_at;
   Time seen{};
   std::int64_t longest_chain_ms = 0;
+  // By step: longest chain from its start to the end of the job, by estimates.
+  std::vector<std::int64_t> chain_from_ms;
   // By occurrence, then step, then index; occurrences are added when due.
   std::vector<TaskRow> tasks;
   std::vector<std::size_t> step_offset;  // Of each step within an occurrence.
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -15,6 +15,7 @@
 #include "scheduling/internal/pace_control.h"
 #include "scheduling/internal/placement_policy.h"
 #include "scheduling/internal/search_memo.h"
+#include "scheduling/internal/urgency.h"
 #include "scheduling/internal/worker_table.h"
 
 namespace dn {
@@ -125,12 +126,9 @@
     JobRow* job;
     std::size_t occurrence;
     std::size_t step;
-    std::int64_t rank;   // Lower goes first.
-    std::int64_t slack;  // Within a rank: ms until the objective is missed.
+    Urgency urgency;
 
-    friend bool operator<(const Waiting& a, const Waiting& b) {
-      return std::tie(a.rank, a.slack) < std::tie(b.rank, b.slack);
-    }
+    friend bool operator<(const Waiting& a, const Waiting& b) { return a.urgency < b.urgency; }
   };
 
   void ApplyEnd(WorkerRow& worker, const ReportedEnd& end, Time now);
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -6,9 +6,6 @@
 namespace dn {
 namespace {
 
-// Jobs that are late by more than this multiple of their objective earn
-// nothing and go last.
-constexpr std::int64_t kWorthlessFactor = 3;
 constexpr int kWhole = 100;  // Percent of a task at work.
 // A fill slower than this is moved to a worker where it harms nobody, unless it
 // has nearly ended, or would lose more than a little progress.
@@ -104,7 +101,6 @@
       continue;
     }
     const std::int64_t age = wall_ms - job.accepted->accepted_ms;
-    const std::int64_t objective = job.objective_ms();
     for (std::size_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
       for (std::size_t step = 0; step < job.step_offset.size(); ++step) {
         const auto [first, last] = job.RangeOf(occurrence, step);
@@ -114,15 +110,10 @@
               return task.phase == TaskPhase::kWaiting && task.not_before <= now;
             });
         if (!any || !job.StepReady(occurrence, step)) continue;
-        const bool serving = job.accepted->spec->steps[step]->long_running;
-        const bool worthless = !serving && age > kWorthlessFactor * objective;
-        const std::int64_t rank =
-            serving ? -1 : job.accepted->queue->priority + (worthless ? 1'000 : 0);
         out.push_back({.job = &job,
                        .occurrence = occurrence,
                        .step = step,
-                       .rank = rank,
-                       .slack = objective - age});
+                       .urgency = UrgencyOf(job, step, age)});
       }
     }
   }
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -12,4 +12,5 @@
 #include "scheduling/internal/policy.h"
 #include "scheduling/internal/record_codec.h"
 #include "scheduling/internal/shard.h"
+#include "scheduling/internal/urgency.h"
 #include "scheduling/internal/worker_table.h"
