Store jobs through the owner; refuse what was never sent

Jobs that still waited behind an unanswered append were answered as unknown too, although nothing had been sent.

Change: a node hands a job to the shard's owner, whose writer stores the jobs of all nodes together, and waits up to 1.8 s for it; it appends by itself only if the owner refuses, cannot be reached or does not answer. Records that wait for 0.7 s without having been sent are taken back and refused, so that callers can come back. The list of owners is used for 3.5 s: an owner that was replaced cannot record, and a call without an answer drops the list.

Tests: outcomes of two appends by store fault; two callers at one node while the store is silent (red before: the second got 504).

--- a/src/instance_link/internal/instance_link.cc
+++ b/src/instance_link/internal/instance_link.cc
@@ -19,6 +19,10 @@
 constexpr Duration kCallLimit{900};
 // Time that the called instance has: callers of instances wait a little longer.
 constexpr Duration kServeLimit{800};
+// The same for handing in a job. A slow store takes two answers of 0.4 s; giving
+// up sooner would only have the job stored twice.
+constexpr Duration kSubmitLimit{1'800};
+constexpr Duration kSubmitServeLimit{1'700};
 
 constexpr std::array<std::pair<SubmitOutcome, int>, 3> kSubmitStatus = {
     {{SubmitOutcome::kAccepted, kOk},
@@ -47,15 +51,15 @@
 }  // namespace
 
 Task<HttpReply> InstanceServer::Answer(HttpCall call) {
-  const Time deadline = Now() + kServeLimit;
   if (call.method == HttpMethod::kPost && call.path == kJobs) {
     auto job = DecodeAcceptedJob(call.body);
     if (!job) co_return HttpReply{.status = kNotFound};
-    const SubmitOutcome outcome = co_await local_.Submit(job.value(), deadline);
+    const SubmitOutcome outcome = co_await local_.Submit(job.value(), Now() + kSubmitServeLimit);
     for (const auto& [from, status] : kSubmitStatus) {
       if (from == outcome) co_return HttpReply{.status = status};
     }
   }
+  const Time deadline = Now() + kServeLimit;
   if (const auto text = After(kJob, call.path)) {
     const auto id = ParseJobId(*text);
     if (!id) co_return HttpReply{.status = kNotFound};
@@ -84,8 +88,8 @@
 }
 
 Task<Result<Endpoint>> RemoteInstance::OwnerOf(int shard, Time deadline) {
-  auto reply =
-      co_await Call(HttpMethod::kGet, std::string(kOwner) + std::to_string(shard), {}, deadline);
+  auto reply = co_await Call(HttpMethod::kGet, std::string(kOwner) + std::to_string(shard), {},
+                             deadline, kCallLimit);
   if (!reply) co_return reply.error();
   const std::string& text = reply.value().body;
   const std::size_t colon = text.rfind(':');
@@ -96,16 +100,16 @@
 }
 
 Task<Result<HttpReply>> RemoteInstance::Call(HttpMethod method, std::string path, std::string body,
-                                             Time deadline) {
-  const Duration rest = std::min(kCallLimit, deadline - Now());
+                                             Time deadline, Duration limit) {
+  const Duration rest = std::min(limit, deadline - Now());
   if (rest <= Duration(0)) co_return Errc::kUnavailable;
   HttpCall call{.method = method, .path = std::move(path), .query = {}, .body = std::move(body)};
   co_return co_await http_.Call(address_, std::move(call), rest, TrafficKind::kSibling);
 }
 
 Task<SubmitOutcome> RemoteInstance::Submit(AcceptedJob job, Time deadline) {
-  auto reply =
-      co_await Call(HttpMethod::kPost, std::string(kJobs), EncodeAcceptedJob(job), deadline);
+  auto reply = co_await Call(HttpMethod::kPost, std::string(kJobs), EncodeAcceptedJob(job),
+                             deadline, kSubmitLimit);
   if (!reply) {
     const bool sent = reply.error() != Errc::kUnreachable && reply.error() != Errc::kUnavailable;
     co_return sent ? SubmitOutcome::kUnknown : SubmitOutcome::kRefused;
@@ -117,15 +121,16 @@
 }
 
 Task<Result<ShownState>> RemoteInstance::StateOf(JobId id, Time deadline) {
-  auto reply = co_await Call(HttpMethod::kGet, std::string(kJob) + FormatJobId(id), {}, deadline);
+  auto reply = co_await Call(HttpMethod::kGet, std::string(kJob) + FormatJobId(id), {}, deadline,
+                             kCallLimit);
   if (!reply) co_return reply.error();
   if (reply.value().status != kOk) co_return Errc::kUnavailable;
   co_return StateNamed(reply.value().body);
 }
 
 Task<Result<bool>> RemoteInstance::Cancel(JobId id, Time deadline) {
-  auto reply =
-      co_await Call(HttpMethod::kDelete, std::string(kJob) + FormatJobId(id), {}, deadline);
+  auto reply = co_await Call(HttpMethod::kDelete, std::string(kJob) + FormatJobId(id), {}, deadline,
+                             kCallLimit);
   if (!reply) co_return reply.error();
   if (reply.value().status == kOk) co_return true;
   if (reply.value().status == kGone) co_return false;
@@ -133,7 +138,8 @@
 }
 
 Task<Result<std::int64_t>> RemoteInstance::WaitingOf(std::string queue, Time deadline) {
-  auto reply = co_await Call(HttpMethod::kGet, std::string(kQueue) + queue, {}, deadline);
+  auto reply =
+      co_await Call(HttpMethod::kGet, std::string(kQueue) + queue, {}, deadline, kCallLimit);
   if (!reply) co_return reply.error();
   const auto waiting = ParseNumber(reply.value().body);
   if (reply.value().status != kOk || !waiting) co_return Errc::kUnavailable;
--- a/src/instance_link/internal/instance_link.h
+++ b/src/instance_link/internal/instance_link.h
@@ -37,8 +37,9 @@
   Task<Result<Endpoint>> OwnerOf(int shard, Time deadline);
 
  private:
-  Task<Result<HttpReply>> Call(HttpMethod method, std::string path, std::string body,
-                               Time deadline);
+  // Ends at the deadline or after `limit`.
+  Task<Result<HttpReply>> Call(HttpMethod method, std::string path, std::string body, Time deadline,
+                               Duration limit);
 
   const Endpoint address_;
   HttpClient& http_;
--- a/src/node/internal/node_service.cc
+++ b/src/node/internal/node_service.cc
@@ -14,6 +14,10 @@
 // Longest wait for one instance's word on who the owner is: several round trips
 // between regions.
 constexpr Duration kAskLimit{250};
+// Longest wait of a job until it is sent to the store: three answers of a store
+// that is slow. A caller that is refused can come back; one whose job was sent
+// without an answer cannot be told what became of it.
+constexpr Duration kSendLimit{700};
 
 }  // namespace
 
@@ -64,8 +68,9 @@
   const int shard = ShardOf(job->id);
   std::vector<KeyedRecord> records = {
       KeyedRecord({.key = FormatJobId(job->id), .value = EncodeAcceptedJob(job)})};
+  const RecordWriter::Limits limits{.send_by = Now() + kSendLimit, .deadline = deadline};
   auto stored =
-      co_await writers_[static_cast<std::size_t>(shard)]->Append(std::move(records), deadline);
+      co_await writers_[static_cast<std::size_t>(shard)]->Append(std::move(records), limits);
   if (stored) co_return SubmitOutcome::kAccepted;
   co_return stored.error() == Errc::kTimeout ? SubmitOutcome::kUnknown : SubmitOutcome::kRefused;
 }
@@ -118,20 +123,30 @@
 }
 
 Task<SubmitOutcome> NodeService::Submit(AcceptedJob job, Time deadline) {
-  const SubmitOutcome outcome = co_await local_.Submit(job, deadline);
-  if (outcome != SubmitOutcome::kRefused) co_return outcome;
+  // The owner stores the jobs of all nodes by one append after the other; the
+  // appends of many nodes would wait for each other at the store.
+  const auto known = membership_.KnownOwnerOf(ShardOf(job->id));
+  bool may_be_stored = false;
+  if (known && known.value() != own_address_) {
+    RemoteInstance owner(known.value(), http_);
+    const SubmitOutcome there = co_await owner.Submit(job, deadline);
+    if (there == SubmitOutcome::kAccepted) co_return there;
+    may_be_stored = there == SubmitOutcome::kUnknown;
+    membership_.ForgetOwners();
+  }
+  const SubmitOutcome here = co_await local_.Submit(job, deadline);
+  if (here != SubmitOutcome::kRefused) co_return here;
   // The store turns this node away; others may still reach it.
-  std::vector<Endpoint> others = membership_.OtherMembers();
-  auto owner = co_await FindOwner(ShardOf(job->id), deadline);
-  if (owner && owner.value() != own_address_) others.insert(others.begin(), owner.value());
-  for (const Endpoint& other : others) {
-    if (Now() + kAskLimit >= deadline) break;
+  for (const Endpoint& other : membership_.OtherMembers()) {
+    if (may_be_stored || Now() + kAskLimit >= deadline) break;
+    if (known && other == known.value()) continue;
     RemoteInstance instance(other, http_);
     const SubmitOutcome there = co_await instance.Submit(job, deadline);
-    // Once a copy may have been accepted, the job can no longer be refused.
-    if (there != SubmitOutcome::kRefused) co_return there;
+    if (there == SubmitOutcome::kAccepted) co_return there;
+    may_be_stored = there == SubmitOutcome::kUnknown;
   }
-  co_return SubmitOutcome::kRefused;
+  // Once a copy may have been stored, the job can no longer be refused.
+  co_return may_be_stored ? SubmitOutcome::kUnknown : SubmitOutcome::kRefused;
 }
 
 Task<Result<ShownState>> NodeService::StateOf(JobId id, Time deadline) {
--- a/src/node/internal/shard_membership.cc
+++ b/src/node/internal/shard_membership.cc
@@ -10,8 +10,10 @@
 
 // Joins within the time to live: two may fail.
 constexpr int kJoinsPerLife = 3;
-// Age up to which the list of owners is used without asking again.
-constexpr Duration kOwnerAge{1'000};
+// Age up to which the list of owners is used without asking again. An owner that
+// was replaced cannot record anything, and a call that it does not answer drops
+// the list.
+constexpr Duration kOwnerAge{3'500};
 // Age up to which the list of members is kept without asking again.
 constexpr Duration kMembersAge{3'000};
 // The same for a node that stands back, and is to notice when nobody owns.
--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -19,6 +19,11 @@
 // process lives between two looks at it.
 constexpr Duration kNoDeadline{24 * 3'600'000};
 
+RecordWriter::Limits NoLimits() {
+  const Time far = Now() + kNoDeadline;
+  return {.send_by = far, .deadline = far};
+}
+
 }  // namespace
 
 ShardOwner::ShardOwner(Context context, int shard, FencingToken token)
@@ -287,12 +292,12 @@
     // The job goes first: progress without a job is ignored, a job without
     // progress would run again.
     if (!gone.empty()) {
-      auto cleaned = co_await job_cleaner_->Append(gone, Now() + kNoDeadline);
+      auto cleaned = co_await job_cleaner_->Append(gone, NoLimits());
       if (cleaned) records.insert(records.end(), gone.begin(), gone.end());
     }
     if (!records.empty()) {
       const Time began = Now();
-      auto stored = co_await progress_->Append(std::move(records), Now() + kNoDeadline);
+      auto stored = co_await progress_->Append(std::move(records), NoLimits());
       if (!active_) co_return;
       if (!stored) {
         Drop("fenced");
--- a/src/store/internal/record_writer.cc
+++ b/src/store/internal/record_writer.cc
@@ -40,7 +40,11 @@
   co_return answer.value()->end;
 }
 
-Task<Result<>> RecordWriter::Append(std::vector<KeyedRecord> records, Time deadline) {
+bool RecordWriter::Withdraw(const std::shared_ptr<Entry>& entry) {
+  return queue_.With([&](Queue& queue) { return std::erase(queue.waiting, entry) > 0; });
+}
+
+Task<Result<>> RecordWriter::Append(std::vector<KeyedRecord> records, Limits limits) {
   auto entry = std::make_shared<Entry>();
   entry->records = std::move(records);
   const bool start = queue_.With([&](Queue& queue) {
@@ -58,8 +62,13 @@
     const std::uint64_t ticket = done_.Ticket();
     auto outcome = queue_.With([&](Queue&) { return entry->outcome; });
     if (outcome) co_return *outcome;
-    if (Now() >= deadline) co_return Errc::kTimeout;
-    co_await done_.Wait(ticket, deadline);
+    const Time now = Now();
+    if (now >= std::min(limits.send_by, limits.deadline) && Withdraw(entry)) {
+      co_return Errc::kUnavailable;
+    }
+    if (now >= limits.deadline) co_return Errc::kTimeout;
+    co_await done_.Wait(
+        ticket, now < limits.send_by ? std::min(limits.send_by, limits.deadline) : limits.deadline);
   }
 }
 
--- a/src/store/internal/record_writer.h
+++ b/src/store/internal/record_writer.h
@@ -13,11 +13,17 @@
  public:
   RecordWriter(StoreClient& store, Partition partition, std::string producer, std::int64_t epoch);
 
-  // Waits until `records` are durable or `deadline` has passed. Errors:
+  // How long an append may take.
+  struct Limits {
+    Time send_by;   // Records that wait longer for earlier ones are given up.
+    Time deadline;  // For the answer.
+  };
+
+  // Waits until `records` are durable or a limit has passed. Errors:
   // kUnavailable: not stored and never will be; kTimeout: the outcome is not
   // known and the records may still become durable; kConflict: fenced by a
   // later epoch, nothing more is stored.
-  Task<Result<>> Append(std::vector<KeyedRecord> records, Time deadline);
+  Task<Result<>> Append(std::vector<KeyedRecord> records, Limits limits);
   // Appends nothing, but makes the store refuse lower epochs. Returns the end of
   // the partition.
   Task<Result<std::int64_t>> Fence();
@@ -32,6 +38,8 @@
     bool appending = false;  // A coroutine takes care of the queue.
   };
 
+  // Takes an entry that was not sent yet out of the queue; false: it was.
+  bool Withdraw(const std::shared_ptr<Entry>& entry);
   Task<> Drain();
   Task<Result<>> AppendCall(const std::vector<KeyedRecord>& records, bool must_know);
 
--- a/tests/node_process_test.cc
+++ b/tests/node_process_test.cc
@@ -1,11 +1,11 @@
 // Scheduler nodes as processes: jobs are handed in while faults strike, and every
 // accepted job is completed, each task done once.
-#include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <thread>
 
 #include "tests/support/node_fleet.h"
+#include "tests/support/runner.h"
 
 namespace dn::testing {
 namespace {
@@ -19,25 +19,6 @@
 constexpr Duration kSubmitLimit{12'000};
 constexpr Duration kFinishLimit{25'000};
 
-// Runs the pool on threads of its own and a coroutine to its end.
-class Runner {
- public:
-  Runner() : thread_([this] { pool_.Run(); }) {}
-  ~Runner() {
-    pool_.Stop();
-    thread_.join();
-  }
-  WorkerPool& pool() { return pool_; }
-  template <class T>
-  T Wait(Task<T> task) {
-    return asio::co_spawn(pool_.context(), std::move(task), asio::use_future).get();
-  }
-
- private:
-  WorkerPool pool_{3};
-  std::thread thread_;
-};
-
 struct Scenario {
   std::string name;
   void (*strike)(NodeFleet&);  // After a third of the jobs.
@@ -156,16 +137,22 @@
   RequireLongJob(runner, fleet);
   std::this_thread::sleep_for(std::chrono::seconds(1));
   fleet.store().SetFault(fault);
-  const HttpReply reply = runner.Wait(
-      fleet.Call(0, HttpMethod::kPost, "/queue/0000000000000002", R"({"Spec":"s","Steps":[{}]})"));
-  // Refused only if it never runs; otherwise the outcome is unknown.
-  CHECK(reply.status == (fault.busy ? 503 : 504));
+  const std::string job = R"({"Spec":"s","Steps":[{}]})";
+  auto first = runner.Begin(fleet.Call(0, HttpMethod::kPost, "/queue/0000000000000002", job));
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  const HttpReply second =
+      runner.Wait(fleet.Call(0, HttpMethod::kPost, "/queue/0000000000000004", job));
+  // Refused only if it never runs; otherwise the outcome is unknown. The second
+  // job was never sent.
+  CHECK(second.status == 503);
+  CHECK(first.get().status == (fault.busy ? 503 : 504));
   std::this_thread::sleep_for(std::chrono::seconds(4));
   fleet.store().SetFault({});
   REQUIRE(runner.Wait(fleet.Submit(3, 1, kSubmitLimit)));
   CHECK(runner.Wait(fleet.WaitState(3, "completed", kFinishLimit)));
   CHECK(fleet.RunsOf(1) == 4);
   if (fault.busy) CHECK(fleet.RunsOf(2) == 0);
+  CHECK(fleet.RunsOf(4) == 0);
   for (const std::string& finding : fleet.Findings()) FAIL_CHECK(finding);
 }
 
--- /dev/null
+++ b/tests/support/runner.h
@@ -0,0 +1,38 @@
+// A pool on threads of its own, for tests that wait for coroutines.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <thread>
+
+#include "runtime/runtime.h"
+
+namespace dn::testing {
+
+class Runner {
+ public:
+  Runner() : thread_([this] { pool_.Run(); }) {}
+  ~Runner() {
+    pool_.Stop();
+    thread_.join();
+  }
+  Runner(const Runner&) = delete;
+  Runner& operator=(const Runner&) = delete;
+
+  WorkerPool& pool() { return pool_; }
+  // Begins `task`; its result is in the future.
+  template <class T>
+  std::future<T> Begin(Task<T> task) {
+    return asio::co_spawn(pool_.context(), std::move(task), asio::use_future);
+  }
+  // Runs `task` to its end.
+  template <class T>
+  T Wait(Task<T> task) {
+    return Begin(std::move(task)).get();
+  }
+
+ private:
+  WorkerPool pool_{3};
+  std::thread thread_;
+};
+
+}  // namespace dn::testing
