Learn harm as pressure, which adds up, with the load of each job beside it

The model before took the tail as base + harm x cores, with one base for an image, and so learned loads as harm.

Change: pressure (0 at rest, 1 at the target) from rest/(1 - utilisation); harm by pair in pressure a core; a running estimate of each job's own pressure; placement and pace reckon in pressure. The model of loads uses the same queue.

Logs: candidate, stands-back.

--- a/src/node/internal/node_module.cc
+++ b/src/node/internal/node_module.cc
@@ -37,7 +37,8 @@
         membership_(store_, settings->instances, settings->processor_share,
                     std::max(kTimeToLive, settings->shortest_time_to_live),
                     {.gained = [this](int shard, FencingToken token) { Gained(shard, token); },
-                     .lost = [this](int shard) { Lost(shard); }}),
+                     .lost = [this](int shard) { Lost(shard); },
+                     .candidacy = [this](bool offers) { NoteCandidacy(offers); }}),
         service_(local_, membership_, http_, settings->instances),
         front_(service_, adapter.jobs, log_),
         instance_server_(local_, [this](int shard) { return membership_.KnownOwnerOf(shard); }),
@@ -133,6 +134,12 @@
     pool_.Spawn(owner->Run());
   }
 
+  void NoteCandidacy(bool offers) {
+    log_.Write(offers ? "candidate" : "stands-back", settings_->id,
+               "share=" + std::to_string(settings_->processor_share) +
+                   (offers ? "" : " cause=much-larger-member"));
+  }
+
   void Lost(int shard) {
     const auto owner = local_.OwnerOf(shard);
     local_.SetOwner(shard, nullptr);
--- a/src/node/internal/shard_membership.cc
+++ b/src/node/internal/shard_membership.cc
@@ -80,6 +80,7 @@
     if (leaving) co_return;
     const bool joined = table_.With([](Table& table) { return table.joined; });
     if (joined && (renew || !offers)) {
+      if (!offers) events_.candidacy(false);
       co_await StepDown(join);
     } else if (offers) {
       co_await KeepJoined(join);
@@ -93,7 +94,8 @@
 }
 
 Task<> ShardMembership::KeepJoined(Join join) {
-  table_.With([](Table& table) { table.joined = true; });
+  const bool first = table_.With([](Table& table) { return !std::exchange(table.joined, true); });
+  if (first) events_.candidacy(true);
   auto joined = co_await store_.JoinGroup(join);
   if (joined) Apply(joined.value());
   // Kept fresh for when the store turns this node away, and to step down for a
--- a/src/node/internal/shard_membership.h
+++ b/src/node/internal/shard_membership.h
@@ -16,6 +16,8 @@
     // owner.
     std::function<void(int shard, FencingToken token)> gained;
     std::function<void(int shard)> lost;
+    // This node offers itself as an owner from now on, or no longer does.
+    std::function<void(bool offers)> candidacy;
   };
 
   // `processor_share`: cores that this node may use.
--- a/src/scheduling/internal/interference.cc
+++ b/src/scheduling/internal/interference.cc
@@ -6,64 +6,87 @@
 namespace dn {
 namespace {
 
-constexpr std::size_t kFixedColumns = 1;  // The base.
 // An observation's weight decays by this factor with each later one: about
 // 4,000 observations, 20 s of a fleet of 50 workers.
 constexpr double kForgetting = 0.99975;
-// Variance of the harm of a core before anything was seen, in units of the
-// variance of the reported ratio (0.2 squared): harms of 0 to 0.5 are usual.
-constexpr double kPriorVariance = 0.5;
-constexpr double kBaseVariance = 4.0;
-// Bound on the variance, so that forgetting cannot blow it up while a pair does
-// not meet.
-constexpr double kMaxVariance = 4.0;
-// Harm of a core of an unseen pair: four fills of seven cores use up the usual
-// distance from the target.
-constexpr double kPriorHarm = 0.02;
-constexpr double kPriorBase = 0.4;
-// Ratios above this say only "much too slow".
-constexpr double kMaxRatio = 4.0;
+// Tail at rest, as a share of the target, before one was seen.
+constexpr double kPriorRest = 0.25;
+// Harm of a core of an unseen pair: between that of most pairs (0.002) and that
+// of the few that matter (0.02).
+constexpr double kPriorHarm = 0.004;
+// Its variance, in units of the variance of a reported pressure (0.04 squared):
+// harms of up to 0.03 are usual. Also its bound, so that forgetting cannot blow it
+// up while a pair does not meet.
+constexpr double kPriorVariance = 0.06;
+// Share of an observation that a job's own pressure takes over. A job is reported
+// ten times a second or more, and its load moves by a tenth a second.
+constexpr double kOwnShare = 0.3;
+// Larger errors than this have another cause, such as a slow worker.
+constexpr double kMaxError = 0.3;
 
 }  // namespace
 
 std::size_t Interference::ColumnOf(ImageId fill_image) {
-  if (columns_.size() <= fill_image) columns_.resize(fill_image + 1, 0);
-  std::size_t& column = columns_[fill_image];
-  if (column == 0) {
-    fill_images_.push_back(fill_image);
+  if (columns_.size() <= fill_image) columns_.resize(fill_image + 1);
+  std::optional<std::size_t>& column = columns_[fill_image];
+  if (!column) {
     column = fill_images_.size();
+    fill_images_.push_back(fill_image);
   }
-  return column;
+  return *column;
 }
 
 Interference::Model& Interference::ModelOf(ImageId serving_image) {
   if (models_.size() <= serving_image) models_.resize(serving_image + 1);
-  Model& model = models_[serving_image];
-  const std::size_t columns = kFixedColumns + fill_images_.size();
+  if (!models_[serving_image]) {
+    models_[serving_image] = Model{.rest = kPriorRest, .weights = {}, .gain = {}};
+  }
+  Model& model = *models_[serving_image];
+  const std::size_t columns = fill_images_.size();
   for (auto& row : model.gain) row.resize(columns, 0.0);
   for (std::size_t i = model.weights.size(); i < columns; ++i) {
-    model.weights.push_back(i < kFixedColumns ? kPriorBase : kPriorHarm);
+    model.weights.push_back(kPriorHarm);
     model.gain.emplace_back(columns, 0.0);
-    model.gain[i][i] = i < kFixedColumns ? kBaseVariance : kPriorVariance;
+    model.gain[i][i] = kPriorVariance;
   }
   return model;
 }
 
-void Interference::Observe(ImageId serving_image, const Fills& fills, double ratio) {
-  std::vector<std::pair<std::size_t, double>> inputs = {{0, 1.0}};
+const Interference::Model* Interference::Find(ImageId serving_image) const {
+  if (serving_image >= models_.size() || !models_[serving_image]) return nullptr;
+  return &*models_[serving_image];
+}
+
+double Interference::PressureOf(ImageId serving_image, double ratio) const {
+  const Model* model = Find(serving_image);
+  const double rest = model != nullptr ? model->rest : kPriorRest;
+  if (ratio <= rest) return 0;
+  return (1 - rest / ratio) / (1 - rest);
+}
+
+void Interference::Observe(ImageId serving_image, const Fills& fills, double ratio,
+                           std::optional<double>& own) {
+  if (ratio <= 0) return;  // Nothing was served yet.
+  std::vector<std::pair<std::size_t, double>> inputs;
   for (const auto& [image, cores] : fills) inputs.emplace_back(ColumnOf(image), cores);
   Model& model = ModelOf(serving_image);
+  model.rest = std::min(model.rest, ratio);
   const std::size_t columns = model.weights.size();
 
   std::vector<double> spread(columns, 0.0);  // gain x inputs
-  double predicted = 0;
+  double by_fills = 0;
   for (const auto& [column, value] : inputs) {
-    predicted += model.weights[column] * value;
+    by_fills += model.weights[column] * value;
     for (std::size_t row = 0; row < columns; ++row) spread[row] += model.gain[row][column] * value;
   }
+  const double pressure = PressureOf(serving_image, ratio);
+  if (!own) own = std::max(0.0, pressure - by_fills);
+  const double error = std::clamp(pressure - *own - by_fills, -kMaxError, kMaxError);
+  *own += kOwnShare * error;
+  if (inputs.empty()) return;
+
   double denominator = kForgetting;
   for (const auto& [column, value] : inputs) denominator += spread[column] * value;
-  const double error = std::min(ratio, kMaxRatio) - predicted;
   for (std::size_t row = 0; row < columns; ++row) {
     model.weights[row] += spread[row] / denominator * error;
   }
@@ -71,7 +94,7 @@
     for (std::size_t column = 0; column < columns; ++column) {
       double& cell = model.gain[row][column];
       cell = (cell - spread[row] * spread[column] / denominator) / kForgetting;
-      cell = std::clamp(cell, -kMaxVariance, kMaxVariance);
+      cell = std::clamp(cell, -kPriorVariance, kPriorVariance);
     }
   }
 }
@@ -79,14 +102,15 @@
 std::vector<HarmEstimate> Interference::Export(const ImageTable& images) const {
   std::vector<HarmEstimate> out;
   for (ImageId serving = 0; serving < models_.size(); ++serving) {
-    const Model& model = models_[serving];
-    for (std::size_t column = 0; column < model.weights.size(); ++column) {
-      const bool base = column < kFixedColumns;
-      out.emplace_back(HarmEstimateFields{
-          .serving_image = images.NameOf(serving),
-          .fill_image = base ? "" : images.NameOf(fill_images_[column - kFixedColumns]),
-          .weight = model.weights[column],
-          .variance = model.gain[column][column]});
+    const Model* model = Find(serving);
+    if (model == nullptr) continue;
+    const std::string& name = images.NameOf(serving);
+    out.emplace_back(HarmEstimateFields{.serving_image = name, .weight = model->rest});
+    for (std::size_t column = 0; column < model->weights.size(); ++column) {
+      out.emplace_back(HarmEstimateFields{.serving_image = name,
+                                          .fill_image = images.NameOf(fill_images_[column]),
+                                          .weight = model->weights[column],
+                                          .variance = model->gain[column][column]});
     }
   }
   return out;
@@ -94,20 +118,27 @@
 
 void Interference::Import(const std::vector<HarmEstimate>& estimates, ImageTable& images) {
   for (const HarmEstimate& estimate : estimates) {
-    const bool base = estimate->fill_image.empty();
-    const std::size_t column = base ? 0 : ColumnOf(images.Of(estimate->fill_image));
-    Model& model = ModelOf(images.Of(estimate->serving_image));
+    const ImageId serving = images.Of(estimate->serving_image);
+    if (estimate->fill_image.empty()) {
+      Model& model = ModelOf(serving);
+      model.rest = std::min(model.rest, estimate->weight);
+      continue;
+    }
+    const std::size_t column = ColumnOf(images.Of(estimate->fill_image));
+    Model& model = ModelOf(serving);
     model.weights[column] = estimate->weight;
-    model.gain[column][column] = std::clamp(estimate->variance, 0.0, kMaxVariance);
+    model.gain[column][column] = std::clamp(estimate->variance, 0.0, kPriorVariance);
   }
 }
 
 double Interference::HarmPerCore(ImageId serving_image, ImageId fill_image) const {
-  if (fill_image >= columns_.size() || serving_image >= models_.size()) return kPriorHarm;
-  const std::size_t column = columns_[fill_image];
-  const std::vector<double>& weights = models_[serving_image].weights;
-  if (column == 0 || column >= weights.size()) return kPriorHarm;
-  return std::max(0.0, weights[column]);
+  const Model* model = Find(serving_image);
+  if (model == nullptr || fill_image >= columns_.size() || !columns_[fill_image]) {
+    return kPriorHarm;
+  }
+  const std::size_t column = *columns_[fill_image];
+  if (column >= model->weights.size()) return kPriorHarm;
+  return std::max(0.0, model->weights[column]);
 }
 
 }  // namespace dn
--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -43,6 +43,7 @@
   int progress = 0;
   Time progressed{};  // When `progress` last changed.
   std::int64_t observed = 0;
+  double pressure = 0;                    // Serving tasks: 0 at rest, 1 at the target.
   int pace = 100;                         // Percent ordered last.
   Time paced{};                           // When `pace` last changed.
   std::optional<Time> over_target_since;  // Serving tasks only.
@@ -75,6 +76,8 @@
   std::size_t done = 0;     // Tasks in kDone.
   std::size_t waiting = 0;  // Tasks in kWaiting.
   bool begun = false;       // A task was started at some time.
+  // Serving jobs: pressure of their own load, without fills.
+  std::optional<double> own_pressure;
 
   std::size_t occurrences() const { return tasks.size() / tasks_per_occurrence; }
   std::size_t PositionOf(const TaskKey& key) const;
--- a/src/scheduling/internal/pace_control.cc
+++ b/src/scheduling/internal/pace_control.cc
@@ -12,21 +12,21 @@
 constexpr Duration kSettling{700};
 constexpr int kFullPace = 100;
 constexpr int kMinPace = 10;  // Anything lower is a stop.
-// Part of the target below which a fill's share in the tail is left alone.
-constexpr double kNegligible = 0.04;
-// Ratio to the target that pacing aims at.
-constexpr double kAim = 0.8;
+// Pressure below which a fill's share in it is left alone.
+constexpr double kNegligible = 0.02;
+// Pressure that pacing aims at.
+constexpr double kAim = 0.93;
 constexpr double kMillicores = 1'000;
 
 struct Fill {
   TaskRef ref;
   const TaskRow* task;
-  double harm;  // At full pace, in shares of the target, for the worst task.
+  double harm;  // Pressure at full pace on the task that it harms most.
 };
 
 struct Situation {
-  double worst_ratio = 0;    // Among serving tasks at work.
-  Duration longest_over{0};  // Of serving tasks over target.
+  double worst_pressure = 0;  // Among serving tasks at work.
+  Duration longest_over{0};   // Of serving tasks over target.
   std::vector<Fill> fills;
   Time last_change{};
 };
@@ -40,8 +40,7 @@
     if (!step->long_running || step->target_latency_ms <= 0) continue;
     const TaskRow& task = job->tasks[ref.position];
     images.insert(job->ImageOf(ref.position));
-    out.worst_ratio = std::max(out.worst_ratio, static_cast<double>(task.observed) /
-                                                    static_cast<double>(step->target_latency_ms));
+    out.worst_pressure = std::max(out.worst_pressure, task.pressure);
     if (!task.over_target_since) continue;
     over_images.insert(job->ImageOf(ref.position));
     out.longest_over = std::max(out.longest_over, now - *task.over_target_since);
@@ -66,7 +65,7 @@
 
 std::vector<PaceChange> Lower(const Situation& there) {
   std::vector<PaceChange> changes;
-  double excess = there.worst_ratio - kAim;
+  double excess = there.worst_pressure - kAim;
   for (const Fill& fill : there.fills) {
     if (excess <= 0 || fill.harm < kNegligible) break;
     if (fill.task->pace == 0) continue;
@@ -91,7 +90,7 @@
 // The least harmful first, as far as the distance from the target allows.
 std::vector<PaceChange> Raise(const Situation& there) {
   std::vector<PaceChange> changes;
-  double room = kAim - there.worst_ratio;
+  double room = kAim - there.worst_pressure;
   for (auto fill = there.fills.rbegin(); fill != there.fills.rend(); ++fill) {
     const int pace = fill->task->pace;
     if (pace >= kFullPace) continue;
--- a/src/scheduling/internal/placement_policy.cc
+++ b/src/scheduling/internal/placement_policy.cc
@@ -78,8 +78,7 @@
     auto entry = std::find_if(outlook.serving.begin(), outlook.serving.end(),
                               [&](const auto& serving) { return serving.first == image; });
     if (entry == outlook.serving.end()) entry = outlook.serving.insert(entry, {image, 0.0});
-    entry->second = std::max(entry->second,
-                             ShareOf(job->tasks[ref.position].observed, step->target_latency_ms));
+    entry->second = std::max(entry->second, job->tasks[ref.position].pressure);
   }
   for (const auto& [ref, job] : worker.tasks) {
     const StepSpec& fill = job->StepOf(ref.position);
@@ -113,8 +112,8 @@
 
  private:
   static constexpr double kLeftoverWeight = 0.3;
-  // Added harm, as a share of the target, that is not worth a refusal.
-  static constexpr double kNegligible = 0.04;
+  // Added pressure that is not worth a refusal.
+  static constexpr double kNegligible = 0.02;
 };
 
 }  // namespace
--- a/src/scheduling/internal/policy.h
+++ b/src/scheduling/internal/policy.h
@@ -46,9 +46,9 @@
   Duration harm_limit{2'400};
   // Time under target after which a paced fill is raised a step.
   Duration raise_after{900};
-  // Expected tail, in shares of the target, up to which a fill that harms is
-  // placed.
-  double harm_bound = 0.8;
+  // Expected pressure up to which a fill that harms is placed. Below the target,
+  // since loads rise by up to a tenth a second while the fill works.
+  double harm_bound = 0.85;
 
   friend auto operator<=>(const PolicyFields&, const PolicyFields&) = default;
 };
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -302,11 +302,13 @@
   }
   for (const auto& [ref, job] : worker.tasks) {
     const StepSpec& step = job->StepOf(ref.position);
-    const TaskRow& task = job->tasks[ref.position];
+    TaskRow& task = job->tasks[ref.position];
     if (!step->long_running || step->target_latency_ms <= 0 || task.progress < kWhole) continue;
-    interference_.Observe(
-        job->ImageOf(ref.position), fills,
-        static_cast<double>(task.observed) / static_cast<double>(step->target_latency_ms));
+    const ImageId image = job->ImageOf(ref.position);
+    const double ratio =
+        static_cast<double>(task.observed) / static_cast<double>(step->target_latency_ms);
+    interference_.Observe(image, fills, ratio, job->own_pressure);
+    task.pressure = interference_.PressureOf(image, ratio);
   }
 }
 
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -15,8 +15,8 @@
 // What matters of a worker for fills.
 struct FillOutlook {
   std::int64_t leftover = 0;  // Cores that no task uses, in thousandths.
-  // Expected tail latency as a share of the target, by serving image: the worst
-  // task of the image, with fills that reports do not show yet.
+  // Expected pressure by serving image: the worst task of the image, with fills
+  // that reports do not show yet.
   std::vector<std::pair<ImageId, double>> serving;
 };
 
