--- a/bench/load_model/load_model.cc
+++ b/bench/load_model/load_model.cc
@@ -179,14 +179,28 @@
     Decide([&] { shard_.Accept(job.accepted, now_); });
   }
 
+  // A size that is spread about its mean, with its largest value.
+  struct Size {
+    double mean;
+    double spread;
+    double largest;
+  };
+  static std::int64_t Draw(Random& random, const Size& size) {
+    const double drawn = std::min(About(random, size.mean, size.spread), size.largest);
+    return std::max<std::int64_t>(1, static_cast<std::int64_t>(drawn));
+  }
+  static StepFields DrawStep(Random& random, const Size& count, const Size& millicores,
+                             const Size& memory_mb) {
+    StepFields step;
+    step.count = static_cast<int>(Draw(random, count));
+    step.demand.millicores = Draw(random, millicores);
+    step.demand.memory_mb = Draw(random, memory_mb);
+    return step;
+  }
+
   void SubmitServing(JobId id) {
     Random random = RandomOf(id);
-    StepFields step;
-    step.count = std::clamp(static_cast<int>(About(random, 6, 0.4)), 1, 12);
-    step.demand.millicores =
-        static_cast<std::int64_t>(std::min(About(random, 13'000, 0.25), 20'000.0));
-    step.demand.memory_mb =
-        static_cast<std::int64_t>(std::min(About(random, 26'000, 0.3), 51'000.0));
+    StepFields step = DrawStep(random, {6, 0.4, 12}, {13'000, 0.25, 20'000}, {26'000, 0.3, 51'000});
     step.long_running = true;
     step.image = "serving-" + std::to_string(id % kServingImages);
     step.target_latency_ms = kTargetMs;
@@ -206,12 +220,7 @@
 
   void SubmitFill(JobId id) {
     Random random = RandomOf(id);
-    StepFields step;
-    step.count = std::clamp(static_cast<int>(About(random, 8, 0.6)), 1, 32);
-    step.demand.millicores =
-        static_cast<std::int64_t>(std::min(About(random, 7'000, 0.3), 14'000.0));
-    step.demand.memory_mb =
-        static_cast<std::int64_t>(std::min(About(random, 13'000, 0.3), 26'000.0));
+    StepFields step = DrawStep(random, {8, 0.6, 32}, {7'000, 0.3, 14'000}, {13'000, 0.3, 26'000});
     step.fills = true;
     step.checkpointing = Chance(random, 0.85);
     step.image = "fill-" + std::to_string(static_cast<int>(Share(random) * kFillImages));
@@ -236,12 +245,7 @@
 
   void SubmitUrgent(JobId id) {
     Random random = RandomOf(id);
-    StepFields step;
-    step.count = std::clamp(static_cast<int>(About(random, 6, 0.8)), 1, 36);
-    step.demand.millicores =
-        static_cast<std::int64_t>(std::min(About(random, 4'600, 0.45), 14'000.0));
-    step.demand.memory_mb =
-        static_cast<std::int64_t>(std::min(About(random, 9'200, 0.3), 18'000.0));
+    StepFields step = DrawStep(random, {6, 0.8, 36}, {4'600, 0.45, 14'000}, {9'200, 0.3, 18'000});
     const double task_ms = std::min(About(random, 1'000, 0.5), 2'500.0);
     step.estimate_ms = Estimate(random, task_ms);
     Submit(id,
@@ -261,9 +265,7 @@
   // Troubles of workers begin after a third and end after two.
   void Strike(bool begins) {
     int index = 0;
-    const auto first = [&](double share) {
-      return index < static_cast<int>(share * pattern_->workers + 0.5);
-    };
+    const auto first = [&](double share) { return index < std::lround(share * pattern_->workers); };
     for (auto& [id, worker] : workers_) {
       if (begins && first(pattern_->lost_worker_share)) Lose(worker);
       worker.failing = begins && first(pattern_->failing_worker_share);
