Remove dn-batch: dn-node runs the batch tasks

What it was: a second program that claimed tasks through an exclusively folded stream, held leases at lease agents, and planned jobs of the operators' file. Why it is not needed: the platform's workers hold leases and fencing tokens and its store fences appends, which dn-node uses; jobs come from callers. What proves its promises now: [interleavings], [shard], [load] and [node] (PROMISES.md, second table).

--- a/src/core/internal/event.h
+++ b/src/core/internal/event.h
@@ -21,18 +21,12 @@
   kRequestRelayed,
   kRequestEnded,
   kBackendServerEjected,
-  kTaskClaimed,
-  kTaskStarted,
-  kTaskEnded,
-  kTaskEvicting,
-  kTaskUnplaceable,
-  kWorkerQuarantined,
   kLogUnavailable,
   kLogAvailable,
 };
 template <>
 struct EnumNames<EventKind> {
-  static constexpr std::array<EnumName<EventKind>, 19> kNames = {
+  static constexpr std::array<EnumName<EventKind>, 13> kNames = {
       {{EventKind::kStarted, "started"},
        {EventKind::kDraining, "draining"},
        {EventKind::kStopped, "stopped"},
@@ -44,12 +38,6 @@
        {EventKind::kRequestRelayed, "request-relayed"},
        {EventKind::kRequestEnded, "request-ended"},
        {EventKind::kBackendServerEjected, "backend-server-ejected"},
-       {EventKind::kTaskClaimed, "task-claimed"},
-       {EventKind::kTaskStarted, "task-started"},
-       {EventKind::kTaskEnded, "task-ended"},
-       {EventKind::kTaskEvicting, "task-evicting"},
-       {EventKind::kTaskUnplaceable, "task-unplaceable"},
-       {EventKind::kWorkerQuarantined, "worker-quarantined"},
        {EventKind::kLogUnavailable, "log-unavailable"},
        {EventKind::kLogAvailable, "log-available"}}};
 };
@@ -60,7 +48,7 @@
   InstanceId instance;
   std::uint64_t incarnation = 0;
   EventKind kind = EventKind::kStarted;
-  std::string subject;  // Request, task, revision or worker concerned.
+  std::string subject;  // Request, revision or worker concerned.
   std::string detail;
 
   auto operator<=>(const EventFields&) const = default;
--- a/src/core/internal/names.h
+++ b/src/core/internal/names.h
@@ -21,10 +21,6 @@
 using RegionName = Name<struct RegionTag>;
 using ZoneName = Name<struct ZoneTag>;
 using ServiceName = Name<struct ServiceTag>;
-using TeamName = Name<struct TeamTag>;
-using JobName = Name<struct JobTag>;
-using TaskId = Name<struct TaskTag>;  // "<job>/<run>/<index>"
-using TaskClass = Name<struct TaskClassTag>;
 using IdempotencyKey = Name<struct IdempotencyKeyTag>;
 using RecordId = Name<struct RecordIdTag>;  // Unique for each log record.
 
--- a/src/core/internal/records.h
+++ b/src/core/internal/records.h
@@ -24,16 +24,8 @@
 
 // --- Stream "roster": which instances take part.
 
-enum class Role { kEntry, kBatch };
-template <>
-struct EnumNames<Role> {
-  static constexpr std::array<EnumName<Role>, 2> kNames = {
-      {{Role::kEntry, "entry"}, {Role::kBatch, "batch"}}};
-};
-
 struct InstanceFields {
   InstanceId id;
-  Role role = Role::kEntry;
   RegionName region;
   ZoneName zone;
   Endpoint caller_address;   // Callers and relayed requests.
@@ -42,12 +34,12 @@
 
   auto operator<=>(const InstanceFields&) const = default;
   static constexpr auto Describe() {
-    return std::make_tuple(
-        Required("id", &InstanceFields::id), Required("role", &InstanceFields::role),
-        Required("region", &InstanceFields::region), Required("zone", &InstanceFields::zone),
-        Required("caller_address", &InstanceFields::caller_address),
-        Required("sibling_address", &InstanceFields::sibling_address),
-        Required("incarnation", &InstanceFields::incarnation));
+    return std::make_tuple(Required("id", &InstanceFields::id),
+                           Required("region", &InstanceFields::region),
+                           Required("zone", &InstanceFields::zone),
+                           Required("caller_address", &InstanceFields::caller_address),
+                           Required("sibling_address", &InstanceFields::sibling_address),
+                           Required("incarnation", &InstanceFields::incarnation));
   }
 };
 using Instance = Immutable<InstanceFields>;
@@ -176,115 +168,4 @@
 };
 using KeyRecord = Immutable<KeyRecordFields>;
 
-// --- Stream "tasks": claims and ends of task attempts.
-
-struct ClaimFields {
-  TaskId task;
-  int attempt = 1;
-  RecordId id;
-  WorkerId worker;
-  RegionName region;                     // Of the worker.
-  std::uint64_t worker_incarnation = 0;  // A later one never runs this attempt.
-  InstanceId holder;
-  ClockReading expires = 0;  // Worker's clock: a start is refused from then on.
-  int cores = 0;
-  int memory_mb = 0;
-  int accelerators = 0;
-  // Capacity of the worker, so that acceptance needs nothing but the log.
-  int worker_cores = 0;
-  int worker_memory_mb = 0;
-  int worker_accelerators = 0;
-  std::string checkpoint;  // Empty: from the beginning.
-
-  auto operator<=>(const ClaimFields&) const = default;
-  static constexpr auto Describe() {
-    return std::make_tuple(
-        Required("task", &ClaimFields::task), Required("attempt", &ClaimFields::attempt),
-        Required("id", &ClaimFields::id), Required("worker", &ClaimFields::worker),
-        Required("region", &ClaimFields::region),
-        Required("worker_incarnation", &ClaimFields::worker_incarnation),
-        Required("holder", &ClaimFields::holder), Required("expires", &ClaimFields::expires),
-        Required("cores", &ClaimFields::cores), Required("memory_mb", &ClaimFields::memory_mb),
-        Optional("accelerators", &ClaimFields::accelerators),
-        Required("worker_cores", &ClaimFields::worker_cores),
-        Required("worker_memory_mb", &ClaimFields::worker_memory_mb),
-        Optional("worker_accelerators", &ClaimFields::worker_accelerators),
-        Optional("checkpoint", &ClaimFields::checkpoint));
-  }
-};
-using Claim = Immutable<ClaimFields>;
-
-enum class TaskEnd { kDone, kFailed, kEvicted, kLapsed, kNotStarted, kCancelled };
-template <>
-struct EnumNames<TaskEnd> {
-  static constexpr std::array<EnumName<TaskEnd>, 6> kNames = {
-      {{TaskEnd::kDone, "done"},
-       {TaskEnd::kFailed, "failed"},
-       {TaskEnd::kEvicted, "evicted"},
-       {TaskEnd::kLapsed, "lapsed"},
-       {TaskEnd::kNotStarted, "not-started"},
-       {TaskEnd::kCancelled, "cancelled"}}};
-};
-
-struct EndFields {
-  TaskId task;
-  int attempt = 1;
-  TaskEnd end = TaskEnd::kDone;
-  std::string checkpoint;
-
-  auto operator<=>(const EndFields&) const = default;
-  static constexpr auto Describe() {
-    return std::make_tuple(
-        Required("task", &EndFields::task), Required("attempt", &EndFields::attempt),
-        Required("end", &EndFields::end), Optional("checkpoint", &EndFields::checkpoint));
-  }
-};
-using End = Immutable<EndFields>;
-
-struct TaskStateFields {
-  TaskId task;
-  int attempt = 0;  // Attempts claimed so far.
-  int failures = 0;
-  bool finished = false;
-  std::string checkpoint;
-  std::optional<Claim> claim;  // Open claim.
-
-  auto operator<=>(const TaskStateFields&) const = default;
-  static constexpr auto Describe() {
-    return std::make_tuple(Required("task", &TaskStateFields::task),
-                           Required("attempt", &TaskStateFields::attempt),
-                           Optional("failures", &TaskStateFields::failures),
-                           Optional("finished", &TaskStateFields::finished),
-                           Optional("checkpoint", &TaskStateFields::checkpoint),
-                           Optional("claim", &TaskStateFields::claim));
-  }
-};
-using TaskState = Immutable<TaskStateFields>;
-
-struct TaskSnapshotFields {
-  Offset as_of = kNoOffset;
-  std::vector<TaskState> tasks;
-
-  auto operator<=>(const TaskSnapshotFields&) const = default;
-  static constexpr auto Describe() {
-    return std::make_tuple(Required("as_of", &TaskSnapshotFields::as_of),
-                           Required("tasks", &TaskSnapshotFields::tasks));
-  }
-};
-using TaskSnapshot = Immutable<TaskSnapshotFields>;
-
-struct TaskRecordFields {
-  std::optional<Claim> claim;
-  std::optional<End> end;
-  std::optional<TaskSnapshot> snapshot;
-
-  auto operator<=>(const TaskRecordFields&) const = default;
-  static constexpr auto Describe() {
-    return std::make_tuple(Optional("claim", &TaskRecordFields::claim),
-                           Optional("end", &TaskRecordFields::end),
-                           Optional("snapshot", &TaskRecordFields::snapshot));
-  }
-};
-using TaskRecord = Immutable<TaskRecordFields>;
-
 }  // namespace dn
--- a/src/core/internal/worker.h
+++ b/src/core/internal/worker.h
@@ -37,10 +37,6 @@
   ZoneName zone;
   std::string rack;
   Liveness state = Liveness::kLive;
-  int cores = 0;
-  int memory_mb = 0;
-  int accelerators = 0;
-  Endpoint lease_agent;
   std::vector<BackendServer> backend_servers;
 
   auto operator<=>(const WorkerFields&) const = default;
@@ -48,10 +44,7 @@
     return std::make_tuple(
         Required("id", &WorkerFields::id), Required("region", &WorkerFields::region),
         Required("zone", &WorkerFields::zone), Optional("rack", &WorkerFields::rack),
-        Optional("state", &WorkerFields::state), Required("cores", &WorkerFields::cores, 1),
-        Required("memory_mb", &WorkerFields::memory_mb, 1),
-        Optional("accelerators", &WorkerFields::accelerators, 0),
-        Required("lease_agent", &WorkerFields::lease_agent),
+        Optional("state", &WorkerFields::state),
         Optional("backend_servers", &WorkerFields::backend_servers));
   }
 };
--- a/src/decisions/internal/configuration_check.cc
+++ b/src/decisions/internal/configuration_check.cc
@@ -26,9 +26,7 @@
 
 void CheckNames(const Configuration& configuration, Findings& findings) {
   CheckUnique(configuration->regions, "/regions", findings);
-  CheckUnique(configuration->teams, "/teams", findings);
   CheckUnique(configuration->services, "/services", findings);
-  CheckUnique(configuration->jobs, "/jobs", findings);
 }
 
 void CheckConnections(const Configuration& configuration, Findings& findings) {
@@ -41,18 +39,6 @@
   }
 }
 
-void CheckTeams(const Configuration& configuration, Findings& findings) {
-  std::set<TeamName> teams;
-  for (const Team& team : configuration->teams) teams.insert(team->name);
-  for (std::size_t i = 0; i < configuration->jobs.size(); ++i) {
-    const Job& job = configuration->jobs[i];
-    if (!teams.contains(job->team)) {
-      Add(findings, "/jobs/" + std::to_string(i) + "/team",
-          "team \"" + job->team.value + "\" is not declared");
-    }
-  }
-}
-
 void CheckZones(const Configuration& configuration, Findings& findings) {
   std::set<ZoneName> zones;
   for (std::size_t i = 0; i < configuration->regions.size(); ++i) {
@@ -66,7 +52,7 @@
 }
 
 using Check = void (*)(const Configuration&, Findings&);
-constexpr std::array<Check, 4> kChecks = {&CheckNames, &CheckConnections, &CheckTeams, &CheckZones};
+constexpr std::array<Check, 3> kChecks = {&CheckNames, &CheckConnections, &CheckZones};
 
 }  // namespace
 
--- a/src/decisions/internal/membership_rules.h
+++ b/src/decisions/internal/membership_rules.h
@@ -23,20 +23,6 @@
       if (gone_since == kListed) gone_since = now;
     }
     for (const ListedInstance& instance : list->instances) seen_[instance->id] = kListed;
-    if (first_observed_ == Time{}) first_observed_ = now;
-    for (auto& [id, gone_since] : workers_) {
-      if (gone_since == kListed) gone_since = now;
-    }
-    for (const Worker& worker : list->workers) workers_[worker->id] = kListed;
-  }
-
-  // True once the list, over several answers, has not shown the worker for
-  // kGoneTime. One that was never shown counts from the first answer.
-  bool WorkerGone(const WorkerId& worker, Time now) const {
-    if (first_observed_ == Time{} || now - last_observed_ > kGoneTime) return false;
-    const auto found = workers_.find(worker);
-    const Time since = found == workers_.end() ? first_observed_ : found->second;
-    return since != kListed && last_observed_ - since >= kGoneTime;
   }
 
   // Members that may be retired. Only answers of the list count: while it is
@@ -53,11 +39,9 @@
 
  private:
   static constexpr Time kListed = Time::max();
-  Time first_observed_{};
   Time last_observed_{};
   // kListed, or since when it is not listed.
   std::map<InstanceId, Time> seen_;
-  std::map<WorkerId, Time> workers_;
 };
 
 // Share of the retention after which the first member writes a snapshot; each
--- a/src/decisions/internal/roster_fold.cc
+++ b/src/decisions/internal/roster_fold.cc
@@ -40,10 +40,10 @@
 
 }  // namespace
 
-std::vector<Instance> RosterState::MembersOf(Role role, const RegionName& region) const {
+std::vector<Instance> RosterState::MembersOf(const RegionName& region) const {
   std::vector<Instance> found;
   for (const auto& [id, member] : members) {
-    if (member->role == role && member->region == region) found.push_back(member);
+    if (member->region == region) found.push_back(member);
   }
   return found;
 }
--- a/src/decisions/internal/roster_fold.h
+++ b/src/decisions/internal/roster_fold.h
@@ -15,8 +15,7 @@
   std::map<InstanceId, Instance> members;
   std::vector<Retired> retired;  // Newest last; at most kMaxRetired.
 
-  // Members with `role` in `region`.
-  std::vector<Instance> MembersOf(Role role, const RegionName& region) const;
+  std::vector<Instance> MembersOf(const RegionName& region) const;
   bool Contains(const Instance& instance) const;
 
   friend bool operator==(const RosterState&, const RosterState&) = default;
--- a/src/decisions/internal/slot_table.cc
+++ b/src/decisions/internal/slot_table.cc
@@ -17,7 +17,7 @@
                                     const Configuration& configuration) {
   roster_offset_ = offset;
   roster_ = roster;
-  const std::vector<Instance> members = roster.MembersOf(Role::kEntry, self_->region);
+  const std::vector<Instance> members = roster.MembersOf(self_->region);
   others_.clear();
   for (const Instance& member : members) {
     if (member->id != self_->id) others_.insert(member->id);
@@ -25,7 +25,7 @@
   retired_.clear();
   for (const Retired& retired : roster.retired) {
     const Instance& instance = retired->instance;
-    if (instance->role == Role::kEntry && instance->region == self_->region) {
+    if (instance->region == self_->region) {
       retired_.push_back(retired);
     }
   }
--- a/src/decisions/internal/slot_table.h
+++ b/src/decisions/internal/slot_table.h
@@ -67,8 +67,8 @@
   Instance self_;
   Offset roster_offset_ = kNoOffset;
   RosterState roster_;
-  std::set<InstanceId> others_;   // Other entry members of the region.
-  std::vector<Retired> retired_;  // Retired entry members of the region.
+  std::set<InstanceId> others_;   // Other members of the region.
+  std::vector<Retired> retired_;  // Retired members of the region.
   std::map<WorkerId, WorkerEntry> workers_;
   std::set<Slot> owned_;          // By the roster at roster_offset_.
   std::map<Slot, Share> shares_;  // Owned, or still held while draining.
--- a/src/modules/internal/entry_module.cc
+++ b/src/modules/internal/entry_module.cc
@@ -18,7 +18,7 @@
  public:
   explicit EntryModule(const InstanceSettings& settings)
       : pool_(settings->threads),
-        instance_(settings, Role::kEntry, pool_),
+        instance_(settings, pool_),
         servers_(instance_.events(), instance_.metrics()),
         slots_(instance_.self(), MakeRoutingStrategy(settings->routing), servers_),
         keys_(settings->key_window),
@@ -46,15 +46,14 @@
             .may_dispatch = [this](Time now) { return instance_.MayAct(now); }};
   }
 
-  RoleHooks MakeHooks() {
+  InstanceHooks MakeHooks() {
     return {.roster_changed = [this] { UpdateSlots(); },
             .configuration_changed = [this] { UpdateSlots(); },
             .list_changed = [this] { UpdateSlots(); },
             .heard = [this](const Heartbeat& heartbeat) { slots_.Confirm(heartbeat); },
             .fill_heartbeat =
                 [this](HeartbeatFields& fields) { slots_.FillHeartbeat(fields, Config()); },
-            .fill_status = [this](StatusFields& status) { FillStatus(status); },
-            .explain_task = [](const std::string&) { return std::string("other-role"); }};
+            .fill_status = [this](StatusFields& status) { FillStatus(status); }};
   }
 
   Configuration Config() const {
--- a/src/modules/internal/instance_module.cc
+++ b/src/modules/internal/instance_module.cc
@@ -14,9 +14,8 @@
 constexpr Duration kLeaveDeadline{4000};
 constexpr Duration kLongestDrain{600'000};
 
-Instance MakeSelf(const InstanceSettings& settings, Role role, std::uint64_t incarnation) {
+Instance MakeSelf(const InstanceSettings& settings, std::uint64_t incarnation) {
   return Instance({.id = settings->id,
-                   .role = role,
                    .region = settings->region,
                    .zone = settings->zone,
                    .caller_address = settings->caller_address,
@@ -26,7 +25,7 @@
 
 }  // namespace
 
-InstanceModule::InstanceModule(const InstanceSettings& settings, Role role, WorkerPool& pool)
+InstanceModule::InstanceModule(const InstanceSettings& settings, WorkerPool& pool)
     : settings_(settings),
       incarnation_(NewIncarnation()),
       pool_(pool),
@@ -34,7 +33,7 @@
       http_(&metrics_),
       log_(http_, settings->log),
       appender_(pool, log_, metrics_, [this] { return AppendInterval(member_count()); }),
-      self_(MakeSelf(settings, role, incarnation_)),
+      self_(MakeSelf(settings, incarnation_)),
       poller_(http_, settings->list, list_,
               [this](bool changed, Time sent) { ListAnswered(changed, sent); }),
       heartbeats_(
@@ -44,7 +43,7 @@
       configuration_follower_(log_, kConfigurationStream, configuration_, events_, metrics_,
                               [this] { ConfigurationRead(); }) {}
 
-Result<void> InstanceModule::Start(RoleHooks hooks) {
+Result<void> InstanceModule::Start(InstanceHooks hooks) {
   hooks_ = std::move(hooks);
   rpc_.Bind(kHeartbeatMethod, [this](const std::string& parameters) {
     const auto heartbeat = DecodeMessage<Heartbeat>(parameters);
@@ -59,7 +58,6 @@
                      .metrics = metrics_,
                      .status = [this] { return MakeStatus(); },
                      .rpc = [this](const std::string& call) { return rpc_.Dispatch(call); },
-                     .explain_task = hooks_.explain_task,
                      .drain = [this] { AskDrain(); }});
   auto server = HttpServer::Start(pool_, settings_->sibling_address, [this](HttpCall call) {
     return routes_->Handle(std::move(call));
@@ -294,60 +292,16 @@
   return isolation_.With([&](const Isolation& isolation) { return isolation.MayDispatch(now); });
 }
 
-bool InstanceModule::Sole() const {
-  struct View {
-    Offset offset = kNoOffset;
-    bool member = false;
-    bool settled = true;
-  };
-  const Instance self = this->self();
-  const ClockReading now = log_.ClockNow();
-  const View view = roster_.With([&](const RosterFold& fold) {
-    View out{.offset = fold.offset(), .member = fold.state().Contains(self)};
-    for (const Retired& retired : fold.state().retired) {
-      const Instance& instance = retired->instance;
-      const bool concerns = instance->role == self->role && instance->region == self->region;
-      const Duration wait = kIsolationLimit + kLeaseTerm + kSafetyMargin;
-      if (concerns && now - retired->time < wait.count()) out.settled = false;
-    }
-    return out;
-  });
-  if (!view.member || !view.settled) return false;
-  const std::vector<Instance> others = Siblings();
-  return siblings_.With([&](const SiblingTable& siblings) {
-    return std::all_of(others.begin(), others.end(), [&](const Instance& other) {
-      const auto last = siblings.Last(other->id);
-      return last && (*last)->incarnation == other->incarnation &&
-             (*last)->roster_offset == view.offset;
-    });
-  });
-}
-
 std::vector<Worker> InstanceModule::Workers() const {
   return list_.With([](const ListTable& table) {
     return table.list ? (*table.list)->workers : std::vector<Worker>{};
   });
 }
 
-bool InstanceModule::WorkerGone(const WorkerId& worker, Time now) const {
-  return list_.With(
-      [&](const ListTable& table) { return table.departures.WorkerGone(worker, now); });
-}
-
-std::vector<Instance> InstanceModule::MembersOf(Role role) const {
-  return roster_.With([&](const RosterFold& fold) {
-    std::vector<Instance> found;
-    for (const auto& [id, member] : fold.state().members) {
-      if (member->role == role) found.push_back(member);
-    }
-    return found;
-  });
-}
-
 std::vector<Instance> InstanceModule::Siblings() const {
   const Instance self = this->self();
-  std::vector<Instance> siblings = roster_.With(
-      [&](const RosterFold& fold) { return fold.state().MembersOf(self->role, self->region); });
+  std::vector<Instance> siblings =
+      roster_.With([&](const RosterFold& fold) { return fold.state().MembersOf(self->region); });
   std::erase_if(siblings, [&](const Instance& member) { return member->id == self->id; });
   return siblings;
 }
--- a/src/modules/internal/instance_module.h
+++ b/src/modules/internal/instance_module.h
@@ -1,4 +1,4 @@
-// What both roles share: log streams, instance list, heartbeats, membership,
+// What the request path builds on: log streams, instance list, heartbeats, membership,
 // control calls.
 #pragma once
 
@@ -15,24 +15,23 @@
 
 namespace dn {
 
-// What a role adds to the shared parts.
-struct RoleHooks {
+// What the request path adds to it.
+struct InstanceHooks {
   std::function<void()> roster_changed;
   std::function<void()> configuration_changed;
   std::function<void()> list_changed;
   std::function<void(const Heartbeat&)> heard;
   std::function<void(HeartbeatFields&)> fill_heartbeat;
   std::function<void(StatusFields&)> fill_status;
-  std::function<std::string(const std::string&)> explain_task;
 };
 
 class InstanceModule {
  public:
-  InstanceModule(const InstanceSettings& settings, Role role, WorkerPool& pool);
+  InstanceModule(const InstanceSettings& settings, WorkerPool& pool);
 
   // Begins to follow the streams and to listen for siblings. `hooks` are
   // called on any thread.
-  Result<void> Start(RoleHooks hooks);
+  Result<void> Start(InstanceHooks hooks);
   // Runs the pool until SIGTERM or an operator's drain, which end with `drain`.
   // Exit status 1 if `start` fails.
   int RunUntilDrained(const std::function<Result<void>()>& start, std::function<Task<>()> drain);
@@ -43,12 +42,7 @@
   std::shared_ptr<const Configuration> configuration() const;
   std::optional<Instance> Member(const InstanceId& id) const;
   bool MayAct(Time now) const;
-  // Every sibling has confirmed the roster that was read here, and the waiting
-  // time of retired ones is over.
-  bool Sole() const;
   std::vector<Worker> Workers() const;
-  bool WorkerGone(const WorkerId& worker, Time now) const;
-  std::vector<Instance> MembersOf(Role role) const;
   std::vector<Instance> Siblings() const;
   std::size_t member_count() const;
 
@@ -63,7 +57,6 @@
   HeartbeatSender& heartbeats() { return heartbeats_; }
   const InstanceSettings& settings() const { return settings_; }
   std::atomic<bool>& draining() { return draining_; }
-  Duration retention() const { return roster_follower_.retention(); }
 
  private:
   using RosterFollower = Follower<RosterRecord, RosterFold, LockRank::kRoster>;
@@ -109,7 +102,7 @@
   ConfigurationFollower configuration_follower_;
   std::unique_ptr<ControlRoutes> routes_;
   std::unique_ptr<HttpServer> server_;
-  RoleHooks hooks_;
+  InstanceHooks hooks_;
   std::function<Task<>()> drain_;
   std::atomic<bool> drain_asked_{false};
   std::atomic<bool> draining_{false};
--- a/src/modules/internal/instance_settings.cc
+++ b/src/modules/internal/instance_settings.cc
@@ -16,7 +16,6 @@
     add("/sibling_address", "must differ from caller_address");
   }
   if (MakeRoutingStrategy(settings->routing) == nullptr) add("/routing", "is no strategy");
-  if (MakePlacementStrategy(settings->placement) == nullptr) add("/placement", "is no strategy");
   return findings;
 }
 
--- a/src/modules/internal/instance_settings.h
+++ b/src/modules/internal/instance_settings.h
@@ -17,7 +17,6 @@
   Duration drain_grace{1000};      // Time for the balancer to notice.
   Duration key_window{3'000'000};  // Below 80% of the log's retention.
   std::string routing = "two-choices";
-  std::string placement = "harm-aware";
 
   auto operator<=>(const InstanceSettingsFields&) const = default;
   static constexpr auto Describe() {
@@ -32,8 +31,7 @@
         Optional("threads", &InstanceSettingsFields::threads, 1, 64),
         Optional("drain_grace_ms", &InstanceSettingsFields::drain_grace, 0, 60'000),
         Optional("key_window_ms", &InstanceSettingsFields::key_window, 1000, 604'800'000),
-        Optional("routing", &InstanceSettingsFields::routing),
-        Optional("placement", &InstanceSettingsFields::placement));
+        Optional("routing", &InstanceSettingsFields::routing));
   }
 };
 using InstanceSettings = Immutable<InstanceSettingsFields>;
--- a/src/operators/internal/commands.cc
+++ b/src/operators/internal/commands.cc
@@ -85,22 +85,6 @@
     co_return kExitDone;
   }
 
-  Task<int> ExplainTask() {
-    if (arguments_.positional.size() < 2) co_return Usage("explain TASK");
-    const auto roster = co_await client_.ReadRoster();
-    if (!roster) co_return Fail("log", roster.error());
-    for (const auto& [id, member] : roster.value().members) {
-      if (member->role != Role::kBatch) continue;
-      HttpCall call{.method = HttpMethod::kGet,
-                    .path = "/explain/task",
-                    .query = {{"id", arguments_.positional[1]}},
-                    .body = {}};
-      const auto reply = co_await client_.Call(member, std::move(call));
-      std::cout << id.value << ": " << (reply ? reply.value().body : "unreachable") << '\n';
-    }
-    co_return kExitDone;
-  }
-
   Task<int> Drain() {
     if (arguments_.positional.size() < 2) co_return Usage("drain INSTANCE");
     const auto roster = co_await client_.ReadRoster();
@@ -213,10 +197,9 @@
       return;
     }
     const Status& s = status.value();
-    std::cout << NameOf(s->instance->role) << ' ' << s->instance->zone.value << " revision "
-              << s->revision << (s->draining ? " draining" : "") << (s->may_act ? "" : " cut-off")
-              << " slots " << s->busy_slots << '/' << s->held_slots << " tasks " << s->tasks_in_care
-              << '\n';
+    std::cout << s->instance->zone.value << " revision " << s->revision
+              << (s->draining ? " draining" : "") << (s->may_act ? "" : " cut-off") << " slots "
+              << s->busy_slots << '/' << s->held_slots << '\n';
   }
 
   // Prints how many instances have `revision` in force until all do, or until
@@ -252,12 +235,11 @@
   std::string_view name;
   Task<int> (Commands::*run)();
 };
-constexpr std::array<Command, 7> kCommands = {{{"check", &Commands::Check},
+constexpr std::array<Command, 6> kCommands = {{{"check", &Commands::Check},
                                                {"apply", &Commands::ApplyFile},
                                                {"diff", &Commands::Diff},
                                                {"export", &Commands::Export},
                                                {"status", &Commands::ShowStatus},
-                                               {"explain", &Commands::ExplainTask},
                                                {"drain", &Commands::Drain}}};
 
 int RunToEnd(Arguments arguments, Task<int> (Commands::*run)()) {
@@ -317,8 +299,7 @@
 
 int RunControlCommand(int argc, char** argv) {
   auto options = MakeOptions("dn-ctl", "Steers and shows a dandelionnotch system.");
-  options.positional_help(
-      "check|apply|diff FILE | export | status | explain TASK | drain INSTANCE");
+  options.positional_help("check|apply|diff FILE | export | status | drain INSTANCE");
   options.add_options()("wait", "apply: wait this many milliseconds until in force everywhere",
                         cxxopts::value<int>()->default_value("0"));
   try {
--- a/src/operators/internal/control_routes.cc
+++ b/src/operators/internal/control_routes.cc
@@ -5,13 +5,12 @@
 
 namespace dn {
 
-const std::array<ControlRoutes::Route, 7> ControlRoutes::kRoutes = {
+const std::array<ControlRoutes::Route, 6> ControlRoutes::kRoutes = {
     {{HttpMethod::kGet, "/health", &ControlRoutes::Health},
      {HttpMethod::kGet, "/status", &ControlRoutes::ShowStatus},
      {HttpMethod::kGet, "/events", &ControlRoutes::Events},
      {HttpMethod::kGet, "/metrics", &ControlRoutes::Prometheus},
      {HttpMethod::kPost, "/rpc", &ControlRoutes::Rpc},
-     {HttpMethod::kGet, "/explain/task", &ControlRoutes::ExplainTask},
      {HttpMethod::kPost, "/drain", &ControlRoutes::Drain}}};
 
 Task<HttpReply> ControlRoutes::Handle(HttpCall call) {
@@ -48,12 +47,6 @@
 
 HttpReply ControlRoutes::Rpc(const HttpCall& call) { return {.body = context_.rpc(call.body)}; }
 
-HttpReply ControlRoutes::ExplainTask(const HttpCall& call) {
-  const auto id = call.query.find("id");
-  if (id == call.query.end()) return {.status = 400, .body = "{}"};
-  return {.body = EncodeText(context_.explain_task(id->second))};
-}
-
 HttpReply ControlRoutes::Drain(const HttpCall&) {
   context_.drain();
   return {.status = 202, .body = "{}"};
--- a/src/operators/internal/control_routes.h
+++ b/src/operators/internal/control_routes.h
@@ -16,7 +16,6 @@
   Metrics& metrics;
   std::function<Status()> status;
   std::function<std::string(const std::string& call)> rpc;
-  std::function<std::string(const std::string& task)> explain_task;
   std::function<void()> drain;
 };
 
@@ -33,7 +32,6 @@
   HttpReply Events(const HttpCall& call);
   HttpReply Prometheus(const HttpCall& call);
   HttpReply Rpc(const HttpCall& call);
-  HttpReply ExplainTask(const HttpCall& call);
   HttpReply Drain(const HttpCall& call);
 
   struct Route {
@@ -41,7 +39,7 @@
     std::string_view path;
     HttpReply (ControlRoutes::*handle)(const HttpCall&);
   };
-  static const std::array<Route, 7> kRoutes;
+  static const std::array<Route, 6> kRoutes;
 
   const ControlContext context_;
 };
--- a/src/operators/internal/status.h
+++ b/src/operators/internal/status.h
@@ -10,7 +10,7 @@
 
 struct StatusFields {
   Instance instance;
-  bool serving = false;  // Callers are let in, or tasks are cared for.
+  bool serving = false;  // Callers are let in.
   bool draining = false;
   bool member = false;   // In the roster, with this incarnation.
   bool may_act = false;  // Not cut off from log, list and siblings.
@@ -19,7 +19,6 @@
   Offset revision = kNoOffset;
   int held_slots = 0;
   int busy_slots = 0;
-  int tasks_in_care = 0;
   std::map<std::string, std::uint64_t> counters;
   std::map<std::string, std::uint64_t> bytes;
   Distribution request_times_us;
@@ -34,7 +33,6 @@
         Required("members", &StatusFields::members), Required("revision", &StatusFields::revision),
         Optional("held_slots", &StatusFields::held_slots),
         Optional("busy_slots", &StatusFields::busy_slots),
-        Optional("tasks_in_care", &StatusFields::tasks_in_care),
         Optional("counters", &StatusFields::counters), Optional("bytes", &StatusFields::bytes),
         Optional("request_times_us", &StatusFields::request_times_us));
   }
--- a/src/platform_log/internal/streams.h
+++ b/src/platform_log/internal/streams.h
@@ -6,6 +6,5 @@
 inline constexpr const char* kRosterStream = "roster";
 inline constexpr const char* kConfigurationStream = "configuration";
 inline constexpr const char* kKeyStream = "keys";
-inline constexpr const char* kTaskStream = "tasks";
 
 }  // namespace dn
--- a/src/runtime/internal/lock_order.h
+++ b/src/runtime/internal/lock_order.h
@@ -5,14 +5,11 @@
 //   rank            table                          package
 //   kConfiguration  configuration fold             platform_log
 //   kRoster         roster fold                    platform_log
-//   kTasks          task fold                      platform_log
 //   kKeys           key fold and waiting claims    platform_log
 //   kList           instance list, departures      platform_list
 //   kIsolation      contact with others            sibling
 //   kSlots          slots and waiting requests     caller
 //   kHealth         ejected backend servers        backend_server
-//   kHolders        claims in care                 worker
-//   kPlanner        harm, quarantine, own claims   worker
 //   kSiblings       heartbeats heard               sibling
 //   kAppends        records waiting for an append  platform_log
 //   kConnections    idle connections               runtime, backend_server
@@ -33,14 +30,11 @@
 enum class LockRank : int {
   kConfiguration = 10,
   kRoster = 20,
-  kTasks = 30,
   kKeys = 40,
   kList = 50,
   kIsolation = 60,
   kSlots = 70,
   kHealth = 80,
-  kHolders = 90,
-  kPlanner = 95,
   kSiblings = 100,
   kCatalogue = 101,
   kMembership = 102,
--- a/src/runtime/internal/metrics.cc
+++ b/src/runtime/internal/metrics.cc
@@ -35,16 +35,7 @@
                                                                    "records_skipped",
                                                                    "heartbeats_sent",
                                                                    "heartbeats_received",
-                                                                   "configurations_in_force",
-                                                                   "tasks_claimed",
-                                                                   "tasks_started",
-                                                                   "tasks_done",
-                                                                   "tasks_failed",
-                                                                   "tasks_evicted",
-                                                                   "tasks_lapsed",
-                                                                   "tasks_not_started",
-                                                                   "tasks_cancelled",
-                                                                   "tasks_throttled"};
+                                                                   "configurations_in_force"};
 
 constexpr std::size_t kLatencies = EnumNames<Latency>::kNames.size();
 // Upper bounds of histogram buckets, in ms: from a call in one zone to the
--- a/src/runtime/internal/metrics.h
+++ b/src/runtime/internal/metrics.h
@@ -29,15 +29,6 @@
   kHeartbeatsSent,
   kHeartbeatsReceived,
   kConfigurationsInForce,
-  kTasksClaimed,
-  kTasksStarted,
-  kTasksDone,
-  kTasksFailed,
-  kTasksEvicted,
-  kTasksLapsed,
-  kTasksNotStarted,
-  kTasksCancelled,
-  kTasksThrottled,
   kCount,
 };
 
--- a/src/sibling/internal/heartbeat_sender.h
+++ b/src/sibling/internal/heartbeat_sender.h
@@ -1,4 +1,4 @@
-// Sends heartbeats to the siblings of this instance's role and region.
+// Sends heartbeats to the siblings of this instance's region.
 #pragma once
 
 #include <algorithm>
--- a/standins/standins.h
+++ b/standins/standins.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include "standins/internal/caller_load.h"
-#include "standins/internal/lease_book.h"
 #include "standins/internal/list_standin.h"
 #include "standins/internal/log_standin.h"
 #include "standins/internal/records.h"
