--- a/bench/demo.cc
+++ b/bench/demo.cc
@@ -188,7 +188,6 @@
               parsed["rate"].as<double>(), outcomes[i]),
         dn::asio::use_future));
     nodes.push_back(std::make_unique<NodeFleet>(pool, DN_BIN, kNodes, kJobWorkers));
-    for (int node = 0; node < kNodes; ++node) nodes.back()->Start(node);
     done.push_back(dn::asio::co_spawn(pool.context(), DriveJobs(*nodes.back(), outcomes[i]),
                                       dn::asio::use_future));
   }
--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -7,8 +7,7 @@
 #include <iostream>
 
 #include "decisions/decisions.h"
-#include "modules/modules.h"
-#include "platform_log/platform_log.h"
+#include "entry/entry.h"
 #include "sibling/sibling.h"
 
 namespace {
@@ -43,13 +42,11 @@
             << std::setw(14) << std::fixed << std::setprecision(3) << value << ' ' << unit << '\n';
 }
 
-dn::Worker MakeWorker(int i) {
-  return dn::Worker({.id = {"zone-a-" + std::to_string(i)},
-                     .region = {"region-1"},
-                     .zone = {"zone-a"},
-                     .rack = "rack-" + std::to_string(i / 8),
-                     .backend_servers = {dn::BackendServer(
-                         {.service = {"refill-desk-0"}, .address = {"127.0.0.1", 8000}})}});
+dn::WorkerEntry MakeWorker(int i) {
+  return dn::WorkerEntry({.id = {"zone-a-" + std::to_string(i)},
+                          .service = "refill-desk-0",
+                          .address = {"127.0.0.1", 8000},
+                          .zone = "zone-a"});
 }
 
 dn::Instance MakeMember(int i) {
@@ -62,7 +59,9 @@
 }
 
 dn::Configuration MakeConfiguration(int services) {
-  dn::ConfigurationFields fields{.deployment = "bench"};
+  dn::ConfigurationFields fields{
+      .deployment = "bench",
+      .regions = {dn::Region({.name = {"region-1"}, .availability_zones = {{"zone-a"}}})}};
   for (int i = 0; i < services; ++i) {
     fields.services.push_back(dn::Service({.name = {"refill-desk-" + std::to_string(i)},
                                            .slots_per_worker = 8,
@@ -76,7 +75,7 @@
     for (const int members : {4, 30}) {
       dn::RosterState roster;
       for (int i = 0; i < members; ++i) roster.members.emplace(MakeMember(i)->id, MakeMember(i));
-      std::vector<dn::Worker> list;
+      std::vector<dn::WorkerEntry> list;
       list.reserve(static_cast<std::size_t>(workers));
       for (int i = 0; i < workers; ++i) list.push_back(MakeWorker(i));
       const dn::Configuration configuration = MakeConfiguration(1);
@@ -91,23 +90,6 @@
   }
 }
 
-void Lists() {
-  for (const int workers : {100, 300, 900}) {
-    dn::InstanceListFields fields;
-    for (int i = 0; i < workers; ++i) fields.workers.push_back(MakeWorker(i));
-    const std::string text = dn::EncodeText(dn::InstanceList(fields));
-    Row("instance list: bytes, a worker", workers, "bytes",
-        static_cast<double>(text.size()) / workers);
-    const Cost decode =
-        Measure(3, [&](int) { (void)dn::DecodeMessage<dn::InstanceList>(text).has_value(); });
-    std::optional<dn::InstanceList> kept;
-    const Cost heap =
-        Measure(1, [&](int) { kept = dn::DecodeMessage<dn::InstanceList>(text).value(); });
-    Row("instance list: heap, a worker", workers, "bytes", heap.bytes / workers);
-    Row("instance list: decode, a worker", workers, "us", decode.microseconds / workers);
-  }
-}
-
 void Keys() {
   for (const int keys : {2000, 6000, 18'000}) {
     dn::KeyFold fold(Duration(3'000'000));
@@ -162,7 +144,6 @@
   std::cout << std::left << std::setw(46) << "slope" << std::right << std::setw(9) << "size"
             << std::setw(14) << "cost" << '\n';
   SlotTables();
-  Lists();
   Keys();
   Heartbeats();
   Configurations();
--- a/programs/dn_ctl.cc
+++ b/programs/dn_ctl.cc
@@ -1,4 +1,5 @@
 // dn-ctl: operators' command line.
 #include "operators/operators.h"
+#include "platform/platform.h"
 
-int main(int argc, char** argv) { return dn::RunControlCommand(argc, argv); }
+int main(int argc, char** argv) { return dn::RunControlCommand(argc, argv, dn::platform::Store()); }
--- a/programs/dn_entry.cc
+++ b/programs/dn_entry.cc
@@ -1,7 +1,11 @@
 // dn-entry. Takes requests of callers to backend servers.
-#include "modules/modules.h"
+#include "entry/entry.h"
+#include "platform/platform.h"
 
 int main(int argc, char** argv) {
+  const dn::EntryAdapter adapter{.store = dn::platform::Store(),
+                                 .registry = dn::platform::Registry()};
   return dn::RunWithSettings<dn::InstanceSettings>(
-      argc, argv, "Takes requests of callers to backend servers.", dn::CheckSettings, dn::RunEntry);
+      argc, argv, "Takes requests of callers to backend servers.", dn::CheckSettings,
+      [&](const dn::InstanceSettings& settings) { return dn::RunEntry(settings, adapter); });
 }
--- a/programs/dn_node.cc
+++ b/programs/dn_node.cc
@@ -10,9 +10,8 @@
                                 .workers = platform::Workers(),
                                 .jobs = platform::Jobs(),
                                 .operator_records = platform::OperatorRecords(),
-                                .worker_records = platform::WorkerRecords(),
                                 .catalogue_key = std::string(platform::CatalogueKey()),
                                 .catalogue = platform::DecodeCatalogue,
-                                .worker = platform::DecodeWorker};
+                                .registry = platform::Registry()};
   return dn::RunNode(argc, argv, adapter);
 }
--- a/src/caller/internal/key_claims.h
+++ b/src/caller/internal/key_claims.h
@@ -1,12 +1,12 @@
-// Claims of idempotency keys through the log.
+// Claims of idempotency keys through a stream in the store.
 #pragma once
 
 #include <functional>
 #include <optional>
 
 #include "decisions/decisions.h"
-#include "platform_log/platform_log.h"
 #include "runtime/runtime.h"
+#include "store/store.h"
 
 namespace dn {
 
@@ -26,7 +26,7 @@
 class KeyClaims {
  public:
   // `changed` is notified whenever the fold has grown.
-  KeyClaims(InstanceId self, std::uint64_t incarnation, Appender& appender, SharedKeys& keys)
+  KeyClaims(InstanceId self, std::uint64_t incarnation, StreamAppender& appender, SharedKeys& keys)
       : self_(std::move(self)), incarnation_(incarnation), appender_(appender), keys_(keys) {}
 
   // Claims `key`, or waits for the outcome of the one who did, until `deadline`.
@@ -37,7 +37,7 @@
   void Changed() { changed_.NotifyAll(); }
 
  private:
-  // Ends stay worth recording through a long outage of the log.
+  // Ends stay worth recording through a long outage of the store.
   static constexpr Duration kEndDeadline{600'000};
 
   RecordId NextClaimId();
@@ -45,7 +45,7 @@
 
   const InstanceId self_;
   const std::uint64_t incarnation_;
-  Appender& appender_;
+  StreamAppender& appender_;
   SharedKeys& keys_;
   Notifier changed_;
   std::atomic<std::uint64_t> next_claim_{0};
--- a/src/caller/internal/slot_pool.cc
+++ b/src/caller/internal/slot_pool.cc
@@ -7,7 +7,7 @@
 namespace dn {
 
 void SlotPool::Update(const Instance& self, const RosterState& roster, Offset offset,
-                      const std::vector<Worker>& workers, const Configuration& configuration) {
+                      const std::vector<WorkerEntry>& workers, const Configuration& configuration) {
   const std::vector<Slot> dropped = book_.With([&](Book& book) {
     book.slots.SetSelf(self);
     return book.slots.Update(roster, offset, workers, configuration);
@@ -20,10 +20,10 @@
   book_.With([&](Book& book) { book.slots.Confirm(heartbeat); });
 }
 
-int SlotPool::Settle(ClockReading log_now, Duration retire_wait) {
+int SlotPool::Settle(ClockReading now, Duration retire_wait) {
   std::vector<WaiterPtr> granted;
   const int settled = book_.With([&](Book& book) {
-    const int count = book.slots.Settle(log_now, retire_wait);
+    const int count = book.slots.Settle(now, retire_wait);
     if (count > 0) granted = Grant(book);
     return count;
   });
--- a/src/caller/internal/slot_pool.h
+++ b/src/caller/internal/slot_pool.h
@@ -21,10 +21,10 @@
       : book_(std::move(self)), routing_(std::move(routing)), servers_(servers) {}
 
   void Update(const Instance& self, const RosterState& roster, Offset offset,
-              const std::vector<Worker>& workers, const Configuration& configuration);
+              const std::vector<WorkerEntry>& workers, const Configuration& configuration);
   void Confirm(const Heartbeat& heartbeat);
   // Makes confirmed slots usable; returns how many.
-  int Settle(ClockReading log_now, Duration retire_wait);
+  int Settle(ClockReading now, Duration retire_wait);
 
   // A free slot now, or nothing.
   std::optional<Slot> TryAcquire(const ServiceName& service, const std::set<WorkerId>& excluded);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -1,4 +1,4 @@
-// Value types shared by every package: identifiers, configuration, log
+// Value types shared by every package: identifiers, configuration,
 // records, messages between instances, events, findings and errors. No I/O.
 #pragma once
 
--- a/src/core/internal/event.h
+++ b/src/core/internal/event.h
@@ -21,8 +21,8 @@
   kRequestRelayed,
   kRequestEnded,
   kBackendServerEjected,
-  kLogUnavailable,
-  kLogAvailable,
+  kStoreUnavailable,
+  kStoreAvailable,
 };
 template <>
 struct EnumNames<EventKind> {
@@ -38,8 +38,8 @@
        {EventKind::kRequestRelayed, "request-relayed"},
        {EventKind::kRequestEnded, "request-ended"},
        {EventKind::kBackendServerEjected, "backend-server-ejected"},
-       {EventKind::kLogUnavailable, "log-unavailable"},
-       {EventKind::kLogAvailable, "log-available"}}};
+       {EventKind::kStoreUnavailable, "store-unavailable"},
+       {EventKind::kStoreAvailable, "store-available"}}};
 };
 
 struct EventFields {
--- a/src/core/internal/names.h
+++ b/src/core/internal/names.h
@@ -22,9 +22,9 @@
 using ZoneName = Name<struct ZoneTag>;
 using ServiceName = Name<struct ServiceTag>;
 using IdempotencyKey = Name<struct IdempotencyKeyTag>;
-using RecordId = Name<struct RecordIdTag>;  // Unique for each log record.
+using RecordId = Name<struct RecordIdTag>;  // Unique for each record.
 
-// Position of a record in a stream of the platform's log. -1: before the first.
+// Position of a record in a stream. -1: before the first.
 using Offset = std::int64_t;
 inline constexpr Offset kNoOffset = -1;
 
--- a/src/core/internal/records.h
+++ b/src/core/internal/records.h
@@ -1,4 +1,4 @@
-// Records that the system appends to streams of the platform's log.
+// Records that the system appends to streams in the metadata store.
 #pragma once
 
 #include <optional>
@@ -16,7 +16,7 @@
 template <class RecordT>
 struct Logged {
   Offset offset = kNoOffset;
-  ClockReading time = 0;  // Clock of the log.
+  ClockReading time = 0;  // When it was read, by the reader's steady clock.
   RecordT record;
 
   auto operator<=>(const Logged&) const = default;
@@ -56,12 +56,12 @@
 // A member that ended without handing its shares over.
 struct RetiredFields {
   Instance instance;
-  ClockReading time = 0;  // Clock of the log, when it was retired.
+  Duration age{0};  // Since the writer of the snapshot read the retirement.
 
   auto operator<=>(const RetiredFields&) const = default;
   static constexpr auto Describe() {
     return std::make_tuple(Required("instance", &RetiredFields::instance),
-                           Required("time", &RetiredFields::time));
+                           Required("age_ms", &RetiredFields::age));
   }
 };
 using Retired = Immutable<RetiredFields>;
--- a/src/decisions/internal/configuration_fold.cc
+++ b/src/decisions/internal/configuration_fold.cc
@@ -34,9 +34,9 @@
 }
 
 std::optional<std::pair<ConfigurationState, Offset>> ConfigurationRules::Restore(
-    const Record& record) {
-  if (!record->snapshot) return std::nullopt;
-  const ConfigurationSnapshot& snapshot = *record->snapshot;
+    const Logged<Record>& record) {
+  if (!record.record->snapshot) return std::nullopt;
+  const ConfigurationSnapshot& snapshot = *record.record->snapshot;
   ConfigurationState state;
   state.revision = snapshot->revision;
   state.configuration = snapshot->configuration;
--- a/src/decisions/internal/configuration_fold.h
+++ b/src/decisions/internal/configuration_fold.h
@@ -33,7 +33,7 @@
   static constexpr std::size_t kMaxVerdicts = 256;
 
   static void Step(State& state, const Logged<Record>& record);
-  static std::optional<std::pair<State, Offset>> Restore(const Record& record);
+  static std::optional<std::pair<State, Offset>> Restore(const Logged<Record>& record);
   static ConfigurationRecord Snapshot(const State& state, Offset as_of);
 };
 
--- a/src/decisions/internal/isolation.h
+++ b/src/decisions/internal/isolation.h
@@ -13,18 +13,19 @@
 // Margin for timers and message delays in waiting times.
 inline constexpr Duration kSafetyMargin{1000};
 
-// Who answered a call of this instance. Only the log tells for certain whether
-// this instance was retired; the others tell that it is not cut off.
-enum class ContactSource { kLog, kList, kSibling };
+// Who answered a call of this instance. Only the streams in the store tell for
+// certain whether this instance was retired; the others tell that it is not cut
+// off.
+enum class ContactSource { kStream, kGroup, kSibling };
 
 class Isolation {
  public:
   // A call that was sent at `sent` has been answered. What others send unasked
   // is no contact: it may have waited in a buffer while this process was
-  // paused. Once contact has lapsed, only the log restores it.
+  // paused. Once contact has lapsed, only a stream restores it.
   void Contact(ContactSource source, Time sent, Time now) {
     const bool lapsed = now - last_contact_ > kIsolationLimit;
-    if (lapsed && source != ContactSource::kLog) return;
+    if (lapsed && source != ContactSource::kStream) return;
     last_contact_ = std::max(last_contact_, sent);
   }
   // A sibling has read the roster up to `offset`.
--- a/src/decisions/internal/key_fold.h
+++ b/src/decisions/internal/key_fold.h
@@ -1,5 +1,5 @@
 // Claims of idempotency keys as a pure function of the stream "keys": the
-// first claim of a key wins, for as long as the log keeps records.
+// first claim of a key wins, for as long as records are kept.
 #pragma once
 
 #include <deque>
@@ -13,7 +13,7 @@
 struct KeyState {
   RecordId claim;
   InstanceId claimant;
-  ClockReading time = 0;  // Of the log, when claimed.
+  ClockReading time = 0;  // When the claim was read.
   std::optional<RequestOutcome> outcome;
   int status = 0;
 
@@ -22,8 +22,9 @@
 
 class KeyFold {
  public:
-  // Keys are kept for `window`, which is below the retention of the stream, so
-  // that readers that began at different offsets agree.
+  // Keys are kept for `window` from the reading of their claim. It is below the
+  // retention of the stream, so that no reader frees a key earlier than a reader
+  // that begins later could know of it.
   explicit KeyFold(Duration window) : window_(window) {}
 
   // Reading begins anew; what is known stays. Keys need no snapshot, since no
--- a/src/decisions/internal/roster_fold.cc
+++ b/src/decisions/internal/roster_fold.cc
@@ -9,7 +9,7 @@
 void Retire(RosterState& state, const InstanceId& id, ClockReading time) {
   const auto found = state.members.find(id);
   if (found == state.members.end()) return;
-  state.retired.push_back(Retired({.instance = found->second, .time = time}));
+  state.retired.push_back({.instance = found->second, .time = time});
   if (state.retired.size() > RosterRules::kMaxRetired) state.retired.erase(state.retired.begin());
   state.members.erase(found);
 }
@@ -29,9 +29,9 @@
   if (same_id != state.members.end() && same_id->second->incarnation >= instance->incarnation) {
     return;
   }
-  for (const Retired& past : state.retired) {
-    const bool same = past->instance->id == instance->id;
-    if (same && past->instance->incarnation >= instance->incarnation) return;
+  for (const RetiredMember& past : state.retired) {
+    const bool same = past.instance->id == instance->id;
+    if (same && past.instance->incarnation >= instance->incarnation) return;
   }
   if (same_id != state.members.end()) Retire(state, instance->id, time);
   RetireOlderOnAddress(state, instance, time);
@@ -71,17 +71,25 @@
   }
 }
 
-std::optional<std::pair<RosterState, Offset>> RosterRules::Restore(const Record& record) {
-  if (!record->snapshot) return std::nullopt;
-  const RosterSnapshot& snapshot = *record->snapshot;
+std::optional<std::pair<RosterState, Offset>> RosterRules::Restore(const Logged<Record>& record) {
+  if (!record.record->snapshot) return std::nullopt;
+  const RosterSnapshot& snapshot = *record.record->snapshot;
   RosterState state;
   for (const Instance& member : snapshot->members) state.members.emplace(member->id, member);
-  state.retired = snapshot->retired;
+  // The snapshot was written before it was read, so that this is never too early.
+  for (const Retired& retired : snapshot->retired) {
+    state.retired.push_back(
+        {.instance = retired->instance, .time = record.time - retired->age.count()});
+  }
   return std::pair(std::move(state), snapshot->as_of);
 }
 
-RosterRecord RosterRules::Snapshot(const State& state, Offset as_of) {
-  RosterSnapshotFields fields{.as_of = as_of, .members = {}, .retired = state.retired};
+RosterRecord RosterRules::Snapshot(const State& state, Offset as_of, ClockReading now) {
+  RosterSnapshotFields fields{.as_of = as_of, .members = {}, .retired = {}};
+  for (const RetiredMember& retired : state.retired) {
+    fields.retired.push_back(
+        Retired({.instance = retired.instance, .age = Duration(now - retired.time)}));
+  }
   for (const auto& [id, member] : state.members) fields.members.push_back(member);
   return RosterRecord(
       {.change = {}, .instance = {}, .snapshot = RosterSnapshot(std::move(fields))});
--- a/src/decisions/internal/roster_fold.h
+++ b/src/decisions/internal/roster_fold.h
@@ -11,9 +11,17 @@
 
 namespace dn {
 
+// A retired member and when its retirement was read.
+struct RetiredMember {
+  Instance instance;
+  ClockReading time = 0;
+
+  friend bool operator==(const RetiredMember&, const RetiredMember&) = default;
+};
+
 struct RosterState {
   std::map<InstanceId, Instance> members;
-  std::vector<Retired> retired;  // Newest last; at most kMaxRetired.
+  std::vector<RetiredMember> retired;  // Newest last; at most kMaxRetired.
 
   std::vector<Instance> MembersOf(const RegionName& region) const;
   bool Contains(const Instance& instance) const;
@@ -28,8 +36,9 @@
   static constexpr std::size_t kMaxRetired = 512;
 
   static void Step(State& state, const Logged<Record>& record);
-  static std::optional<std::pair<State, Offset>> Restore(const Record& record);
-  static RosterRecord Snapshot(const State& state, Offset as_of);
+  static std::optional<std::pair<State, Offset>> Restore(const Logged<Record>& record);
+  // `now`: by the clock of Logged::time.
+  static RosterRecord Snapshot(const State& state, Offset as_of, ClockReading now);
 };
 
 using RosterFold = StreamFold<RosterRules>;
--- a/src/decisions/internal/slot_table.cc
+++ b/src/decisions/internal/slot_table.cc
@@ -10,10 +10,19 @@
 
 constexpr double kLatencyWeight = 0.1;  // Of a new sample in the moving average.
 
+std::set<std::string> ZonesOf(const RegionName& region, const Configuration& configuration) {
+  std::set<std::string> zones;
+  for (const Region& declared : configuration->regions) {
+    if (declared->name != region) continue;
+    for (const ZoneName& zone : declared->availability_zones) zones.insert(zone.value);
+  }
+  return zones;
+}
+
 }  // namespace
 
 std::vector<Slot> SlotTable::Update(const RosterState& roster, Offset offset,
-                                    const std::vector<Worker>& workers,
+                                    const std::vector<WorkerEntry>& workers,
                                     const Configuration& configuration) {
   roster_offset_ = offset;
   roster_ = roster;
@@ -23,22 +32,21 @@
     if (member->id != self_->id) others_.insert(member->id);
   }
   retired_.clear();
-  for (const Retired& retired : roster.retired) {
-    const Instance& instance = retired->instance;
-    if (instance->region == self_->region) {
-      retired_.push_back(retired);
-    }
+  for (const RetiredMember& retired : roster.retired) {
+    if (retired.instance->region == self_->region) retired_.push_back(retired);
   }
-  std::map<WorkerId, WorkerEntry> listed;
+  const std::set<std::string> zones = ZonesOf(self_->region, configuration);
+  std::map<WorkerId, KnownWorker> listed;
   owned_.clear();
   const bool member = roster.Contains(self_);
-  for (const Worker& worker : workers) {
-    if (worker->region != self_->region) continue;
+  for (const WorkerEntry& worker : workers) {
+    if (!zones.contains(worker->zone)) continue;
     const auto known = workers_.find(worker->id);
     listed.emplace(worker->id,
-                   WorkerEntry{worker, known == workers_.end() ? 0 : known->second.latency_us});
+                   KnownWorker{worker, known == workers_.end() ? 0 : known->second.latency_us});
     if (!member) continue;
     for (const Service& service : configuration->services) {
+      if (service->name.value != worker->service) continue;
       for (int index = 0; index < service->slots_per_worker; ++index) {
         Slot slot({.worker = worker->id, .service = service->name, .index = index});
         if (OwnerOfSlot(slot, members) == self_->id) owned_.insert(std::move(slot));
@@ -97,9 +105,9 @@
   });
 }
 
-int SlotTable::Settle(ClockReading log_now, Duration retire_wait) {
-  for (const Retired& retired : retired_) {
-    if (log_now - retired->time < retire_wait.count()) return 0;
+int SlotTable::Settle(ClockReading now, Duration retire_wait) {
+  for (const RetiredMember& retired : retired_) {
+    if (now - retired.time < retire_wait.count()) return 0;
   }
   int settled = 0;
   for (auto& [slot, share] : shares_) {
@@ -128,12 +136,12 @@
   for (const auto& [id, indexes] : by_worker->second) {
     const auto worker = workers_.find(id);
     if (indexes.empty() || excluded.contains(id) || worker == workers_.end()) continue;
-    if (worker->second.worker->state != Liveness::kLive) continue;
+    if (worker->second.entry->draining) continue;
     const auto busy = busy_.find(id);
     candidates.push_back({.worker = id,
                           .free = static_cast<int>(indexes.size()),
                           .busy = busy == busy_.end() ? 0 : busy->second,
-                          .same_zone = worker->second.worker->zone == self_->zone,
+                          .same_zone = worker->second.entry->zone == self_->zone.value,
                           .latency_us = worker->second.latency_us});
   }
   if (candidates.empty()) return std::nullopt;
@@ -169,7 +177,7 @@
   int count = 0;
   for (const auto& [id, indexes] : by_worker->second) {
     const auto worker = workers_.find(id);
-    if (worker != workers_.end() && worker->second.worker->state == Liveness::kLive) {
+    if (worker != workers_.end() && !worker->second.entry->draining) {
       count += static_cast<int>(indexes.size());
     }
   }
@@ -184,11 +192,10 @@
 
 std::optional<Endpoint> SlotTable::AddressOf(const Slot& slot) const {
   const auto worker = workers_.find(slot->worker);
-  if (worker == workers_.end()) return std::nullopt;
-  for (const BackendServer& server : worker->second.worker->backend_servers) {
-    if (server->service == slot->service) return server->address;
+  if (worker == workers_.end() || worker->second.entry->service != slot->service.value) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  return worker->second.entry->address;
 }
 
 bool SlotTable::Owns(const Slot& slot) const { return owned_.contains(slot); }
--- a/src/decisions/internal/slot_table.h
+++ b/src/decisions/internal/slot_table.h
@@ -27,12 +27,13 @@
   // Takes over a new roster (read up to `offset`), worker list and
   // configuration. Returns the free slots that are no longer owned.
   std::vector<Slot> Update(const RosterState& roster, Offset offset,
-                           const std::vector<Worker>& workers, const Configuration& configuration);
+                           const std::vector<WorkerEntry>& workers,
+                           const Configuration& configuration);
   // Latest confirmation of a sibling.
   void Confirm(const Heartbeat& heartbeat);
   // Makes confirmed slots usable; returns how many became usable. While a
-  // retirement is more recent than `retire_wait` by the log's clock, none is.
-  int Settle(ClockReading log_now, Duration retire_wait);
+  // retirement was read less than `retire_wait` ago, none is.
+  int Settle(ClockReading now, Duration retire_wait);
   // What this instance confirms to its siblings.
   std::vector<Slot> HeldForOthers() const;
   Offset roster_offset() const { return roster_offset_; }
@@ -56,8 +57,8 @@
   struct Share {
     State state = State::kWaiting;
   };
-  struct WorkerEntry {
-    Worker worker;
+  struct KnownWorker {
+    WorkerEntry entry;
     double latency_us = 0;
   };
 
@@ -67,9 +68,9 @@
   Instance self_;
   Offset roster_offset_ = kNoOffset;
   RosterState roster_;
-  std::set<InstanceId> others_;   // Other members of the region.
-  std::vector<Retired> retired_;  // Retired members of the region.
-  std::map<WorkerId, WorkerEntry> workers_;
+  std::set<InstanceId> others_;         // Other members of the region.
+  std::vector<RetiredMember> retired_;  // Retired members of the region.
+  std::map<WorkerId, KnownWorker> workers_;
   std::set<Slot> owned_;          // By the roster at roster_offset_.
   std::map<Slot, Share> shares_;  // Owned, or still held while draining.
   // Free slots by service and worker. Invariant: lists exactly the shares in
--- a/src/decisions/internal/stream_fold.h
+++ b/src/decisions/internal/stream_fold.h
@@ -1,4 +1,4 @@
-// Folds a log stream into a state, from its first record or, when retention
+// Folds a stream into a state, from its first record or, when retention
 // has cut older records off, from a snapshot in the stream.
 #pragma once
 
@@ -11,7 +11,7 @@
 namespace dn {
 
 // Rules provides: Record, State, `Step(State&, const Logged<Record>&)` and
-// `Restore(const Record&)`, which returns the state of a snapshot record and
+// `Restore(const Logged<Record>&)`, which returns the state of a snapshot record and
 // the offset it covers, or nothing for other records.
 template <class Rules>
 class StreamFold {
@@ -19,7 +19,7 @@
   using Record = typename Rules::Record;
   using State = typename Rules::State;
 
-  // Starts to read at `oldest`, the oldest record that the log still has.
+  // Starts to read at `oldest`, the oldest record that is still kept.
   // The state in force stays until the new one is complete.
   void Begin(Offset oldest) {
     oldest_ = oldest;
@@ -48,12 +48,12 @@
   const State& state() const { return state_; }
   // Last record that `state` covers.
   Offset offset() const { return offset_; }
-  // Log time of the newest snapshot, or of the first record.
+  // When the newest snapshot, or else the first record, was read.
   ClockReading snapshot_time() const { return snapshot_time_; }
 
  private:
   void Step(const Logged<Record>& record) {
-    if (Rules::Restore(record.record).has_value() || snapshot_time_ == 0) {
+    if (Rules::Restore(record).has_value() || snapshot_time_ == 0) {
       snapshot_time_ = record.time;
     }
     Rules::Step(state_, record);
@@ -62,7 +62,7 @@
 
   void Collect(const Logged<Record>& record) {
     pending_.push_back(record);
-    auto restored = Rules::Restore(record.record);
+    auto restored = Rules::Restore(record);
     // A snapshot older than the first retained record leaves a gap.
     if (!restored || restored->second < oldest_ - 1) return;
     collecting_ = false;
--- a/src/decisions/tests/slot_handover_test.cc
+++ b/src/decisions/tests/slot_handover_test.cc
@@ -49,10 +49,12 @@
  public:
   World(std::uint64_t seed, SlotFault fault) : random_(seed), fault_(fault) {
     for (int w = 0; w < kWorkers; ++w) {
-      workers_.push_back(Worker({.id = {"w" + std::to_string(w)}, .region = {"r"}, .zone = {"z"}}));
+      workers_.push_back(
+          WorkerEntry({.id = {"w" + std::to_string(w)}, .service = "s", .zone = "z"}));
     }
     configuration_ = Configuration(
-        {.services = {Service({.name = {"s"}, .slots_per_worker = kSlots, .timeout = kTimeout})}});
+        {.regions = {Region({.name = {"r"}, .availability_zones = {{"z"}}})},
+         .services = {Service({.name = {"s"}, .slots_per_worker = kSlots, .timeout = kTimeout})}});
     for (int i = 0; i < 3; ++i) AddNode("i" + std::to_string(i));
   }
 
@@ -154,11 +156,13 @@
     if (now_ < node.cut_until) return;
     bool any = false;
     while (count-- > 0 && node.fold.offset() + 1 < static_cast<Offset>(log_.size())) {
-      node.fold.Apply(log_[static_cast<std::size_t>(node.fold.offset() + 1)]);
+      Logged<RosterRecord> read = log_[static_cast<std::size_t>(node.fold.offset() + 1)];
+      read.time = now_;
+      node.fold.Apply(read);
       any = true;
     }
     if (node.fold.offset() + 1 == static_cast<Offset>(log_.size())) {
-      node.isolation.Contact(ContactSource::kLog, Clock(), Clock());
+      node.isolation.Contact(ContactSource::kStream, Clock(), Clock());
     }
     node.isolation.ReadOffset(node.fold.offset());
     RejoinIfRetired(node);
@@ -168,8 +172,8 @@
   }
 
   void RejoinIfRetired(Node& node) {
-    for (const Retired& retired : node.fold.state().retired) {
-      if (retired->instance != node.instance) continue;
+    for (const RetiredMember& retired : node.fold.state().retired) {
+      if (retired.instance != node.instance) continue;
       node.instance =
           node.instance.With([&](InstanceFields& fields) { fields.incarnation = ++incarnation_; });
       node.slots.SetSelf(node.instance);
@@ -293,7 +297,7 @@
   SlotFault fault_;
   std::int64_t now_ = 1000;
   std::uint64_t incarnation_ = 0;
-  std::vector<Worker> workers_;
+  std::vector<WorkerEntry> workers_;
   Configuration configuration_;
   std::vector<Logged<RosterRecord>> log_;
   std::map<InstanceId, Node> nodes_;
--- a/src/modules/internal/entry_module.cc
+++ b/src/entry/internal/entry_module.cc
@@ -1,10 +1,10 @@
 // Wiring of the request path.
-#include "modules/internal/entry_module.h"
+#include "entry/internal/entry_module.h"
 
 #include <glog/logging.h>
 
 #include "caller/caller.h"
-#include "modules/internal/instance_module.h"
+#include "entry/internal/instance_module.h"
 
 namespace dn {
 namespace {
@@ -16,14 +16,14 @@
 
 class EntryModule {
  public:
-  explicit EntryModule(const InstanceSettings& settings)
+  EntryModule(const InstanceSettings& settings, const EntryAdapter& adapter)
       : pool_(settings->threads),
-        instance_(settings, pool_),
+        instance_(settings, adapter, pool_),
         servers_(instance_.events(), instance_.metrics()),
         slots_(instance_.self(), MakeRoutingStrategy(settings->routing), servers_),
         keys_(settings->key_window),
         claims_(settings->id, instance_.self()->incarnation, instance_.appender(), keys_),
-        key_follower_(instance_.log(), kKeyStream, keys_, instance_.events(), instance_.metrics(),
+        key_follower_(instance_.store(), kKeyStream, keys_, instance_.events(), instance_.metrics(),
                       [this] { claims_.Changed(); }),
         flow_(MakeContext()) {}
 
@@ -49,7 +49,7 @@
   InstanceHooks MakeHooks() {
     return {.roster_changed = [this] { UpdateSlots(); },
             .configuration_changed = [this] { UpdateSlots(); },
-            .list_changed = [this] { UpdateSlots(); },
+            .workers_changed = [this] { UpdateSlots(); },
             .heard = [this](const Heartbeat& heartbeat) { slots_.Confirm(heartbeat); },
             .fill_heartbeat =
                 [this](HeartbeatFields& fields) { slots_.FillHeartbeat(fields, Config()); },
@@ -114,7 +114,7 @@
     // A retired instance may have dispatched until it noticed its isolation,
     // and holds each slot for at most twice the timeout after that.
     const Duration wait = kIsolationLimit + 2 * LongestTimeout() + kSafetyMargin;
-    const int settled = slots_.Settle(instance_.log().ClockNow(), wait);
+    const int settled = slots_.Settle(Now().time_since_epoch().count(), wait);
     if (settled > 0) {
       instance_.events().Emit(EventKind::kSlotsGained, std::to_string(settled),
                               "roster " + std::to_string(slots_.roster_offset()));
@@ -165,7 +165,7 @@
   SlotPool slots_;
   SharedKeys keys_;
   KeyClaims claims_;
-  Follower<KeyRecord, KeyFold, LockRank::kKeys> key_follower_;
+  StreamFollower<KeyRecord, KeyFold, LockRank::kKeys> key_follower_;
   RequestFlow flow_;
   // Null before callers are let in.
   Shared<std::shared_ptr<CallerServer>, LockRank::kConnections> server_;
@@ -173,8 +173,8 @@
 
 }  // namespace
 
-int RunEntry(const InstanceSettings& settings) {
-  EntryModule module(settings);
+int RunEntry(const InstanceSettings& settings, const EntryAdapter& adapter) {
+  EntryModule module(settings, adapter);
   return module.Run();
 }
 
--- a/src/modules/internal/instance_module.cc
+++ b/src/entry/internal/instance_module.cc
@@ -1,5 +1,5 @@
 // Wiring of the shared parts.
-#include "modules/internal/instance_module.h"
+#include "entry/internal/instance_module.h"
 
 #include <glog/logging.h>
 
@@ -13,6 +13,14 @@
 constexpr Duration kAppendDeadline{5000};
 constexpr Duration kLeaveDeadline{4000};
 constexpr Duration kLongestDrain{600'000};
+constexpr Duration kWorkerRetry{200};
+constexpr Duration kWorkerPause{300};  // Registrations are collected this long.
+// The store's group of the instances of a region. A member is shown while it holds
+// one of the group's 16 partitions, so that a region has at most 16 instances.
+constexpr const char* kGroupPrefix = "dn-entry-";
+constexpr const char* kGroupTopic = "dn-entry";
+constexpr Duration kGroupPeriod{500};
+constexpr Duration kGroupTimeToLive{2'000};  // Four periods.
 
 Instance MakeSelf(const InstanceSettings& settings, std::uint64_t incarnation) {
   return Instance({.id = settings->id,
@@ -25,22 +33,26 @@
 
 }  // namespace
 
-InstanceModule::InstanceModule(const InstanceSettings& settings, WorkerPool& pool)
+InstanceModule::InstanceModule(const InstanceSettings& settings, const EntryAdapter& adapter,
+                               WorkerPool& pool)
     : settings_(settings),
       incarnation_(NewIncarnation()),
       pool_(pool),
       events_(settings->id, incarnation_),
       http_(&metrics_),
-      log_(http_, settings->log),
-      appender_(pool, log_, metrics_, [this] { return AppendInterval(member_count()); }),
+      adapter_(adapter),
+      log_(settings->id.value),
+      store_(settings->store, adapter.store, http_),
+      appender_(pool, store_, metrics_, [this] { return AppendInterval(member_count()); }),
       self_(MakeSelf(settings, incarnation_)),
-      poller_(http_, settings->list, list_,
-              [this](bool changed, Time sent) { ListAnswered(changed, sent); }),
+      worker_follower_(
+          store_, adapter.registry.records, {.wait = kReadWait, .pause = kWorkerPause}, log_,
+          [this](const auto& records, bool complete) { HandleWorkers(records, complete); }),
       heartbeats_(
           pool, http_, metrics_, [this] { return Siblings(); }, [this] { return MakeHeartbeat(); },
           [this](const Heartbeat& heartbeat, Time sent) { Answered(heartbeat, sent); }),
-      roster_follower_(log_, kRosterStream, roster_, events_, metrics_, [this] { RosterRead(); }),
-      configuration_follower_(log_, kConfigurationStream, configuration_, events_, metrics_,
+      roster_follower_(store_, kRosterStream, roster_, events_, metrics_, [this] { RosterRead(); }),
+      configuration_follower_(store_, kConfigurationStream, configuration_, events_, metrics_,
                               [this] { ConfigurationRead(); }) {}
 
 Result<void> InstanceModule::Start(InstanceHooks hooks) {
@@ -68,7 +80,8 @@
   pool_.Spawn(roster_follower_.Run());
   pool_.Spawn(configuration_follower_.Run());
   pool_.Spawn(heartbeats_.Run());
-  pool_.Every(kListPollPeriod, [this] { return poller_.Poll(); });
+  pool_.Spawn(FollowWorkers());
+  pool_.Every(kGroupPeriod, [this] { return KeepGroup(); });
   pool_.Every(kMembershipPeriod, [this] { return KeepMembership(); });
   return boost::outcome_v2::success();
 }
@@ -128,23 +141,61 @@
   hooks_.configuration_changed();
 }
 
-void InstanceModule::ListAnswered(bool changed, Time sent) {
-  const bool listed = list_.With([&](const ListTable& table) {
-    const auto& instances = (*table.list)->instances;
-    return std::any_of(instances.begin(), instances.end(),
-                       [&](const ListedInstance& i) { return i->id == settings_->id; });
+Task<> InstanceModule::FollowWorkers() {
+  while (!co_await worker_follower_.Load()) co_await SleepFor(kWorkerRetry);
+  co_await worker_follower_.Follow([] { return true; });
+}
+
+void InstanceModule::HandleWorkers(const std::vector<StoreRecord>& records, bool complete) {
+  const bool changed = workers_.With([&](auto& workers) {
+    const auto before = workers;
+    if (complete) workers.clear();
+    for (const StoreRecord& record : records) {
+      Result<WorkerEntry> entry = Errc::kNotFound;
+      if (record->value) entry = adapter_.registry.decode(record->key, *record->value);
+      if (entry) {
+        workers.insert_or_assign({record->key}, entry.value());
+        continue;
+      }
+      workers.erase({record->key});
+      if (record->value) {
+        log_.Write("worker-entry-skipped", record->key, entry.error().message());
+      }
+    }
+    return workers != before;
   });
-  if (listed) {
-    isolation_.With(
-        [&](Isolation& isolation) { isolation.Contact(ContactSource::kList, sent, Now()); });
+  if (changed) hooks_.workers_changed();
+}
+
+Join InstanceModule::GroupJoin() const {
+  return Join({.group = kGroupPrefix + settings_->region.value,
+               .member = settings_->id.value,
+               .topic = kGroupTopic,
+               .time_to_live = kGroupTimeToLive,
+               .generation = group_generation_.load()});
+}
+
+Task<> InstanceModule::KeepGroup() {
+  const Time sent = Now();
+  const Join join = GroupJoin();
+  if (!draining_) {
+    const auto membership = co_await store_.JoinGroup(join);
+    if (membership) group_generation_ = membership.value()->generation;
   }
-  if (changed) hooks_.list_changed();
+  const auto owners = co_await store_.Owners(join->group, join->topic);
+  if (!owners) co_return;
+  std::set<InstanceId> shown;
+  for (const PartitionOwner& owner : owners.value()) shown.insert({owner->member});
+  departures_.With([&](DepartureWatch& departures) { departures.Observe(shown, Now()); });
+  if (!shown.contains(settings_->id)) co_return;
+  isolation_.With(
+      [&](Isolation& isolation) { isolation.Contact(ContactSource::kGroup, sent, Now()); });
 }
 
 Task<> InstanceModule::KeepMembership() {
   const Time last_read = roster_follower_.last_complete();
   isolation_.With(
-      [&](Isolation& isolation) { isolation.Contact(ContactSource::kLog, last_read, Now()); });
+      [&](Isolation& isolation) { isolation.Contact(ContactSource::kStream, last_read, Now()); });
   if (draining_ || Now() - last_read > kIsolationLimit) co_return;
   struct Seen {
     bool ready = false;
@@ -154,9 +205,8 @@
   const Instance self = this->self();
   const Seen seen = roster_.With([&](const RosterFold& fold) {
     Seen out{.ready = fold.ready(), .member = fold.state().Contains(self)};
-    for (const Retired& retired : fold.state().retired) {
-      if (retired->instance->id == self->id &&
-          retired->instance->incarnation >= self->incarnation) {
+    for (const RetiredMember& retired : fold.state().retired) {
+      if (retired.instance->id == self->id && retired.instance->incarnation >= self->incarnation) {
         out.retired = true;
       }
     }
@@ -187,23 +237,22 @@
 void InstanceModule::RetireGone() {
   const RosterState roster = roster_.With([](const RosterFold& fold) { return fold.state(); });
   const auto gone =
-      list_.With([&](const ListTable& table) { return table.departures.ToRetire(roster); });
+      departures_.With([&](const DepartureWatch& watch) { return watch.ToRetire(roster); });
   for (const Instance& instance : gone) {
     if (instance->id != settings_->id) AppendRoster(RosterChange::kRetire, instance);
   }
 }
 
 void InstanceModule::WriteSnapshots() {
-  const ClockReading now = log_.ClockNow();
-  const Duration retention = roster_follower_.retention();
-  if (retention <= Duration(0)) return;
+  const ClockReading now = Now().time_since_epoch().count();
+  const Duration retention = settings_->retention;
   std::optional<RosterRecord> roster;
   std::optional<ConfigurationRecord> configuration;
   RosterState members;
   roster_.With([&](const RosterFold& fold) {
     members = fold.state();
     if (SnapshotIsDue(members, settings_->id, now, fold.snapshot_time(), retention)) {
-      roster = RosterRules::Snapshot(fold.state(), fold.offset());
+      roster = RosterRules::Snapshot(fold.state(), fold.offset(), now);
     }
   });
   configuration_.With([&](const ConfigurationFold& fold) {
@@ -267,6 +316,8 @@
   draining_ = true;
   const Time deadline = Now() + kLeaveDeadline;
   co_await appender_.Flush(deadline);
+  const auto left = co_await store_.LeaveGroup(GroupJoin());
+  if (!left) log_.Write("group-not-left", settings_->id.value, left.error().message());
   const RosterRecord record({.change = RosterChange::kLeave, .instance = self(), .snapshot = {}});
   co_await appender_.Append(kRosterStream, EncodeText(record), deadline);
   events_.Emit(EventKind::kStopped, settings_->id.value);
@@ -292,9 +343,11 @@
   return isolation_.With([&](const Isolation& isolation) { return isolation.MayDispatch(now); });
 }
 
-std::vector<Worker> InstanceModule::Workers() const {
-  return list_.With([](const ListTable& table) {
-    return table.list ? (*table.list)->workers : std::vector<Worker>{};
+std::vector<WorkerEntry> InstanceModule::Workers() const {
+  return workers_.With([](const auto& workers) {
+    std::vector<WorkerEntry> all;
+    for (const auto& [id, entry] : workers) all.push_back(entry);
+    return all;
   });
 }
 
--- a/src/modules/internal/instance_module.h
+++ b/src/entry/internal/instance_module.h
@@ -1,5 +1,5 @@
-// What the request path builds on: log streams, instance list, heartbeats, membership,
-// control calls.
+// What the request path builds on: streams and a group in the store, registered
+// workers, heartbeats, membership, control calls.
 #pragma once
 
 #include <atomic>
@@ -7,19 +7,24 @@
 #include <memory>
 
 #include "decisions/decisions.h"
-#include "modules/internal/instance_settings.h"
+#include "entry/internal/instance_settings.h"
 #include "operators/operators.h"
-#include "platform_list/platform_list.h"
-#include "platform_log/platform_log.h"
 #include "sibling/sibling.h"
+#include "store/store.h"
 
 namespace dn {
 
+// What the request path needs from the adapter of its platform.
+struct EntryAdapter {
+  StoreProtocol store;
+  WorkerRegistry registry;
+};
+
 // What the request path adds to it.
 struct InstanceHooks {
   std::function<void()> roster_changed;
   std::function<void()> configuration_changed;
-  std::function<void()> list_changed;
+  std::function<void()> workers_changed;
   std::function<void(const Heartbeat&)> heard;
   std::function<void(HeartbeatFields&)> fill_heartbeat;
   std::function<void(StatusFields&)> fill_status;
@@ -27,7 +32,7 @@
 
 class InstanceModule {
  public:
-  InstanceModule(const InstanceSettings& settings, WorkerPool& pool);
+  InstanceModule(const InstanceSettings& settings, const EntryAdapter& adapter, WorkerPool& pool);
 
   // Begins to follow the streams and to listen for siblings. `hooks` are
   // called on any thread.
@@ -35,21 +40,22 @@
   // Runs the pool until SIGTERM or an operator's drain, which end with `drain`.
   // Exit status 1 if `start` fails.
   int RunUntilDrained(const std::function<Result<void>()>& start, std::function<Task<>()> drain);
-  // Appends the leave record and waits for it, for a bounded time.
+  // Leaves the group, appends the leave record and waits for it, for a bounded
+  // time.
   Task<> Leave();
 
   Instance self() const;
   std::shared_ptr<const Configuration> configuration() const;
   std::optional<Instance> Member(const InstanceId& id) const;
   bool MayAct(Time now) const;
-  std::vector<Worker> Workers() const;
+  std::vector<WorkerEntry> Workers() const;
   std::vector<Instance> Siblings() const;
   std::size_t member_count() const;
 
   WorkerPool& pool() { return pool_; }
   HttpClient& http() { return http_; }
-  LogClient& log() { return log_; }
-  Appender& appender() { return appender_; }
+  StoreClient& store() { return store_; }
+  StreamAppender& appender() { return appender_; }
   EventLog& events() { return events_; }
   Metrics& metrics() { return metrics_; }
   SharedSiblings& siblings() { return siblings_; }
@@ -59,13 +65,17 @@
   std::atomic<bool>& draining() { return draining_; }
 
  private:
-  using RosterFollower = Follower<RosterRecord, RosterFold, LockRank::kRoster>;
+  using RosterFollower = StreamFollower<RosterRecord, RosterFold, LockRank::kRoster>;
   using ConfigurationFollower =
-      Follower<ConfigurationRecord, ConfigurationFold, LockRank::kConfiguration>;
+      StreamFollower<ConfigurationRecord, ConfigurationFold, LockRank::kConfiguration>;
 
   void RosterRead();
   void ConfigurationRead();
-  void ListAnswered(bool changed, Time sent);
+  Task<> FollowWorkers();
+  void HandleWorkers(const std::vector<StoreRecord>& records, bool complete);
+  // Stays in the store's group of this region and looks at who else is in it.
+  Task<> KeepGroup();
+  Join GroupJoin() const;
   Task<> KeepMembership();
   void AskDrain();
   Task<> DrainAndStop();
@@ -85,18 +95,22 @@
   Metrics metrics_;
   EventLog events_;
   HttpClient http_;
-  LogClient log_;
-  Appender appender_;
+  const EntryAdapter adapter_;
+  DecisionLog log_;
+  StoreClient store_;
+  StreamAppender appender_;
   Shared<RosterFold, LockRank::kRoster> roster_;
   Shared<ConfigurationFold, LockRank::kConfiguration> configuration_;
   Shared<std::shared_ptr<const Configuration>, LockRank::kConfiguration> in_force_;
   std::atomic<Offset> revision_{kNoOffset};
-  SharedList list_;
+  Shared<std::map<WorkerId, WorkerEntry>, LockRank::kWorkers> workers_;
+  Shared<DepartureWatch, LockRank::kWorkers> departures_;
+  std::atomic<std::int64_t> group_generation_{0};
   Shared<Isolation, LockRank::kIsolation> isolation_;
   Shared<Instance, LockRank::kIsolation> self_;
   SharedSiblings siblings_;
   RpcDispatcher rpc_;
-  ListPoller poller_;
+  KeyedFollower worker_follower_;
   HeartbeatSender heartbeats_;
   RosterFollower roster_follower_;
   ConfigurationFollower configuration_follower_;
--- a/src/modules/internal/instance_settings.cc
+++ b/src/entry/internal/instance_settings.cc
@@ -1,5 +1,5 @@
 // Checks of an instance's settings.
-#include "modules/internal/instance_settings.h"
+#include "entry/internal/instance_settings.h"
 
 #include "decisions/decisions.h"
 
@@ -16,6 +16,9 @@
     add("/sibling_address", "must differ from caller_address");
   }
   if (MakeRoutingStrategy(settings->routing) == nullptr) add("/routing", "is no strategy");
+  if (settings->key_window * 5 > settings->retention * 4) {
+    add("/key_window_ms", "must not be above 80% of retention_ms");
+  }
   return findings;
 }
 
--- a/src/modules/internal/instance_settings.h
+++ b/src/entry/internal/instance_settings.h
@@ -11,11 +11,11 @@
   ZoneName zone;
   Endpoint caller_address;
   Endpoint sibling_address;
-  Endpoint log;
-  Endpoint list;
+  Endpoint store;
   int threads = 2;
-  Duration drain_grace{1000};      // Time for the balancer to notice.
-  Duration key_window{3'000'000};  // Below 80% of the log's retention.
+  Duration drain_grace{1000};    // Time for the balancer to notice.
+  Duration retention{300'000};   // How long the store keeps records.
+  Duration key_window{240'000};  // At most 80% of the retention.
   std::string routing = "two-choices";
 
   auto operator<=>(const InstanceSettingsFields&) const = default;
@@ -26,10 +26,10 @@
         Required("zone", &InstanceSettingsFields::zone),
         Required("caller_address", &InstanceSettingsFields::caller_address),
         Required("sibling_address", &InstanceSettingsFields::sibling_address),
-        Required("log", &InstanceSettingsFields::log),
-        Required("list", &InstanceSettingsFields::list),
+        Required("store", &InstanceSettingsFields::store),
         Optional("threads", &InstanceSettingsFields::threads, 1, 64),
         Optional("drain_grace_ms", &InstanceSettingsFields::drain_grace, 0, 60'000),
+        Optional("retention_ms", &InstanceSettingsFields::retention, 1000, 604'800'000),
         Optional("key_window_ms", &InstanceSettingsFields::key_window, 1000, 604'800'000),
         Optional("routing", &InstanceSettingsFields::routing));
   }
--- a/src/node/internal/node_adapter.h
+++ b/src/node/internal/node_adapter.h
@@ -18,10 +18,9 @@
   WorkerProtocol workers;
   JobProtocol jobs;
   Partition operator_records;
-  Partition worker_records;
   std::string catalogue_key;
   Result<Catalogue> (*catalogue)(std::string_view text) = nullptr;
-  Result<WorkerEntry> (*worker)(const std::string& key, std::string_view text) = nullptr;
+  WorkerRegistry registry;
 };
 
 }  // namespace dn
--- a/src/node/internal/node_module.cc
+++ b/src/node/internal/node_module.cc
@@ -95,8 +95,8 @@
     co_return co_await instance_server_.Answer(std::move(call));
   }
 
-  void Configure(const std::vector<KeyedRecord>& records) {
-    for (const KeyedRecord& record : records) {
+  void Configure(const std::vector<StoreRecord>& records) {
+    for (const StoreRecord& record : records) {
       if (record->key != adapter_.catalogue_key || !record->value) continue;
       const auto catalogue = adapter_.catalogue(*record->value);
       if (!catalogue) {
--- a/src/node/internal/node_service.cc
+++ b/src/node/internal/node_service.cc
@@ -66,8 +66,8 @@
 
 Task<SubmitOutcome> LocalService::Submit(AcceptedJob job, Time deadline) {
   const int shard = ShardOf(job->id);
-  std::vector<KeyedRecord> records = {
-      KeyedRecord({.key = FormatJobId(job->id), .value = EncodeAcceptedJob(job)})};
+  std::vector<StoreRecord> records = {
+      StoreRecord({.key = FormatJobId(job->id), .value = EncodeAcceptedJob(job)})};
   const RecordWriter::Limits limits{.send_by = Now() + kSendLimit, .deadline = deadline};
   auto stored =
       co_await writers_[static_cast<std::size_t>(shard)]->Append(std::move(records), limits);
--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -36,7 +36,7 @@
                                                   "cleaner-" + std::to_string(token), 0)),
       jobs_(context_.store, JobsOf(shard), {.wait = kFollowWait, .pause = Duration(0)},
             context_.log, [this](const auto& records, bool) { HandleJobs(records); }),
-      workers_(context_.store, context_.adapter.worker_records,
+      workers_(context_.store, context_.adapter.registry.records,
                {.wait = kFollowWait, .pause = kWorkerPause}, context_.log,
                [this](const auto& records, bool complete) { HandleWorkers(records, complete); }) {}
 
@@ -86,7 +86,7 @@
     }
     co_await SleepFor(kRetryPause);
   }
-  std::vector<KeyedRecord> progress;
+  std::vector<StoreRecord> progress;
   while (active_) {
     auto newest = co_await context_.store.Newest(ProgressOf(shard_));
     if (newest && newest.value()->end >= fence_end) {
@@ -99,7 +99,7 @@
   while (active_ && !co_await workers_.Load()) co_await SleepFor(kRetryPause);
   if (!active_) co_return false;
   const Time now = Now();
-  for (const KeyedRecord& record : progress) {
+  for (const StoreRecord& record : progress) {
     if (!record->value) continue;
     if (record->key == kHarmKey) {
       const auto harm = DecodeHarm(*record->value);
@@ -117,9 +117,9 @@
   co_return true;
 }
 
-void ShardOwner::HandleJobs(const std::vector<KeyedRecord>& records) {
+void ShardOwner::HandleJobs(const std::vector<StoreRecord>& records) {
   const Time now = Now();
-  for (const KeyedRecord& record : records) {
+  for (const StoreRecord& record : records) {
     if (!record->value) continue;
     const auto job = DecodeAcceptedJob(*record->value);
     if (!job) {
@@ -131,14 +131,14 @@
   changed_.NotifyAll();
 }
 
-void ShardOwner::HandleWorkers(const std::vector<KeyedRecord>& records, bool complete) {
+void ShardOwner::HandleWorkers(const std::vector<StoreRecord>& records, bool complete) {
   const Time now = Now();
   std::set<WorkerId> listed;
-  for (const KeyedRecord& record : records) {
+  for (const StoreRecord& record : records) {
     const WorkerId id{record->key};
     Result<WorkerEntry> entry = Errc::kNotFound;
     if (record->value) {
-      entry = context_.adapter.worker(record->key, *record->value);
+      entry = context_.adapter.registry.decode(record->key, *record->value);
       if (!entry) context_.log.Write("worker-entry-skipped", record->key, "cause=unreadable");
     }
     table_.With([&](Table& table) {
@@ -275,19 +275,19 @@
       co_await recorded_.Wait(ticket, Now() + kPlanPeriod);
       continue;
     }
-    std::vector<KeyedRecord> records;
+    std::vector<StoreRecord> records;
     for (const JobProgress& progress : batch.records) {
-      records.emplace_back(KeyedRecordFields{.key = FormatJobId(progress->id),
+      records.emplace_back(StoreRecordFields{.key = FormatJobId(progress->id),
                                              .value = EncodeJobProgress(progress)});
     }
     if (Now() - harm_recorded >= kHarmPeriod) {
       harm_recorded = Now();
       const auto learned = table_.With([](Table& table) { return table.shard.LearnedHarm(); });
-      records.emplace_back(KeyedRecordFields{.key = kHarmKey, .value = EncodeHarm(learned)});
+      records.emplace_back(StoreRecordFields{.key = kHarmKey, .value = EncodeHarm(learned)});
     }
-    std::vector<KeyedRecord> gone;
+    std::vector<StoreRecord> gone;
     for (const JobId id : batch.expired) {
-      gone.emplace_back(KeyedRecordFields{.key = FormatJobId(id), .value = std::nullopt});
+      gone.emplace_back(StoreRecordFields{.key = FormatJobId(id), .value = std::nullopt});
     }
     // The job goes first: progress without a job is ignored, a job without
     // progress would run again.
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -57,8 +57,8 @@
   Task<> RunLink(std::shared_ptr<WorkerLink> link, WorkerId worker);
   void OpenLinks();
   void SendOrders(const Orders& orders);
-  void HandleJobs(const std::vector<KeyedRecord>& records);
-  void HandleWorkers(const std::vector<KeyedRecord>& records, bool complete);
+  void HandleJobs(const std::vector<StoreRecord>& records);
+  void HandleWorkers(const std::vector<StoreRecord>& records, bool complete);
   void LogDecisions(const std::vector<Decision>& decisions);
 
   Context context_;
--- a/src/operators/internal/commands.cc
+++ b/src/operators/internal/commands.cc
@@ -21,7 +21,7 @@
 constexpr Duration kInForcePoll{100};
 
 struct Arguments {
-  Endpoint log;
+  Endpoint store;
   std::vector<std::string> positional;
   Duration wait{0};
   bool json = false;
@@ -32,8 +32,10 @@
 // Steps of the commands; each prints its result and returns the exit status.
 class Commands {
  public:
-  explicit Commands(Arguments arguments)
-      : arguments_(std::move(arguments)), log_(http_, arguments_.log), client_(http_, log_) {}
+  Commands(Arguments arguments, const StoreProtocol& protocol)
+      : arguments_(std::move(arguments)),
+        store_(arguments_.store, protocol, http_),
+        client_(http_, store_) {}
 
   Task<int> Check() { co_return LoadConfiguration() ? kExitDone : kExitInvalid; }
 
@@ -41,7 +43,7 @@
     const auto configuration = LoadConfiguration();
     if (!configuration) co_return kExitInvalid;
     const auto current = co_await client_.ReadConfiguration();
-    if (!current) co_return Fail("log", current.error());
+    if (!current) co_return Fail("store", current.error());
     const auto applied = co_await client_.ApplyConfiguration(
         NewId(), current.value().revision, *configuration, Now() + kApplyDeadline);
     if (!applied) co_return Fail("apply: not known whether it was accepted", applied.error());
@@ -54,13 +56,13 @@
     const auto configuration = LoadConfiguration();
     if (!configuration) co_return kExitInvalid;
     const auto current = co_await client_.ReadConfiguration();
-    if (!current) co_return Fail("log", current.error());
+    if (!current) co_return Fail("store", current.error());
     co_return PrintDifference(current.value().configuration, *configuration);
   }
 
   Task<int> Export() {
     const auto current = co_await client_.ReadConfiguration();
-    if (!current) co_return Fail("log", current.error());
+    if (!current) co_return Fail("store", current.error());
     std::cout << Json::writeString(Json::StreamWriterBuilder(),
                                    Encode(current.value().configuration))
               << '\n';
@@ -69,7 +71,7 @@
 
   Task<int> ShowStatus() {
     const auto roster = co_await client_.ReadRoster();
-    if (!roster) co_return Fail("log", roster.error());
+    if (!roster) co_return Fail("store", roster.error());
     Json::Value all(Json::arrayValue);
     for (const auto& [id, member] : roster.value().members) {
       const auto status = co_await client_.StatusOf(member);
@@ -88,7 +90,7 @@
   Task<int> Drain() {
     if (arguments_.positional.size() < 2) co_return Usage("drain INSTANCE");
     const auto roster = co_await client_.ReadRoster();
-    if (!roster) co_return Fail("log", roster.error());
+    if (!roster) co_return Fail("store", roster.error());
     const auto found = roster.value().members.find({arguments_.positional[1]});
     if (found == roster.value().members.end()) co_return Fail("instance", Errc::kNotFound);
     HttpCall call{.method = HttpMethod::kPost, .path = "/drain", .query = {}, .body = {}};
@@ -100,7 +102,7 @@
 
   Task<int> ShowTimeline() {
     const auto roster = co_await client_.ReadRoster();
-    if (!roster) co_return Fail("log", roster.error());
+    if (!roster) co_return Fail("store", roster.error());
     std::vector<std::vector<Event>> sources;
     for (const auto& [id, member] : roster.value().members) {
       auto events = co_await client_.EventsOf(member, 0);
@@ -154,7 +156,7 @@
   }
 
   static int Usage(const std::string& usage) {
-    std::cerr << "usage: dn-ctl --log ADDRESS " << usage << '\n';
+    std::cerr << "usage: dn-ctl --store ADDRESS " << usage << '\n';
     return kExitInvalid;
   }
 
@@ -209,7 +211,7 @@
     const Time started = Now();
     while (true) {
       const auto roster = co_await client_.ReadRoster();
-      if (!roster) co_return Fail("log", roster.error());
+      if (!roster) co_return Fail("store", roster.error());
       std::size_t in_force = 0;
       for (const auto& [id, member] : roster.value().members) {
         const auto status = co_await client_.StatusOf(member);
@@ -227,7 +229,7 @@
 
   const Arguments arguments_;
   HttpClient http_;
-  LogClient log_;
+  StoreClient store_;
   OperatorClient client_;
 };
 
@@ -242,9 +244,9 @@
                                                {"status", &Commands::ShowStatus},
                                                {"drain", &Commands::Drain}}};
 
-int RunToEnd(Arguments arguments, Task<int> (Commands::*run)()) {
+int RunToEnd(Arguments arguments, const StoreProtocol& protocol, Task<int> (Commands::*run)()) {
   WorkerPool pool(1);
-  Commands commands(std::move(arguments));
+  Commands commands(std::move(arguments), protocol);
   int status = kExitRefused;
   const auto main = [&]() -> Task<> {
     status = co_await (commands.*run)();
@@ -258,8 +260,9 @@
 cxxopts::Options MakeOptions(const std::string& program, const std::string& purpose) {
   cxxopts::Options options(program, purpose);
   options.add_options()("h,help", "show this help")("version", "show the version")(
-      "log", "address of the platform's log", cxxopts::value<std::string>()->default_value(""))(
-      "json", "print JSON")("positional", "", cxxopts::value<std::vector<std::string>>());
+      "store", "address of the platform's metadata store",
+      cxxopts::value<std::string>()->default_value(""))("json", "print JSON")(
+      "positional", "", cxxopts::value<std::vector<std::string>>());
   options.parse_positional({"positional"});
   return options;
 }
@@ -281,11 +284,11 @@
     arguments.positional = parsed["positional"].as<std::vector<std::string>>();
   }
   arguments.json = parsed.count("json") > 0;
-  const auto log = parsed["log"].as<std::string>();
-  if (!log.empty()) {
+  const auto store = parsed["store"].as<std::string>();
+  if (!store.empty()) {
     Findings findings;
-    JsonDecoder("--log", "", UnknownMembers::kReject, findings)
-        .Read(Json::Value(log), "", arguments.log);
+    JsonDecoder("--store", "", UnknownMembers::kReject, findings)
+        .Read(Json::Value(store), "", arguments.store);
     PrintFindings(findings, std::cerr);
     if (!findings.empty()) {
       *status = kExitInvalid;
@@ -297,7 +300,7 @@
 
 }  // namespace
 
-int RunControlCommand(int argc, char** argv) {
+int RunControlCommand(int argc, char** argv, const StoreProtocol& protocol) {
   auto options = MakeOptions("dn-ctl", "Steers and shows a dandelionnotch system.");
   options.positional_help("check|apply|diff FILE | export | status | drain INSTANCE");
   options.add_options()("wait", "apply: wait this many milliseconds until in force everywhere",
@@ -310,7 +313,7 @@
     arguments->wait = Duration(parsed["wait"].as<int>());
     for (const Command& command : kCommands) {
       if (!arguments->positional.empty() && arguments->positional[0] == command.name) {
-        return RunToEnd(std::move(*arguments), command.run);
+        return RunToEnd(std::move(*arguments), protocol, command.run);
       }
     }
   } catch (const cxxopts::exceptions::exception& error) {
@@ -321,7 +324,7 @@
   return kExitInvalid;
 }
 
-int RunTimelineCommand(int argc, char** argv) {
+int RunTimelineCommand(int argc, char** argv, const StoreProtocol& protocol) {
   auto options = MakeOptions("dn-timeline", "Merges the events of all instances.");
   const auto text = cxxopts::value<std::string>()->default_value("");
   options.add_options()("instance", "only this instance", text)("kind", "only this kind", text)(
@@ -336,7 +339,7 @@
                          .kind = parsed["kind"].as<std::string>(),
                          .subject = parsed["subject"].as<std::string>()};
     arguments->html = parsed["html"].as<std::string>();
-    return RunToEnd(std::move(*arguments), &Commands::ShowTimeline);
+    return RunToEnd(std::move(*arguments), protocol, &Commands::ShowTimeline);
   } catch (const cxxopts::exceptions::exception& error) {
     std::cerr << error.what() << '\n';
     return kExitInvalid;
--- a/src/operators/internal/operator_client.cc
+++ b/src/operators/internal/operator_client.cc
@@ -11,18 +11,21 @@
 
 template <class Record, class Fold>
 Task<Result<Fold>> OperatorClient::ReadAll(std::string stream) {
-  const auto oldest = co_await log_.Oldest(stream);
-  if (!oldest) co_return oldest.error();
   Fold fold;
-  fold.Begin(oldest.value());
-  Offset next = oldest.value();
+  Offset next = 0;
+  bool began = false;
   while (true) {
-    const auto page = co_await log_.Read(stream, next, Duration(0));
+    const auto page = co_await store_.Read(PartitionOf(stream), next, Duration(0));
     if (!page) co_return page.error();
-    for (const LogRecord& record : page.value()->records) {
+    if (page.value()->expired) next = page.value()->oldest;
+    if (page.value()->expired || !began) fold.Begin(next);
+    began = true;
+    if (page.value()->expired) continue;
+    const ClockReading now = Now().time_since_epoch().count();
+    for (const StoreRecord& record : page.value()->records) {
       next = record->offset + 1;
-      auto decoded = DecodeMessage<Record>(record->text);
-      if (decoded) fold.Apply({record->offset, record->time, std::move(decoded).value()});
+      auto decoded = DecodeMessage<Record>(record->value.value_or(""));
+      if (decoded) fold.Apply({record->offset, now, std::move(decoded).value()});
     }
     if (next >= page.value()->end) break;
   }
@@ -47,10 +50,11 @@
                                                          Time deadline) {
   const ConfigurationRecord record(
       {.apply = Apply({.id = id, .base = base, .configuration = std::move(configuration)})});
-  const std::vector<std::string> texts(1, EncodeText(record));
+  const std::vector<StoreRecord> records(1, StoreRecord({.value = EncodeText(record)}));
   while (true) {
     // After an error the record may be there all the same: look first.
-    const auto appended = co_await log_.Append(kConfigurationStream, texts);
+    const auto appended =
+        co_await store_.Append(PartitionOf(kConfigurationStream), std::nullopt, records);
     const auto state = co_await ReadConfiguration();
     if (state) {
       if (const auto verdict = state.value().VerdictOf(id)) {
--- a/src/operators/internal/operator_client.h
+++ b/src/operators/internal/operator_client.h
@@ -1,4 +1,5 @@
-// What operators' tools read and write: the log, and instances' control calls.
+// What operators' tools read and write: streams in the store, and instances'
+// control calls.
 #pragma once
 
 #include <optional>
@@ -6,7 +7,7 @@
 
 #include "decisions/decisions.h"
 #include "operators/internal/status.h"
-#include "platform_log/platform_log.h"
+#include "store/store.h"
 
 namespace dn {
 
@@ -20,7 +21,7 @@
 
 class OperatorClient {
  public:
-  OperatorClient(HttpClient& http, LogClient& log) : http_(http), log_(log) {}
+  OperatorClient(HttpClient& http, StoreClient& store) : http_(http), store_(store) {}
 
   // Folds the whole stream as of now.
   Task<Result<ConfigurationState>> ReadConfiguration();
@@ -38,7 +39,7 @@
   Task<Result<Fold>> ReadAll(std::string stream);
 
   HttpClient& http_;
-  LogClient& log_;
+  StoreClient& store_;
 };
 
 }  // namespace dn
--- a/src/operators/internal/status.h
+++ b/src/operators/internal/status.h
@@ -13,7 +13,7 @@
   bool serving = false;  // Callers are let in.
   bool draining = false;
   bool member = false;   // In the roster, with this incarnation.
-  bool may_act = false;  // Not cut off from log, list and siblings.
+  bool may_act = false;  // Not cut off from store and siblings.
   Offset roster_offset = kNoOffset;
   int members = 0;
   Offset revision = kNoOffset;
--- a/src/runtime/internal/http_types.h
+++ b/src/runtime/internal/http_types.h
@@ -37,17 +37,15 @@
 inline constexpr int kStatusNotModified = 304;  // The caller has this version.
 
 // What a message is for; bytes are counted by kind.
-enum class TrafficKind { kLog, kList, kSibling, kLease, kRelay, kOperator, kStore };
+enum class TrafficKind { kSibling, kRelay, kOperator, kStore, kWorker };
 template <>
 struct EnumNames<TrafficKind> {
-  static constexpr std::array<EnumName<TrafficKind>, 7> kNames = {
-      {{TrafficKind::kLog, "log"},
-       {TrafficKind::kList, "list"},
-       {TrafficKind::kSibling, "sibling"},
-       {TrafficKind::kLease, "lease"},
+  static constexpr std::array<EnumName<TrafficKind>, 5> kNames = {
+      {{TrafficKind::kSibling, "sibling"},
        {TrafficKind::kRelay, "relay"},
        {TrafficKind::kOperator, "operator"},
-       {TrafficKind::kStore, "store"}}};
+       {TrafficKind::kStore, "store"},
+       {TrafficKind::kWorker, "worker"}}};
 };
 
 }  // namespace dn
--- a/src/runtime/internal/lock_order.h
+++ b/src/runtime/internal/lock_order.h
@@ -3,15 +3,15 @@
 // abort on a violation. No lock is held across a suspension of a coroutine.
 //
 //   rank            table                          package
-//   kConfiguration  configuration fold             platform_log
-//   kRoster         roster fold                    platform_log
-//   kKeys           key fold and waiting claims    platform_log
-//   kList           instance list, departures      platform_list
+//   kConfiguration  configuration fold             store
+//   kRoster         roster fold                    store
+//   kKeys           key fold and waiting claims    store
+//   kWorkers        registered workers, departures entry
 //   kIsolation      contact with others            sibling
 //   kSlots          slots and waiting requests     caller
 //   kHealth         ejected backend servers        backend_server
 //   kSiblings       heartbeats heard               sibling
-//   kAppends        records waiting for an append  platform_log
+//   kAppends        records waiting for an append  store
 //   kConnections    idle connections               runtime, backend_server
 //   kCatalogue      configuration in force         node
 //   kMembership     shards that this node owns     store
@@ -31,7 +31,7 @@
   kConfiguration = 10,
   kRoster = 20,
   kKeys = 40,
-  kList = 50,
+  kWorkers = 50,
   kIsolation = 60,
   kSlots = 70,
   kHealth = 80,
--- a/src/runtime/tests/settings_test.cc
+++ b/src/runtime/tests/settings_test.cc
@@ -2,7 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include "decisions/decisions.h"
-#include "modules/modules.h"
+#include "entry/entry.h"
 #include "runtime/runtime.h"
 
 namespace dn {
@@ -91,13 +91,13 @@
   for (std::size_t i = 0; i < findings.size(); ++i) CHECK(findings[i].pointer == c.pointers[i]);
 }
 
-TEST_CASE("settings of an instance are checked", "[modules][settings]") {
+TEST_CASE("settings of an instance are checked", "[entry][settings]") {
   struct Case {
     std::string name;
     std::string text;
     std::vector<std::string> pointers;
   };
-  const std::string rest = R"("region":"r","zone":"z","log":"127.0.0.1:1","list":"127.0.0.1:2")";
+  const std::string rest = R"("region":"r","zone":"z","store":"127.0.0.1:1")";
   const auto c = GENERATE_COPY(values<Case>({
       {"good",
        R"({"id":"i","caller_address":"127.0.0.1:3","sibling_address":"127.0.0.1:4",)" + rest + "}",
@@ -106,6 +106,11 @@
        R"({"id":"i","caller_address":"127.0.0.1:3","sibling_address":"127.0.0.1:3","routing":"x",)" +
            rest + "}",
        {"/sibling_address", "/routing"}},
+      {"keys kept longer than records",
+       R"({"id":"i","caller_address":"127.0.0.1:3","sibling_address":"127.0.0.1:4","retention_ms":10000,
+"key_window_ms":9000,)" +
+           rest + "}",
+       {"/key_window_ms"}},
       {"host name instead of a number",
        R"({"id":"i","caller_address":"localhost:3","sibling_address":"127.0.0.1:99999",)" + rest +
            "}",
--- a/src/scheduling/internal/job_spec.h
+++ b/src/scheduling/internal/job_spec.h
@@ -10,15 +10,6 @@
 
 namespace dn {
 
-// Amounts of a worker's resources. Used both for demands and for capacity.
-struct Resources {
-  std::int64_t millicores = 0;
-  std::int64_t memory_mb = 0;
-  std::int64_t accelerators = 0;
-
-  friend auto operator<=>(const Resources&, const Resources&) = default;
-};
-
 // One step of a job: `count` tasks that run the same image.
 struct StepFields {
   int count = 1;
@@ -80,23 +71,6 @@
 // The operator's configuration as far as scheduling uses it.
 using Catalogue = Immutable<CatalogueFields>;
 
-// A worker as it registers itself.
-struct WorkerEntryFields {
-  WorkerId id;
-  std::string service;
-  Endpoint address;
-  std::string zone;
-  std::int64_t born_ms = 0;  // Start of this life, ms since 1970.
-  bool draining = false;
-  std::int64_t remaining_ms = 0;  // While draining: least time left.
-  Resources capacity;
-  std::vector<std::string> labels;
-  std::string rack;
-
-  friend auto operator<=>(const WorkerEntryFields&, const WorkerEntryFields&) = default;
-};
-using WorkerEntry = Immutable<WorkerEntryFields>;
-
 // 64-bit identifier chosen by the caller.
 using JobId = std::uint64_t;
 std::string FormatJobId(JobId id);  // 16 hexadecimal digits.
--- a/src/store/internal/keyed_follower.h
+++ b/src/store/internal/keyed_follower.h
@@ -15,7 +15,7 @@
     Duration pause{0};     // Between two reads; collects records that come often.
   };
   // Records in order. `complete`: these are all keys that exist.
-  using Handler = std::function<void(const std::vector<KeyedRecord>& records, bool complete)>;
+  using Handler = std::function<void(const std::vector<StoreRecord>& records, bool complete)>;
 
   KeyedFollower(StoreClient& store, Partition partition, Options options, DecisionLog& log,
                 Handler handler)
--- a/src/store/internal/record_writer.cc
+++ b/src/store/internal/record_writer.cc
@@ -14,9 +14,9 @@
 // A refused call is repeated this often before its records are given up.
 constexpr int kMaxRefusals = 3;
 
-std::size_t SizeOf(const std::vector<KeyedRecord>& records) {
+std::size_t SizeOf(const std::vector<StoreRecord>& records) {
   std::size_t size = 0;
-  for (const KeyedRecord& record : records) {
+  for (const StoreRecord& record : records) {
     size += record->key.size() + (record->value ? record->value->size() : 0);
   }
   return size;
@@ -44,7 +44,7 @@
   return queue_.With([&](Queue& queue) { return std::erase(queue.waiting, entry) > 0; });
 }
 
-Task<Result<>> RecordWriter::Append(std::vector<KeyedRecord> records, Limits limits) {
+Task<Result<>> RecordWriter::Append(std::vector<StoreRecord> records, Limits limits) {
   auto entry = std::make_shared<Entry>();
   entry->records = std::move(records);
   const bool start = queue_.With([&](Queue& queue) {
@@ -75,7 +75,7 @@
 Task<> RecordWriter::Drain() {
   while (true) {
     std::vector<std::shared_ptr<Entry>> taken;
-    std::vector<KeyedRecord> records;
+    std::vector<StoreRecord> records;
     const bool more = queue_.With([&](Queue& queue) {
       std::size_t size = 0;
       while (!queue.waiting.empty()) {
@@ -98,7 +98,7 @@
   }
 }
 
-Task<Result<>> RecordWriter::AppendCall(const std::vector<KeyedRecord>& records, bool must_know) {
+Task<Result<>> RecordWriter::AppendCall(const std::vector<StoreRecord>& records, bool must_know) {
   bool may_be_stored = false;
   int refusals = 0;
   Duration pause = kRetryPause;
--- a/src/store/internal/record_writer.h
+++ b/src/store/internal/record_writer.h
@@ -23,14 +23,14 @@
   // kUnavailable: not stored and never will be; kTimeout: the outcome is not
   // known and the records may still become durable; kConflict: fenced by a
   // later epoch, nothing more is stored.
-  Task<Result<>> Append(std::vector<KeyedRecord> records, Limits limits);
+  Task<Result<>> Append(std::vector<StoreRecord> records, Limits limits);
   // Appends nothing, but makes the store refuse lower epochs. Returns the end of
   // the partition.
   Task<Result<std::int64_t>> Fence();
 
  private:
   struct Entry {
-    std::vector<KeyedRecord> records;
+    std::vector<StoreRecord> records;
     std::optional<Result<>> outcome;
   };
   struct Queue {
@@ -41,7 +41,7 @@
   // Takes an entry that was not sent yet out of the queue; false: it was.
   bool Withdraw(const std::shared_ptr<Entry>& entry);
   Task<> Drain();
-  Task<Result<>> AppendCall(const std::vector<KeyedRecord>& records, bool must_know);
+  Task<Result<>> AppendCall(const std::vector<StoreRecord>& records, bool must_know);
 
   StoreClient& store_;
   const Partition partition_;
--- a/src/store/internal/store_client.cc
+++ b/src/store/internal/store_client.cc
@@ -11,8 +11,9 @@
   co_return reply;
 }
 
-Task<Result<AppendAnswer>> StoreClient::Append(Partition partition, Producer producer,
-                                               std::vector<KeyedRecord> records) {
+Task<Result<AppendAnswer>> StoreClient::Append(Partition partition,
+                                               std::optional<Producer> producer,
+                                               std::vector<StoreRecord> records) {
   HttpCall call = protocol_.append(partition, producer, records);
   auto reply = co_await Call(std::move(call), kStoreTimeout);
   if (!reply) co_return reply.error();
@@ -23,7 +24,7 @@
   HttpCall call = protocol_.read(partition, from, wait);
   auto reply = co_await Call(std::move(call), wait + kStoreTimeout);
   if (!reply) co_return reply.error();
-  co_return protocol_.records(reply.value(), from);
+  co_return protocol_.records(reply.value(), partition, from);
 }
 
 Task<Result<NewestPage>> StoreClient::Newest(Partition partition) {
--- a/src/store/internal/store_client.h
+++ b/src/store/internal/store_client.h
@@ -16,8 +16,8 @@
   StoreClient(Endpoint store, StoreProtocol protocol, HttpClient& http)
       : store_(std::move(store)), protocol_(protocol), http_(http) {}
 
-  Task<Result<AppendAnswer>> Append(Partition partition, Producer producer,
-                                    std::vector<KeyedRecord> records);
+  Task<Result<AppendAnswer>> Append(Partition partition, std::optional<Producer> producer,
+                                    std::vector<StoreRecord> records);
   Task<Result<ReadPage>> Read(Partition partition, std::int64_t from, Duration wait);
   // All newest records; `end` of the result is that of the first page, so that
   // reading on from there misses nothing.
--- a/src/store/internal/store_protocol.h
+++ b/src/store/internal/store_protocol.h
@@ -21,14 +21,16 @@
 };
 using Partition = Immutable<PartitionFields>;
 
-// A record of a topic that keeps the newest record of each key.
-struct KeyedRecordFields {
+// A record. Topics that keep the newest record of each key have keys; in others
+// the key is empty.
+struct StoreRecordFields {
   std::string key;
   std::optional<std::string> value;  // Nothing: the key is dropped.
+  std::int64_t offset = -1;          // Of records that were read.
 
-  friend auto operator<=>(const KeyedRecordFields&, const KeyedRecordFields&) = default;
+  friend auto operator<=>(const StoreRecordFields&, const StoreRecordFields&) = default;
 };
-using KeyedRecord = Immutable<KeyedRecordFields>;
+using StoreRecord = Immutable<StoreRecordFields>;
 
 // Who appends. The store refuses a lower epoch than it has seen for `name`, and
 // answers a repeat of a recent sequence number as it did the first time.
@@ -50,7 +52,8 @@
 
 struct AppendAnswerFields {
   AppendOutcome outcome = AppendOutcome::kNotStored;
-  std::int64_t end = 0;  // End of the partition after a stored append.
+  std::int64_t first = 0;  // Offset of the first record of a stored append.
+  std::int64_t end = 0;    // End of the partition after a stored append.
   std::int64_t expected_sequence = 0;
 
   friend auto operator<=>(const AppendAnswerFields&, const AppendAnswerFields&) = default;
@@ -58,10 +61,11 @@
 using AppendAnswer = Immutable<AppendAnswerFields>;
 
 struct ReadPageFields {
-  bool expired = false;  // Records asked for are gone; read the newest instead.
+  bool expired = false;     // Records asked for are gone.
+  std::int64_t oldest = 0;  // First offset that is kept.
   std::int64_t end = 0;
   std::int64_t next = 0;  // Offset after the last record of this page.
-  std::vector<KeyedRecord> records;
+  std::vector<StoreRecord> records;
   std::int64_t skipped = 0;  // Records that could not be decoded.
 
   friend auto operator<=>(const ReadPageFields&, const ReadPageFields&) = default;
@@ -69,7 +73,7 @@
 using ReadPage = Immutable<ReadPageFields>;
 
 struct NewestPageFields {
-  std::vector<KeyedRecord> records;
+  std::vector<StoreRecord> records;
   std::optional<std::string> continue_after;  // Key; nothing on the last page.
   std::int64_t end = 0;
 
@@ -107,10 +111,12 @@
 // Encoders and decoders of one platform. Decoders return kUnavailable when the
 // store said that nothing was done, kMalformed when the answer is not readable.
 struct StoreProtocol {
-  HttpCall (*append)(const Partition&, const Producer&, const std::vector<KeyedRecord>&) = nullptr;
+  // Without a producer, a repeated append is stored again.
+  HttpCall (*append)(const Partition&, const std::optional<Producer>&,
+                     const std::vector<StoreRecord>&) = nullptr;
   Result<AppendAnswer> (*appended)(const HttpReply&) = nullptr;
   HttpCall (*read)(const Partition&, std::int64_t from, Duration wait) = nullptr;
-  Result<ReadPage> (*records)(const HttpReply&, std::int64_t from) = nullptr;
+  Result<ReadPage> (*records)(const HttpReply&, const Partition&, std::int64_t from) = nullptr;
   HttpCall (*newest)(const Partition&, const std::optional<std::string>& after) = nullptr;
   Result<NewestPage> (*newest_records)(const HttpReply&) = nullptr;
   HttpCall (*join)(const Join&) = nullptr;
--- a/src/platform_log/internal/appender.cc
+++ b/src/store/internal/stream_appender.cc
@@ -1,9 +1,12 @@
 // Group commit.
-#include "platform_log/internal/appender.h"
+#include "store/internal/stream_appender.h"
+
+#include "store/internal/streams.h"
 
 namespace dn {
 
-Appender::ItemPtr Appender::Enqueue(const std::string& stream, std::string record, Time deadline) {
+StreamAppender::ItemPtr StreamAppender::Enqueue(const std::string& stream, std::string record,
+                                                Time deadline) {
   auto item = std::make_shared<Item>(Item{.record = std::move(record), .deadline = deadline});
   const bool start = streams_.With([&](Streams& streams) {
     Stream& entry = streams[stream];
@@ -14,7 +17,7 @@
   return item;
 }
 
-Task<Result<Offset>> Appender::Append(std::string stream, std::string record, Time deadline) {
+Task<Result<Offset>> StreamAppender::Append(std::string stream, std::string record, Time deadline) {
   const ItemPtr item = Enqueue(stream, std::move(record), deadline);
   while (true) {
     const std::uint64_t ticket = changed_.Ticket();
@@ -25,11 +28,11 @@
   }
 }
 
-void Appender::AppendLater(std::string stream, std::string record, Time deadline) {
+void StreamAppender::AppendLater(std::string stream, std::string record, Time deadline) {
   Enqueue(stream, std::move(record), deadline);
 }
 
-std::vector<Appender::ItemPtr> Appender::TakeBatch(const std::string& stream) {
+std::vector<StreamAppender::ItemPtr> StreamAppender::TakeBatch(const std::string& stream) {
   const Time now = Now();
   return streams_.With([&](Streams& streams) {
     Stream& entry = streams[stream];
@@ -50,7 +53,8 @@
   });
 }
 
-void Appender::Finish(const std::string& stream, std::vector<ItemPtr> batch, Result<Offset> first) {
+void StreamAppender::Finish(const std::string& stream, std::vector<ItemPtr> batch,
+                            Result<Offset> first) {
   streams_.With([&](Streams& streams) {
     if (!first) {
       // In order, before what has come since.
@@ -66,17 +70,26 @@
   });
 }
 
-Task<> Appender::Commit(std::string stream) {
+Task<Result<Offset>> StreamAppender::AppendOnce(std::string stream,
+                                                std::vector<StoreRecord> records) {
+  auto answer = co_await store_.Append(PartitionOf(stream), std::nullopt, std::move(records));
+  if (!answer) co_return answer.error();
+  if (answer.value()->outcome != AppendOutcome::kStored) co_return Errc::kUnavailable;
+  co_return answer.value()->first;
+}
+
+Task<> StreamAppender::Commit(std::string stream) {
   while (true) {
     std::vector<ItemPtr> batch = TakeBatch(stream);
     changed_.NotifyAll();
     if (batch.empty()) co_return;
-    std::vector<std::string> records;
+    std::vector<StoreRecord> records;
     records.reserve(batch.size());
-    for (const ItemPtr& item : batch) records.push_back(item->record);
+    for (const ItemPtr& item : batch)
+      records.emplace_back(StoreRecordFields{.value = item->record});
     metrics_.Add(Counter::kAppends);
     const Time started = Now();
-    Result<Offset> first = co_await log_.Append(stream, std::move(records));
+    const Result<Offset> first = co_await AppendOnce(stream, std::move(records));
     metrics_.Add(first ? Counter::kAppendedRecords : Counter::kAppendFailures,
                  first ? batch.size() : 1);
     const bool failed = !first;
@@ -87,7 +100,7 @@
   }
 }
 
-Task<> Appender::Flush(Time deadline) {
+Task<> StreamAppender::Flush(Time deadline) {
   while (Now() < deadline) {
     const std::uint64_t ticket = changed_.Ticket();
     const bool idle = streams_.With([](const Streams& streams) {
--- a/src/platform_log/internal/appender.h
+++ b/src/store/internal/stream_appender.h
@@ -1,4 +1,4 @@
-// Group commit: records of many callers go to the log in one append a stream,
+// Group commit: records of many callers go to the store in one append a stream,
 // paced so that all instances together stay below a stated rate.
 #pragma once
 
@@ -8,16 +8,16 @@
 #include <string>
 #include <vector>
 
-#include "platform_log/internal/log_client.h"
-#include "runtime/runtime.h"
+#include "store/internal/store_client.h"
 
 namespace dn {
 
-class Appender {
+class StreamAppender {
  public:
   // `interval` tells the shortest time between two appends now.
-  Appender(WorkerPool& pool, LogClient& log, Metrics& metrics, std::function<Duration()> interval)
-      : pool_(pool), log_(log), metrics_(metrics), interval_(std::move(interval)) {}
+  StreamAppender(WorkerPool& pool, StoreClient& store, Metrics& metrics,
+                 std::function<Duration()> interval)
+      : pool_(pool), store_(store), metrics_(metrics), interval_(std::move(interval)) {}
 
   // Appends `record`, trying again until `deadline`. Returns its offset. After
   // an error the record may still have been appended, also more than once:
@@ -46,11 +46,13 @@
 
   ItemPtr Enqueue(const std::string& stream, std::string record, Time deadline);
   Task<> Commit(std::string stream);
+  // Offset of the first record.
+  Task<Result<Offset>> AppendOnce(std::string stream, std::vector<StoreRecord> records);
   std::vector<ItemPtr> TakeBatch(const std::string& stream);
   void Finish(const std::string& stream, std::vector<ItemPtr> batch, Result<Offset> first);
 
   WorkerPool& pool_;
-  LogClient& log_;
+  StoreClient& store_;
   Metrics& metrics_;
   const std::function<Duration()> interval_;
   Shared<Streams, LockRank::kAppends> streams_;
--- a/src/platform_log/internal/follower.h
+++ b/src/store/internal/stream_follower.h
@@ -1,4 +1,4 @@
-// Follows one stream of the log and folds it into a shared table.
+// Follows one stream and folds it into a shared table.
 #pragma once
 
 #include <atomic>
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "platform_log/internal/log_client.h"
-#include "runtime/runtime.h"
+#include "store/internal/store_client.h"
+#include "store/internal/streams.h"
 
 namespace dn {
 
@@ -15,12 +15,12 @@
 inline constexpr Duration kReadWait{1000};
 
 template <class Record, class Fold, LockRank kRank>
-class Follower {
+class StreamFollower {
  public:
   // `changed` is called after records were folded, without any lock.
-  Follower(LogClient& log, std::string stream, Shared<Fold, kRank>& fold, EventLog& events,
-           Metrics& metrics, std::function<void()> changed)
-      : log_(log),
+  StreamFollower(StoreClient& store, std::string stream, Shared<Fold, kRank>& fold,
+                 EventLog& events, Metrics& metrics, std::function<void()> changed)
+      : store_(store),
         stream_(std::move(stream)),
         fold_(fold),
         events_(events),
@@ -30,7 +30,7 @@
   // Runs until the pool stops.
   Task<> Run() {
     while (true) {
-      const bool read = began_ ? co_await ReadOnce() : co_await Begin();
+      const bool read = co_await ReadOnce();
       if (!read) co_await SleepFor(kRetryWait);
     }
   }
@@ -38,37 +38,24 @@
   // When the last read was sent that brought everything up to the end of the
   // stream.
   Time last_complete() const { return Time(Duration(last_complete_.load())); }
-  Duration retention() const { return Duration(retention_.load()); }
   Notifier& notifier() { return read_; }
 
  private:
   static constexpr Duration kRetryWait{300};
 
-  Task<bool> Begin() {
-    const auto oldest = co_await log_.Oldest(stream_);
-    if (!oldest) {
-      Failed();
-      co_return false;
-    }
-    next_ = oldest.value();
-    fold_.With([&](Fold& fold) { fold.Begin(oldest.value()); });
-    began_ = true;
-    co_return true;
-  }
-
   Task<bool> ReadOnce() {
     const Time sent = Now();
-    const auto page = co_await log_.Read(stream_, next_, kReadWait);
-    if (!page && page.error() == Errc::kExpired) {
-      began_ = false;
-      co_return true;
-    }
+    const auto page = co_await store_.Read(PartitionOf(stream_), next_, kReadWait);
     if (!page) {
       Failed();
       co_return false;
     }
+    if (page.value()->expired) {
+      Begin(page.value()->oldest);
+      co_return true;
+    }
+    if (!began_) Begin(0);  // Nothing has expired yet.
     Succeeded();
-    retention_.store(page.value()->retention.count());
     const bool any = !page.value()->records.empty();
     Take(page.value());
     if (next_ >= page.value()->end) {
@@ -80,16 +67,23 @@
     co_return true;
   }
 
-  void Take(const LogPage& page) {
+  void Begin(Offset oldest) {
+    next_ = oldest;
+    began_ = true;
+    fold_.With([&](Fold& fold) { fold.Begin(oldest); });
+  }
+
+  void Take(const ReadPage& page) {
     std::vector<Logged<Record>> records;
-    for (const LogRecord& record : page->records) {
+    const ClockReading now = Now().time_since_epoch().count();
+    for (const StoreRecord& record : page->records) {
       next_ = record->offset + 1;
-      auto decoded = DecodeMessage<Record>(record->text);
+      auto decoded = DecodeMessage<Record>(record->value.value_or(""));
       if (!decoded) {
         Skip(record->offset);
         continue;
       }
-      records.push_back({record->offset, record->time, std::move(decoded).value()});
+      records.push_back({record->offset, now, std::move(decoded).value()});
     }
     metrics_.Add(Counter::kRecordsRead, page->records.size());
     fold_.With([&](Fold& fold) {
@@ -103,13 +97,13 @@
   }
 
   void Failed() {
-    if (available_.exchange(false)) events_.Emit(EventKind::kLogUnavailable, stream_);
+    if (available_.exchange(false)) events_.Emit(EventKind::kStoreUnavailable, stream_);
   }
   void Succeeded() {
-    if (!available_.exchange(true)) events_.Emit(EventKind::kLogAvailable, stream_);
+    if (!available_.exchange(true)) events_.Emit(EventKind::kStoreAvailable, stream_);
   }
 
-  LogClient& log_;
+  StoreClient& store_;
   const std::string stream_;
   Shared<Fold, kRank>& fold_;
   EventLog& events_;
@@ -121,7 +115,6 @@
   bool first_ = true;
   std::atomic<bool> available_{true};
   std::atomic<Time::rep> last_complete_{0};
-  std::atomic<Duration::rep> retention_{0};
 };
 
 }  // namespace dn
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -1,7 +1,11 @@
-// The platform's metadata store: appends, reads, groups.
+// The platform's metadata store: appends, reads, groups, streams.
 #pragma once
 
 #include "store/internal/keyed_follower.h"
 #include "store/internal/record_writer.h"
 #include "store/internal/store_client.h"
 #include "store/internal/store_protocol.h"
+#include "store/internal/stream_appender.h"
+#include "store/internal/stream_follower.h"
+#include "store/internal/streams.h"
+#include "store/internal/worker_registry.h"
--- a/src/store/tests/record_writer_test.cc
+++ b/src/store/tests/record_writer_test.cc
@@ -16,7 +16,7 @@
 // Appends one record; the error, if any.
 Task<std::error_code> Append(std::shared_ptr<RecordWriter> writer, std::string key) {
   const Time now = Now();
-  std::vector<KeyedRecord> records = {KeyedRecord({.key = std::move(key), .value = "v"})};
+  std::vector<StoreRecord> records = {StoreRecord({.key = std::move(key), .value = "v"})};
   const RecordWriter::Limits limits{.send_by = now + kSendLimit, .deadline = now + kDeadline};
   auto stored = co_await writer->Append(std::move(records), limits);
   co_return stored ? std::error_code() : stored.error();
--- a/src/task_worker/internal/worker_link.cc
+++ b/src/task_worker/internal/worker_link.cc
@@ -29,7 +29,7 @@
   const auto entry = care_->EntryOf(worker_);
   if (!entry) co_return std::nullopt;
   auto reply =
-      co_await http_.Call((*entry)->address, std::move(call), timeout, TrafficKind::kLease);
+      co_await http_.Call((*entry)->address, std::move(call), timeout, TrafficKind::kWorker);
   if (!reply) co_return std::nullopt;
   auto answer = protocol_.answer(reply.value());
   if (!answer) {
--- a/standins/internal/records.h
+++ b/standins/internal/records.h
@@ -82,44 +82,48 @@
   }
 };
 
-// Faults of the log.
-struct LogFault {
-  bool down = false;
-  bool lose_answers = false;  // Appends take effect, the answer is an error.
-  Duration delay{0};
-
-  auto operator<=>(const LogFault&) const = default;
+// Faults of the metadata store.
+struct StoreFault {
+  bool busy = false;             // Refuses every call.
+  bool silent = false;           // Answers nothing for as long as it is set.
+  bool stale = false;            // Shows nothing that came after the fault.
+  int lost_answers_percent = 0;  // Appends that are stored but not answered.
+  Duration delay{0};             // Of every answer.
+  std::string only;              // Only calls about topics that begin so; empty: all.
+
+  auto operator<=>(const StoreFault&) const = default;
   static constexpr auto Describe() {
-    return std::make_tuple(Optional("down", &LogFault::down),
-                           Optional("lose_answers", &LogFault::lose_answers),
-                           Optional("delay_ms", &LogFault::delay));
+    return std::make_tuple(
+        Optional("busy", &StoreFault::busy), Optional("silent", &StoreFault::silent),
+        Optional("stale", &StoreFault::stale),
+        Optional("lost_answers_percent", &StoreFault::lost_answers_percent),
+        Optional("delay_ms", &StoreFault::delay), Optional("only", &StoreFault::only));
   }
 };
 
-struct LogStats {
-  std::uint64_t appends = 0;
-  std::uint64_t records = 0;
-  std::uint64_t max_appends_per_second = 0;
-  std::uint64_t refused = 0;  // Over the rate that the log takes.
+// A record that somebody else writes, such as a worker its registration.
+struct StorePut {
+  std::string topic;
+  std::string key;
+  std::optional<std::string> value;  // Nothing: the key is dropped.
 
-  auto operator<=>(const LogStats&) const = default;
+  auto operator<=>(const StorePut&) const = default;
   static constexpr auto Describe() {
-    return std::make_tuple(Required("appends", &LogStats::appends),
-                           Required("records", &LogStats::records),
-                           Required("max_appends_per_second", &LogStats::max_appends_per_second),
-                           Required("refused", &LogStats::refused));
+    return std::make_tuple(Required("topic", &StorePut::topic), Required("key", &StorePut::key),
+                           Optional("value", &StorePut::value));
   }
 };
 
-// Faults of the instance list.
-struct ListFault {
-  bool down = false;
-  bool stale = false;  // Answers stay as they are now.
+struct StoreStats {
+  std::uint64_t appends = 0;
+  std::uint64_t max_appends_per_second = 0;
+  std::uint64_t refused = 0;  // Over the rate that the store takes.
 
-  auto operator<=>(const ListFault&) const = default;
+  auto operator<=>(const StoreStats&) const = default;
   static constexpr auto Describe() {
-    return std::make_tuple(Optional("down", &ListFault::down),
-                           Optional("stale", &ListFault::stale));
+    return std::make_tuple(Required("appends", &StoreStats::appends),
+                           Required("max_appends_per_second", &StoreStats::max_appends_per_second),
+                           Required("refused", &StoreStats::refused));
   }
 };
 
--- a/standins/internal/store_standin.cc
+++ b/standins/internal/store_standin.cc
@@ -46,7 +46,7 @@
 }  // namespace
 
 Result<> StoreStandin::Start() {
-  auto server = HttpServer::Start(pool_, {.host = "127.0.0.1", .port = 0},
+  auto server = HttpServer::Start(pool_, settings_->address,
                                   [this](HttpCall call) { return Handle(-1, std::move(call)); });
   if (!server) return server.error();
   server_ = std::move(server).value();
@@ -69,7 +69,14 @@
 }
 
 void StoreStandin::SetFault(const StoreFault& fault) {
-  book_.With([&](Book& book) { book.fault = fault; });
+  book_.With([&](Book& book) {
+    book.fault = fault;
+    book.stale_ends.clear();
+    if (!fault.stale) return;
+    for (const auto& [id, part] : book.parts) {
+      if (id.first.starts_with(fault.only)) book.stale_ends[id] = part.end();
+    }
+  });
 }
 
 void StoreStandin::DropHistory() {
@@ -110,7 +117,10 @@
 }
 
 void StoreStandin::Add(Part& part, Record record) {
-  if (record.value) {
+  record.stored = Now();
+  if (record.key.empty()) {
+    // No key to keep the newest record of.
+  } else if (record.value) {
     part.newest[record.key] = {part.end(), *record.value};
   } else {
     part.newest.erase(record.key);
@@ -118,16 +128,56 @@
   part.records.push_back(std::move(record));
 }
 
+void StoreStandin::DropOld(Part& part) const {
+  while (!part.records.empty() && Now() - part.records.front().stored > settings_->retention) {
+    part.records.pop_front();
+    ++part.first;
+  }
+}
+
+bool StoreStandin::WithinRate(Book& book) const {
+  const std::int64_t second = Now().time_since_epoch().count() / 1'000;
+  if (book.second != second) book.in_second = 0;
+  book.second = second;
+  if (book.in_second >= static_cast<std::uint64_t>(settings_->max_appends_per_second)) {
+    ++book.stats.refused;
+    return false;
+  }
+  ++book.in_second;
+  ++book.stats.appends;
+  book.stats.max_appends_per_second = std::max(book.stats.max_appends_per_second, book.in_second);
+  return true;
+}
+
+HttpReply StoreStandin::Control(const HttpCall& call) {
+  if (call.path == "/control/stats") {
+    return {.body = EncodeText(book_.With([](const Book& book) { return book.stats; }))};
+  }
+  if (call.path == "/control/put") {
+    const auto put = DecodeMessage<StorePut>(call.body);
+    if (!put) return {.status = 400, .body = "{}"};
+    Put(put.value().topic, put.value().key, put.value().value);
+    return {.body = "{}"};
+  }
+  const auto fault = DecodeMessage<StoreFault>(call.body);
+  if (!fault) return {.status = 400, .body = "{}"};
+  SetFault(fault.value());
+  return {.body = "{}"};
+}
+
 Task<HttpReply> StoreStandin::Handle(int door, HttpCall call) {
+  if (call.path.starts_with("/control/")) co_return Control(call);
   using Serve = HttpReply (StoreStandin::*)(Book&, const HttpCall&);
   static const std::map<std::string, Serve> kRoutes = {{"/api/log-append", &StoreStandin::Append},
                                                        {"/api/log-newest", &StoreStandin::Newest},
                                                        {"/api/log-join", &StoreStandin::Join},
                                                        {"/api/log-leave", &StoreStandin::Leave},
                                                        {"/api/log-owners", &StoreStandin::Owners}};
-  const auto fault = [this, door] {
+  const std::string topic = PartOf(call).first;
+  const auto fault = [&] {
     return book_.With([&](Book& book) {
-      StoreFault all = book.fault;
+      StoreFault all;
+      if (topic.starts_with(book.fault.only)) all = book.fault;
       if (door < 0) return all;
       const StoreFault& own = book.door_faults[static_cast<std::size_t>(door)];
       all.busy = all.busy || own.busy;
@@ -147,7 +197,7 @@
     HttpReply answer = (this->*route->second)(book, call);
     const bool append = call.path == "/api/log-append" && answer.status == 200;
     const bool drop =
-        append && static_cast<int>(++book.appends * 37 % 100) < book.fault.lost_answers_percent;
+        append && static_cast<int>(book.stats.appends * 37 % 100) < now.lost_answers_percent;
     return std::make_pair(answer, drop);
   });
   appended_.NotifyAll();
@@ -157,7 +207,10 @@
 }
 
 HttpReply StoreStandin::Append(Book& book, const HttpCall& call) {
+  if (!WithinRate(book)) return Json(429, {});
+  const bool keyed = PartOf(call).first.starts_with("keyed.");
   Part& part = book.parts[PartOf(call)];
+  DropOld(part);
   Producer* producer = nullptr;
   const std::int64_t sequence = NumberOf(call, "Sequence", -1);
   const auto name = call.query.find("Producer");
@@ -176,13 +229,16 @@
   }
   const std::int64_t offset = part.end();
   std::string_view rest = call.body;
-  while (rest.size() >= 5) {
+  while (rest.size() >= 4) {
     const std::size_t length =
         endian::load_big_u32(reinterpret_cast<const unsigned char*>(rest.data()));
     const std::string_view content = rest.substr(4, length);
-    const auto key_size = static_cast<unsigned char>(content[0]);
-    Record record{.key = std::string(content.substr(1, key_size)), .value = {}};
-    if (content.size() > 1U + key_size) record.value = std::string(content.substr(1 + key_size));
+    Record record{.key = {}, .value = std::string(content)};
+    if (keyed) {
+      const auto key_size = static_cast<unsigned char>(content[0]);
+      record = {.key = std::string(content.substr(1, key_size)), .value = {}};
+      if (content.size() > 1U + key_size) record.value = std::string(content.substr(1 + key_size));
+    }
     Add(part, std::move(record));
     rest.remove_prefix(4 + length);
   }
@@ -201,22 +257,25 @@
   while (true) {
     const std::uint64_t ticket = appended_.Ticket();
     auto reply = book_.With([&](Book& book) -> std::optional<HttpReply> {
-      const Part& part = book.parts[PartOf(call)];
+      const auto id = PartOf(call);
+      const bool keyed = id.first.starts_with("keyed.");
+      Part& part = book.parts[id];
+      DropOld(part);
+      const auto stale = book.stale_ends.find(id);
+      const std::int64_t end = stale == book.stale_ends.end() ? part.end() : stale->second;
       if (from < part.first) return Json(410, {{"First", part.first}});
-      if (from >= part.end() && Now() < deadline) return std::nullopt;
+      if (from >= end && Now() < deadline) return std::nullopt;
       HttpReply page{.status = 200, .body = {}, .content_type = "application/octet-stream"};
-      WriteNumber(page.body, part.end());
+      WriteNumber(page.body, end);
       WriteNumber(page.body, part.first);
-      for (std::int64_t offset = from; offset < part.end(); ++offset) {
+      for (std::int64_t offset = from; offset < end; ++offset) {
         const Record& record = part.records[static_cast<std::size_t>(offset - part.first)];
+        std::string content = record.value.value_or("");
+        if (keyed) content = static_cast<char>(record.key.size()) + record.key + content;
         std::array<unsigned char, 4> length{};
-        endian::store_big_u32(
-            length.data(), static_cast<std::uint32_t>(1 + record.key.size() +
-                                                      (record.value ? record.value->size() : 0)));
+        endian::store_big_u32(length.data(), static_cast<std::uint32_t>(content.size()));
         page.body.append(length.begin(), length.end());
-        page.body.push_back(static_cast<char>(record.key.size()));
-        page.body.append(record.key);
-        if (record.value) page.body.append(*record.value);
+        page.body.append(content);
       }
       return page;
     });
@@ -281,6 +340,7 @@
 HttpReply StoreStandin::Join(Book& book, const HttpCall& call) {
   const json::object body = json::parse(call.body).as_object();
   Group& group = book.groups[std::string(body.at("group").as_string())];
+  group.topic = std::string(body.at("Topics").as_array()[0].as_string());
   const std::string name(body.at("Member").as_string());
   const std::size_t before = group.members.size();
   const bool known = group.members.count(name) > 0;
@@ -326,7 +386,7 @@
     Group& group = book.groups[name->second];
     Expire(group);
     for (const auto& [partition, holder] : group.holders) {
-      if (!holder.empty()) rows.emplace_back(json::array{"keyed.dn-jobs", partition, holder, 0});
+      if (!holder.empty()) rows.emplace_back(json::array{group.topic, partition, holder, 0});
     }
   }
   return Json(200, {{"parts", std::move(rows)}});
--- a/standins/internal/store_standin.h
+++ b/standins/internal/store_standin.h
@@ -1,5 +1,5 @@
 // Stand-in for the platform's metadata store: partitions, newest records and
-// groups, with faults that tests switch on.
+// groups, with faults that tests switch on, in the process or by control calls.
 #pragma once
 
 #include <deque>
@@ -10,23 +10,30 @@
 #include <vector>
 
 #include "runtime/runtime.h"
+#include "standins/internal/records.h"
 
 namespace dn::standins {
 
-struct StoreFault {
-  bool busy = false;             // Refuses every call.
-  bool silent = false;           // Answers nothing for as long as it is set.
-  int lost_answers_percent = 0;  // Appends that are stored but not answered.
-  Duration delay{0};             // Of every answer.
+struct StoreStandinSettingsFields {
+  Endpoint address{.host = "127.0.0.1", .port = 0};  // Port 0: any free one.
+  Duration retention{3'600'000};  // Records are kept this long, the newest of a key for good.
+  int max_appends_per_second = 100'000;
 
-  friend auto operator<=>(const StoreFault&, const StoreFault&) = default;
+  auto operator<=>(const StoreStandinSettingsFields&) const = default;
+  static constexpr auto Describe() {
+    return std::make_tuple(
+        Required("address", &StoreStandinSettingsFields::address),
+        Optional("retention_ms", &StoreStandinSettingsFields::retention, 100),
+        Optional("max_appends_per_second", &StoreStandinSettingsFields::max_appends_per_second, 1));
+  }
 };
+using StoreStandinSettings = Immutable<StoreStandinSettingsFields>;
 
 class StoreStandin {
  public:
-  explicit StoreStandin(WorkerPool& pool) : pool_(pool) {}
+  explicit StoreStandin(WorkerPool& pool, StoreStandinSettings settings = {})
+      : pool_(pool), settings_(std::move(settings)) {}
 
-  // Listens on a free port of 127.0.0.1.
   Result<> Start();
   Endpoint address() const { return server_->address(); }
   // One more address, with a fault of its own beside that of the store.
@@ -47,8 +54,9 @@
 
  private:
   struct Record {
-    std::string key;
+    std::string key;  // Empty in topics without keys.
     std::optional<std::string> value;
+    Time stored{};
   };
   struct Producer {
     std::int64_t epoch = 0;
@@ -79,12 +87,19 @@
     std::map<std::string, Group> groups;
     StoreFault fault;
     std::vector<StoreFault> door_faults;
-    std::uint64_t appends = 0;
+    StoreStats stats;
+    std::int64_t second = 0;  // In which `in_second` appends were made.
+    std::uint64_t in_second = 0;
+    // Ends of partitions when they became stale.
+    std::map<std::pair<std::string, int>, std::int64_t> stale_ends;
   };
 
   // `door`: -1 for the main address.
   Task<HttpReply> Handle(int door, HttpCall call);
+  HttpReply Control(const HttpCall& call);
   Task<HttpReply> Read(HttpCall call);
+  // Whether one more append fits into this second.
+  bool WithinRate(Book& book) const;
   HttpReply Append(Book& book, const HttpCall& call);
   HttpReply Newest(Book& book, const HttpCall& call);
   HttpReply Join(Book& book, const HttpCall& call);
@@ -93,8 +108,10 @@
   static void Expire(Group& group);
   static void Deal(Group& group);
   static void Add(Part& part, Record record);
+  void DropOld(Part& part) const;
 
   WorkerPool& pool_;
+  const StoreStandinSettings settings_;
   Shared<Book, LockRank::kRoster> book_;
   Notifier appended_;
   std::unique_ptr<HttpServer> server_;
--- a/standins/internal/worker_standin.cc
+++ b/standins/internal/worker_standin.cc
@@ -2,6 +2,7 @@
 #include "standins/internal/worker_standin.h"
 
 #include <algorithm>
+#include <boost/json.hpp>
 #include <cstdlib>
 
 namespace dn::standins {
@@ -10,7 +11,7 @@
 constexpr std::size_t kPiece = 8192;
 constexpr Duration kSlowBy{300};
 constexpr Duration kSilence{60'000};
-constexpr Duration kAnnounceAgain{200};
+constexpr Duration kRegisterAgain{200};
 
 std::int64_t WallMicroseconds() {
   return std::chrono::duration_cast<std::chrono::microseconds>(
@@ -35,17 +36,13 @@
       pool_, settings_->control, [this](HttpCall call) { return HandleControl(std::move(call)); });
   if (!control) return control.error();
   control_ = std::move(control).value();
-  pool_.Spawn(Announce());
+  for (const auto& member : members_) pool_.Spawn(Register(*member, false));
   return boost::outcome_v2::success();
 }
 
 Result<void> WorkerStandin::StartMember(const WorkerGroup& group, int index) {
-  WorkerFields fields{.id = {group->zone.value + "-" + std::to_string(index)},
-                      .region = group->region,
-                      .zone = group->zone,
-                      .rack = group->zone.value + "-rack-" + std::to_string(index / 8),
-                      .backend_servers = {}};
-  auto member = std::make_unique<Member>(Worker(fields), group);
+  const WorkerId id{group->zone.value + "-" + std::to_string(index)};
+  auto member = std::make_unique<Member>(id, group);
   Member& ref = *member;
   const Endpoint any{.host = settings_->host, .port = 0};
   auto backend =
@@ -53,31 +50,34 @@
                           [this, &ref](CallerExchange& caller) { return Serve(ref, caller); });
   if (!backend) return backend.error();
   ref.backend = std::move(backend).value();
-  for (const ServiceName& service : group->services) {
-    fields.backend_servers.push_back(
-        BackendServer({.service = service, .address = ref.backend->address()}));
-  }
-  ref.worker = Worker(std::move(fields));
   members_.push_back(std::move(member));
   return boost::outcome_v2::success();
 }
 
-Task<> WorkerStandin::Announce() {
-  InstanceListFields list;
-  for (const auto& member : members_) list.workers.push_back(member->worker);
-  const std::string body = EncodeText(InstanceList(std::move(list)));
+Task<> WorkerStandin::Register(Member& member, bool draining) {
+  const boost::json::object entry{
+      {"Service", member.group->service.value},
+      {"Address", member.backend->address().ToString()},
+      {"Zone", member.group->zone.value},
+      {"State", draining ? "draining" : "ready"},
+      {"Capacity", {{"Cpu", 64'000}, {"MemMb", 250'000}, {"Gpu", 0}}},
+      {"Labels", boost::json::array{"rack-" + member.group->zone.value}},
+      {"born", 1}};
+  const StorePut put{
+      .topic = "keyed.servers", .key = member.id.value, .value = boost::json::serialize(entry)};
+  const std::string body = EncodeText(put);
   while (true) {
-    HttpCall call{.method = HttpMethod::kPost, .path = "/control/merge", .query = {}, .body = body};
+    HttpCall call{.method = HttpMethod::kPost, .path = "/control/put", .query = {}, .body = body};
     const auto reply =
-        co_await http_.Call(settings_->list, std::move(call), Duration(2000), TrafficKind::kList);
+        co_await http_.Call(settings_->store, std::move(call), Duration(2000), TrafficKind::kStore);
     if (reply && reply.value().status == 200) co_return;
-    co_await SleepFor(kAnnounceAgain);
+    co_await SleepFor(kRegisterAgain);
   }
 }
 
 Task<> WorkerStandin::Serve(Member& member, CallerExchange& caller) {
   const RequestHead& head = caller.head();
-  const Execution execution{.worker = member.worker->id.value,
+  const Execution execution{.worker = member.id.value,
                             .request = FindHeader(head.headers, kRequestIdHeader).value_or(""),
                             .token = FindHeader(head.headers, "X-Token").value_or(""),
                             .start_us = WallMicroseconds()};
@@ -119,8 +119,8 @@
     caller.Abort();
     co_return;
   }
-  std::string body = execution.token + "|" + std::to_string(received) + "|" +
-                     member.worker->id.value + "|" + std::string(size, 'x');
+  std::string body = execution.token + "|" + std::to_string(received) + "|" + member.id.value +
+                     "|" + std::string(size, 'x');
   ResponseHead head{.status = 200,
                     .headers = {{std::string(kRequestIdHeader), execution.request}},
                     .framing = BodyFraming::kLength,
@@ -139,8 +139,8 @@
   for (const auto& member : members_) {
     member->book.With([&](Book& book) {
       all.executions.insert(all.executions.end(), book.executions.begin(), book.executions.end());
-      all.high_water.push_back({.worker = member->worker->id.value,
-                                .zone = member->worker->zone.value,
+      all.high_water.push_back({.worker = member->id.value,
+                                .zone = member->group->zone.value,
                                 .requests = book.max_requests,
                                 .connections = book.max_connections});
     });
@@ -150,16 +150,17 @@
 
 Task<HttpReply> WorkerStandin::HandleControl(HttpCall call) {
   if (call.path == "/control/recordings") co_return HttpReply{.body = EncodeText(Recordings())};
-  if (call.path == "/control/workers") {
-    InstanceListFields list;
-    for (const auto& member : members_) list.workers.push_back(member->worker);
-    co_return HttpReply{.body = EncodeText(InstanceList(std::move(list)))};
+  if (call.path == "/control/leave") {
+    for (const auto& member : members_) {
+      if (member->id.value == call.query["id"]) co_await Register(*member, true);
+    }
+    co_return HttpReply{.body = "{}"};
   }
   const auto fault = DecodeMessage<WorkerFault>(call.body);
   if (!fault) co_return HttpReply{.status = 400, .body = "{}"};
   for (const auto& member : members_) {
     const std::string& wanted = fault.value().worker;
-    if (!wanted.empty() && member->worker->id.value != wanted) continue;
+    if (!wanted.empty() && member->id.value != wanted) continue;
     member->book.With([&](Book& book) { book.fault = fault.value(); });
   }
   co_return HttpReply{.body = "{}"};
--- a/standins/internal/worker_standin.h
+++ b/standins/internal/worker_standin.h
@@ -15,18 +15,16 @@
 
 // A group of equal workers in one availability zone.
 struct WorkerGroupFields {
-  RegionName region;
   ZoneName zone;
   int count = 1;
-  std::vector<ServiceName> services;
+  ServiceName service;
   Duration service_time{2};  // Of one request.
 
   auto operator<=>(const WorkerGroupFields&) const = default;
   static constexpr auto Describe() {
-    return std::make_tuple(Required("region", &WorkerGroupFields::region),
-                           Required("zone", &WorkerGroupFields::zone),
+    return std::make_tuple(Required("zone", &WorkerGroupFields::zone),
                            Required("count", &WorkerGroupFields::count, 1, 10'000),
-                           Optional("services", &WorkerGroupFields::services),
+                           Required("service", &WorkerGroupFields::service),
                            Optional("service_time_ms", &WorkerGroupFields::service_time, 0));
   }
 };
@@ -35,14 +33,14 @@
 struct WorkerStandinSettingsFields {
   Endpoint control;
   std::string host;  // IP number for the workers' ports.
-  Endpoint list;     // Where the workers are announced.
+  Endpoint store;    // Where the workers register themselves.
   std::vector<WorkerGroup> groups;
 
   auto operator<=>(const WorkerStandinSettingsFields&) const = default;
   static constexpr auto Describe() {
     return std::make_tuple(Required("control", &WorkerStandinSettingsFields::control),
                            Required("host", &WorkerStandinSettingsFields::host),
-                           Required("list", &WorkerStandinSettingsFields::list),
+                           Required("store", &WorkerStandinSettingsFields::store),
                            Required("groups", &WorkerStandinSettingsFields::groups));
   }
 };
@@ -53,7 +51,7 @@
   WorkerStandin(WorkerPool& pool, WorkerStandinSettings settings)
       : pool_(pool), settings_(std::move(settings)) {}
 
-  // Listens for all workers, then announces them to the list.
+  // Listens for all workers, then registers them.
   Result<void> Start();
 
  private:
@@ -66,8 +64,8 @@
     std::string last_request;
   };
   struct Member {
-    explicit Member(Worker of, WorkerGroup in) : worker(std::move(of)), group(std::move(in)) {}
-    Worker worker;
+    Member(WorkerId of, WorkerGroup in) : id(std::move(of)), group(std::move(in)) {}
+    const WorkerId id;
     const WorkerGroup group;
     Shared<Book, LockRank::kHealth> book;
     Metrics metrics;
@@ -80,7 +78,8 @@
                 BackendFault fault, std::size_t size, std::size_t received);
   Task<HttpReply> HandleControl(HttpCall call);
   WorkerRecordings Recordings() const;
-  Task<> Announce();
+  // Registers one worker, or says that it is leaving.
+  Task<> Register(Member& member, bool draining);
 
   WorkerPool& pool_;
   const WorkerStandinSettings settings_;
--- a/standins/standins.h
+++ b/standins/standins.h
@@ -3,8 +3,6 @@
 #pragma once
 
 #include "standins/internal/caller_load.h"
-#include "standins/internal/list_standin.h"
-#include "standins/internal/log_standin.h"
 #include "standins/internal/records.h"
 #include "standins/internal/standin_main.h"
 #include "standins/internal/store_standin.h"
--- a/tests/process_matrix_test.cc
+++ b/tests/process_matrix_test.cc
@@ -17,7 +17,7 @@
 
 Task<> KillEntry(Fleet& fleet) {
   fleet.Kill(kEntry);
-  co_await fleet.UnlistInstance(kEntry);
+  co_return;
 }
 
 Task<> RestartEntry(Fleet& fleet) {
@@ -32,43 +32,40 @@
   fleet.Signal(kEntry, SIGCONT);
 }
 
-// The list loses sight of an instance that is only paused.
-Task<> PauseEntryUnlisted(Fleet& fleet) {
+// Its membership in the store's group lapses, though it is only paused.
+Task<> PauseEntryLong(Fleet& fleet) {
   fleet.Signal(kEntry, SIGSTOP);
-  co_await fleet.UnlistInstance(kEntry);
   co_await SleepFor(Duration(16'000));
   fleet.Signal(kEntry, SIGCONT);
-  co_await fleet.ListInstance(kEntry, Liveness::kLive);
   co_await SleepFor(Duration(2000));
 }
 
-Task<> LogFaultFor(Fleet& fleet, standins::LogFault fault, Duration duration) {
+Task<> StoreFaultFor(Fleet& fleet, standins::StoreFault fault, Duration duration) {
   co_await fleet.Fault(fault);
   co_await SleepFor(duration);
-  const standins::LogFault none;
+  const standins::StoreFault none;
   co_await fleet.Fault(none);
 }
 
-Task<> LogDown(Fleet& fleet) {
-  const standins::LogFault fault{.down = true};
-  co_await LogFaultFor(fleet, fault, Duration(6000));
+constexpr const char* kStreams = "dn-";
+constexpr const char* kRegistrations = "keyed.servers";
+
+Task<> StreamsDown(Fleet& fleet) {
+  const standins::StoreFault fault{.busy = true, .only = kStreams};
+  co_await StoreFaultFor(fleet, fault, Duration(6000));
 }
-Task<> LogSlow(Fleet& fleet) {
-  const standins::LogFault fault{.delay = Duration(300)};
-  co_await LogFaultFor(fleet, fault, Duration(4000));
+Task<> StreamsSlow(Fleet& fleet) {
+  const standins::StoreFault fault{.delay = Duration(300), .only = kStreams};
+  co_await StoreFaultFor(fleet, fault, Duration(4000));
 }
-Task<> LogLosesAnswers(Fleet& fleet) {
-  const standins::LogFault fault{.lose_answers = true};
-  co_await LogFaultFor(fleet, fault, Duration(3000));
+Task<> StreamsLoseAnswers(Fleet& fleet) {
+  const standins::StoreFault fault{.lost_answers_percent = 100, .only = kStreams};
+  co_await StoreFaultFor(fleet, fault, Duration(3000));
 }
 
 Task<> StoreDown(Fleet& fleet) {
-  const standins::ListFault list{.down = true};
-  co_await fleet.Fault(list);
-  const standins::LogFault log{.down = true};
-  co_await LogFaultFor(fleet, log, Duration(8000));
-  const standins::ListFault none;
-  co_await fleet.Fault(none);
+  const standins::StoreFault fault{.busy = true};
+  co_await StoreFaultFor(fleet, fault, Duration(8000));
 }
 
 Task<> StoreDownAndEntryKilled(Fleet& fleet) {
@@ -76,21 +73,18 @@
   co_await StoreDown(fleet);
 }
 
-Task<> ListDown(Fleet& fleet) {
-  const standins::ListFault fault{.down = true};
-  co_await fleet.Fault(fault);
-  co_await SleepFor(Duration(4000));
-  const standins::ListFault none;
-  co_await fleet.Fault(none);
+Task<> RegistrationsDown(Fleet& fleet) {
+  const standins::StoreFault fault{.busy = true, .only = kRegistrations};
+  co_await StoreFaultFor(fleet, fault, Duration(4000));
 }
 
-Task<> ListStale(Fleet& fleet) {
-  const standins::ListFault fault{.down = false, .stale = true};
+Task<> RegistrationsStale(Fleet& fleet) {
+  const standins::StoreFault fault{.stale = true, .only = kRegistrations};
   co_await fleet.Fault(fault);
   co_await SleepFor(Duration(2000));
-  co_await fleet.ListWorkerLeaving(kWorker);
+  co_await fleet.Leave(kWorker);
   co_await SleepFor(Duration(2000));
-  const standins::ListFault none;
+  const standins::StoreFault none;
   co_await fleet.Fault(none);
 }
 
@@ -153,32 +147,35 @@
        .load = Duration(7000),
        .max_not_answered = 0.25,
        .max_broken = 250},
-      {.name = "entry paused and unlisted",
-       .disturb = &PauseEntryUnlisted,
+      {.name = "entry paused until retired",
+       .disturb = &PauseEntryLong,
        .load = Duration(20'000),
        .rate = 60,
        .max_not_answered = 0.25,
        .max_broken = 300},
-      {.name = "log down",
-       .disturb = &LogDown,
+      {.name = "streams down",
+       .disturb = &StreamsDown,
        .load = Duration(8000),
        .write_share = 0.02,
        .max_not_answered = 0.03},
-      {.name = "log slow", .disturb = &LogSlow, .load = Duration(6000), .max_not_answered = 0.1},
-      {.name = "log loses answers", .disturb = &LogLosesAnswers, .max_not_answered = 0.02},
-      {.name = "log and list down",
+      {.name = "streams slow",
+       .disturb = &StreamsSlow,
+       .load = Duration(6000),
+       .max_not_answered = 0.1},
+      {.name = "streams lose answers", .disturb = &StreamsLoseAnswers, .max_not_answered = 0.02},
+      {.name = "store down",
        .disturb = &StoreDown,
        .load = Duration(10'000),
        .write_share = 0,
        .max_not_answered = 0.01},
-      {.name = "log and list down, entry killed",
+      {.name = "store down, entry killed",
        .disturb = &StoreDownAndEntryKilled,
        .load = Duration(10'000),
        .write_share = 0,
        .max_not_answered = 0.02,
        .max_broken = 10},
-      {.name = "list down", .disturb = &ListDown},
-      {.name = "list stale", .disturb = &ListStale},
+      {.name = "registrations down", .disturb = &RegistrationsDown},
+      {.name = "registrations stale", .disturb = &RegistrationsStale},
       {.name = "link cut", .disturb = &LinkCut, .load = Duration(7000), .max_not_answered = 0.1},
       {.name = "link swallows",
        .disturb = &LinkSwallows,
@@ -208,7 +205,7 @@
     CHECK(total > 0);
     CHECK(total - answered <= scenario.max_not_answered * total);
     CHECK(result.Count(LoadOutcome::kBroken) <= scenario.max_broken);
-    CHECK(result.log.max_appends_per_second <= 200);
+    CHECK(result.store.max_appends_per_second <= 200);
   }
 }
 
--- a/tests/process_steps_test.cc
+++ b/tests/process_steps_test.cc
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 #include <cstdio>
 
+#include "platform/platform.h"
 #include "tests/support/scenario.h"
 
 namespace dn::testing {
@@ -114,8 +115,8 @@
 }
 
 Task<> ApplyNamed(Fleet& fleet, std::string name, Offset base, int& accepted) {
-  LogClient log(fleet.http(), fleet.log());
-  OperatorClient client(fleet.http(), log);
+  StoreClient store(fleet.store(), platform::Store(), fleet.http());
+  OperatorClient client(fleet.http(), store);
   const Configuration configuration =
       ScenarioConfiguration().With([&](ConfigurationFields& fields) { fields.deployment = name; });
   const RecordId id{name};
@@ -131,12 +132,12 @@
 };
 
 Task<> Race(WorkerPool& pool, Fleet& fleet, bool lose_answers, RaceResult& result) {
-  LogClient log(fleet.http(), fleet.log());
-  OperatorClient client(fleet.http(), log);
+  StoreClient store(fleet.store(), platform::Store(), fleet.http());
+  OperatorClient client(fleet.http(), store);
   const auto current = co_await client.ReadConfiguration();
   if (!current) co_return;
   const Offset base = current.value().revision;
-  const standins::LogFault fault{.lose_answers = lose_answers};
+  const standins::StoreFault fault{.lost_answers_percent = lose_answers ? 100 : 0, .only = "dn-"};
   co_await fleet.Fault(fault);
   for (std::size_t i = 0; i < result.accepted.size(); ++i) {
     pool.Spawn(ApplyNamed(fleet, "operator-" + std::to_string(i), base, result.accepted[i]));
@@ -144,7 +145,7 @@
   while (std::count(result.accepted.begin(), result.accepted.end(), -1) > 0) {
     co_await SleepFor(Duration(50));
   }
-  const standins::LogFault none;
+  const standins::StoreFault none;
   co_await fleet.Fault(none);
   const Time accepted_at = Now();
   while (Now() - accepted_at < Duration(6000)) {
@@ -182,7 +183,7 @@
   };
   pool.Spawn(run(load, ended));
   co_await SleepFor(Duration(1000));
-  co_await fleet.ListWorkerLeaving("n1-0");
+  co_await fleet.Leave("n1-0");
   listed_us = std::chrono::duration_cast<std::chrono::microseconds>(
                   std::chrono::system_clock::now().time_since_epoch())
                   .count();
@@ -253,7 +254,7 @@
 
 TEST_CASE("operators' commands answer", "[processes][steps][operators]") {
   struct Case {
-    std::string command;  // "LOG" stands for the log's address.
+    std::string command;  // "STORE" stands for its address.
     int status;
     std::string part;  // Of what is printed.
   };
@@ -261,17 +262,17 @@
       {"dn-ctl --help", 0, "apply"},
       {"dn-ctl --version", 0, "0."},
       {"dn-ctl", 2, "Usage"},
-      {"dn-ctl --log nowhere status", 2, "--log"},
-      {"dn-ctl --log 127.0.0.1:1 status", 1, "unreachable"},
+      {"dn-ctl --store nowhere status", 2, "--store"},
+      {"dn-ctl --store 127.0.0.1:1 status", 1, "unreachable"},
       {"dn-ctl check " DN_EXAMPLES "/kyriakidis.json", 0, ""},
       {"dn-ctl check " DN_EXAMPLES "/nothing.json", 2, "cannot be read"},
-      {"dn-ctl --log LOG status", 0, "entry-n1-0: n1 revision"},
-      {"dn-ctl --log LOG --json status", 0, "\"requests_answered\""},
-      {"dn-ctl --log LOG export", 0, "\"deployment\" : \"test\""},
-      {"dn-ctl --log LOG diff " DN_EXAMPLES "/kyriakidis.json", 0, "+ "},
-      {"dn-ctl --log LOG drain nobody", 1, "not found"},
-      {"dn-timeline --log LOG --kind slots-gained", 0, "entry-n1-0"},
-      {"dn-ctl --log LOG --wait 6000 apply " DN_EXAMPLES "/kyriakidis.json", 0,
+      {"dn-ctl --store STORE status", 0, "entry-n1-0: n1 revision"},
+      {"dn-ctl --store STORE --json status", 0, "\"requests_answered\""},
+      {"dn-ctl --store STORE export", 0, "\"deployment\" : \"test\""},
+      {"dn-ctl --store STORE diff " DN_EXAMPLES "/kyriakidis.json", 0, "+ "},
+      {"dn-ctl --store STORE drain nobody", 1, "not found"},
+      {"dn-timeline --store STORE --kind slots-gained", 0, "entry-n1-0"},
+      {"dn-ctl --store STORE --wait 6000 apply " DN_EXAMPLES "/kyriakidis.json", 0,
        "in force on 5 of 5 instances"},
       {"dn-entry --help", 0, "--settings"},
       {"dn-entry", 2, "--settings is missing"},
@@ -281,8 +282,10 @@
   Serving serving;
   REQUIRE(serving.serves);
   for (Case c : cases) {
-    const std::size_t log = c.command.find("LOG");
-    if (log != std::string::npos) c.command.replace(log, 3, serving.fleet.log().ToString());
+    const std::size_t store = c.command.find("STORE");
+    if (store != std::string::npos) {
+      c.command.replace(store, 5, serving.fleet.store().ToString());
+    }
     CAPTURE(c.command);
     const CommandResult result = RunProgram(c.command);
     CAPTURE(result.output);
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <stdexcept>
 
+#include "platform/platform.h"
 #include "tests/support/loopback_net.h"
 
 namespace dn::testing {
@@ -33,8 +34,7 @@
       net_(NextNet()),
       folder_(std::filesystem::temp_directory_path() /
               ("dn-fleet-" + net_ + std::to_string(getpid()))),
-      log_{.host = net_ + "1", .port = 7000},
-      list_{.host = net_ + "2", .port = 7001},
+      store_{.host = net_ + "1", .port = 7000},
       workers_{.host = net_ + "3", .port = 7002} {
   std::filesystem::create_directories(folder_);
   Prepare();
@@ -59,26 +59,20 @@
 }
 
 void Fleet::Prepare() {
-  Add("log", "dn-standin-log",
-      EncodeText(standins::LogStandinSettings(
-          {.address = log_, .retention = plan_.retention, .max_appends_per_second = 400})));
-  Add("list", "dn-standin-list", EncodeText(standins::ListStandinSettings({.address = list_})));
-  auto log_link =
-      standins::TcpRelay::Start(pool_, {.host = net_ + "4", .port = 7000}, log_, plan_.link_delay);
-  Check(log_link);
-  log_link_ = log_link.value();
-  auto list_link =
-      standins::TcpRelay::Start(pool_, {.host = net_ + "4", .port = 7001}, list_, plan_.link_delay);
-  Check(list_link);
-  list_link_ = list_link.value();
+  Add("store", "dn-standin-store",
+      EncodeText(standins::StoreStandinSettings(
+          {.address = store_, .retention = plan_.retention, .max_appends_per_second = 400})));
+  auto link = standins::TcpRelay::Start(pool_, {.host = net_ + "4", .port = 7000}, store_,
+                                        plan_.link_delay);
+  Check(link);
+  link_ = link.value();
   standins::WorkerStandinSettingsFields workers{
-      .control = workers_, .host = net_ + "3", .list = list_, .groups = {}};
+      .control = workers_, .host = net_ + "3", .store = store_, .groups = {}};
   for (const ZonePlan& zone : plan_.zones) {
     if (zone.workers == 0) continue;
-    workers.groups.push_back(standins::WorkerGroup({.region = zone.region,
-                                                    .zone = zone.zone,
+    workers.groups.push_back(standins::WorkerGroup({.zone = zone.zone,
                                                     .count = zone.workers,
-                                                    .services = {plan_.service},
+                                                    .service = plan_.service,
                                                     .service_time = plan_.service_time}));
   }
   Add("workers", "dn-standin-worker", EncodeText(standins::WorkerStandinSettings(workers)));
@@ -103,10 +97,11 @@
                                    .zone = zone.zone,
                                    .caller_address = caller,
                                    .sibling_address = sibling,
-                                   .log = zone.far ? log_link_->address() : log_,
-                                   .list = zone.far ? list_link_->address() : list_,
+                                   .store = zone.far ? link_->address() : store_,
                                    .threads = 2,
-                                   .drain_grace = plan_.drain_grace})));
+                                   .drain_grace = plan_.drain_grace,
+                                   .retention = plan_.retention,
+                                   .key_window = plan_.retention * 4 / 5})));
 }
 
 void Fleet::Start(const std::string& name) {
@@ -129,11 +124,6 @@
 
 void Fleet::StartAll() {
   for (const std::string& name : order_) Start(name);
-  pool_.Spawn(ListAll());
-}
-
-Task<> Fleet::ListAll() {
-  for (const auto& [name, instance] : instances_) co_await ListInstance(name, Liveness::kLive);
 }
 
 void Fleet::Signal(const std::string& name, int signal) {
@@ -205,8 +195,8 @@
 }
 
 Task<bool> Fleet::Apply(Configuration configuration) {
-  LogClient log(http_, log_);
-  OperatorClient client(http_, log);
+  StoreClient store(store_, platform::Store(), http_);
+  OperatorClient client(http_, store);
   const Time deadline = Now() + Duration(20'000);
   Result<ConfigurationState> current = co_await client.ReadConfiguration();
   while (!current && Now() < deadline) {
@@ -227,47 +217,24 @@
   co_return recordings ? std::move(recordings).value() : standins::WorkerRecordings{};
 }
 
-Task<standins::LogStats> Fleet::LogStatistics() {
-  const auto body = co_await Post(log_, "/control/stats", "{}");
-  if (!body) co_return standins::LogStats{};
-  const auto stats = DecodeMessage<standins::LogStats>(*body);
-  co_return stats ? stats.value() : standins::LogStats{};
+Task<standins::StoreStats> Fleet::StoreStatistics() {
+  const auto body = co_await Post(store_, "/control/stats", "{}");
+  if (!body) co_return standins::StoreStats{};
+  const auto stats = DecodeMessage<standins::StoreStats>(*body);
+  co_return stats ? stats.value() : standins::StoreStats{};
 }
 
-Task<> Fleet::Fault(standins::LogFault fault) {
-  co_await Post(log_, "/control/faults", EncodeText(fault));
-}
-Task<> Fleet::Fault(standins::ListFault fault) {
-  co_await Post(list_, "/control/faults", EncodeText(fault));
+Task<> Fleet::Fault(standins::StoreFault fault) {
+  co_await Post(store_, "/control/faults", EncodeText(fault));
 }
 Task<> Fleet::Fault(standins::WorkerFault fault) {
   co_await Post(workers_, "/control/faults", EncodeText(fault));
 }
 
-Task<> Fleet::ListInstance(std::string name, Liveness state) {
-  const InstanceList change(
-      {.workers = {}, .instances = {ListedInstance({.id = {name}, .state = state})}});
-  co_await Post(list_, "/control/merge", EncodeText(change));
-}
-
-Task<> Fleet::UnlistInstance(std::string name) {
+Task<> Fleet::Leave(std::string worker) {
   HttpCall call{
-      .method = HttpMethod::kPost, .path = "/control/remove", .query = {{"id", name}}, .body = {}};
-  co_await http_.Call(list_, std::move(call), kCallTimeout, TrafficKind::kOperator);
-}
-
-Task<> Fleet::ListWorkerLeaving(std::string id) {
-  const auto body = co_await Post(workers_, "/control/workers", "{}");
-  if (!body) co_return;
-  const auto list = DecodeMessage<InstanceList>(*body);
-  if (!list) co_return;
-  InstanceListFields change;
-  for (const Worker& worker : list.value()->workers) {
-    if (worker->id.value != id) continue;
-    change.workers.push_back(
-        worker.With([](WorkerFields& fields) { fields.state = Liveness::kLeaving; }));
-  }
-  co_await Post(list_, "/control/merge", EncodeText(InstanceList(std::move(change))));
+      .method = HttpMethod::kPost, .path = "/control/leave", .query = {{"id", worker}}, .body = {}};
+  co_await http_.Call(workers_, std::move(call), kCallTimeout, TrafficKind::kOperator);
 }
 
 std::vector<Endpoint> Fleet::EntryAddresses() const {
@@ -282,11 +249,8 @@
   return names;
 }
 
-std::uint64_t Fleet::LinkBytes() const { return log_link_->bytes() + list_link_->bytes(); }
+std::uint64_t Fleet::LinkBytes() const { return link_->bytes(); }
 
-void Fleet::SetLink(standins::RelayMode mode) {
-  log_link_->SetMode(mode);
-  list_link_->SetMode(mode);
-}
+void Fleet::SetLink(standins::RelayMode mode) { link_->SetMode(mode); }
 
 }  // namespace dn::testing
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "modules/modules.h"
+#include "entry/entry.h"
 #include "operators/operators.h"
 #include "standins/standins.h"
 
@@ -21,7 +21,7 @@
   ZoneName zone;
   int entries = 1;
   int workers = 1;
-  bool far = false;  // Reaches the log and the list over the link.
+  bool far = false;  // Reaches the store over the link.
 };
 
 struct FleetPlan {
@@ -65,18 +65,16 @@
   Task<std::optional<Status>> StatusOf(std::string name);
   Task<std::vector<Status>> Statuses();
   Task<standins::WorkerRecordings> Recordings();
-  Task<standins::LogStats> LogStatistics();
-  Task<> Fault(standins::LogFault fault);
-  Task<> Fault(standins::ListFault fault);
+  Task<standins::StoreStats> StoreStatistics();
+  Task<> Fault(standins::StoreFault fault);
   Task<> Fault(standins::WorkerFault fault);
-  Task<> ListInstance(std::string name, Liveness state);
-  Task<> UnlistInstance(std::string name);
-  Task<> ListWorkerLeaving(std::string id);
+  // A worker says that it is leaving.
+  Task<> Leave(std::string worker);
 
   std::vector<Endpoint> EntryAddresses() const;
   std::vector<std::string> EntryNames() const;
   Instance instance(const std::string& name) const { return instances_.at(name); }
-  Endpoint log() const { return log_; }
+  Endpoint store() const { return store_; }
   pid_t pid(const std::string& name) const { return processes_.at(name).pid; }
   std::uint64_t LinkBytes() const;
   void SetLink(standins::RelayMode mode);
@@ -84,7 +82,6 @@
 
  private:
   void Prepare();
-  Task<> ListAll();
   void PrepareInstance(const ZonePlan& zone, int index);
   void Add(const std::string& name, const std::string& program, const std::string& settings);
   Task<std::optional<std::string>> Post(Endpoint to, std::string path, std::string body);
@@ -93,11 +90,11 @@
   const FleetPlan plan_;
   const std::string net_;     // "127.<a>.<b>."
   const std::string folder_;  // Settings and logs of the processes.
-  Endpoint log_, list_, workers_;
+  Endpoint store_, workers_;
   std::map<std::string, Process> processes_;
   std::vector<std::string> order_;
   std::map<std::string, Instance> instances_;
-  std::shared_ptr<standins::TcpRelay> log_link_, list_link_;
+  std::shared_ptr<standins::TcpRelay> link_;
   HttpClient http_;
   int next_host_ = 10;
 };
--- a/tests/support/scenario.cc
+++ b/tests/support/scenario.cc
@@ -40,7 +40,7 @@
   result.trace.workers = co_await fleet.Recordings();
   result.callers = load.results();
   result.statuses = co_await fleet.Statuses();
-  result.log = co_await fleet.LogStatistics();
+  result.store = co_await fleet.StoreStatistics();
 }
 
 }  // namespace
--- a/tests/support/scenario.h
+++ b/tests/support/scenario.h
@@ -34,7 +34,7 @@
   Trace trace;
   std::vector<Violation> violations;
   std::vector<Status> statuses;
-  standins::LogStats log;
+  standins::StoreStats store;
 
   std::size_t Count(standins::LoadOutcome outcome) const;
   // How many requests ended how, and why; for messages of failed checks.
