A worker that leaves starts unanswered gets no others; restarted serving tasks count at rest

And Shard::Place kept the pressure of a task's run before, so that fills were kept off a restarted serving task. Change: a worker is left out while a start waits longer than 500 ms there, and after one that ended without an answer for 1, 2, 4 s in a row; an answer resets it. Placing sets the pressure to rest. Both tests red first. Ruled out: 300 ms (a burst of starts on four connections over 40 ms takes longer).

--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -30,6 +30,7 @@
   StartStage stage = StartStage::kUnrecorded;
   bool stopping = false;   // A stop was ordered; capacity stays taken until the end.
   bool inherited = false;  // Placed by an earlier owner, not yet seen in a report.
+  Time sent{};             // While kSent: when a start was sent last.
   int start_attempts = 0;  // Starts sent without an answer, of this run.
   Time stop_ordered{};     // When a stop was sent last.
   // A stop was acknowledged for a run that was never confirmed: it cannot start
--- a/src/scheduling/internal/policy.h
+++ b/src/scheduling/internal/policy.h
@@ -22,6 +22,9 @@
   // A refused or failing worker gets no task for this long: about two
   // registrations of a worker.
   Duration avoid_after_refusal{1'000};
+  // A worker gets no further task while a start waits longer than this for its
+  // answer: half of the longest that a call waits.
+  Duration slow_answer{500};
   // A worker that fails what it starts is left out this long, then probed.
   Duration quarantine{4'000};
   // Failures of different jobs in a row that put a worker into quarantine.
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -319,9 +319,12 @@
   if (task->worker != order->worker) return;
   JobRow& job = *jobs_.Find(order->task.job);
   const std::size_t position = job.PositionOf(order->task);
+  WorkerRow* const worker = workers_.Find(order->worker);
   if (!answer) {
+    if (worker != nullptr) AvoidUnanswering(*worker, now);
     if (task->stage == StartStage::kConfirmed || task->stopping) return;
     if (++task->start_attempts < kMaxStartAttempts) {
+      task->sent = now;
       if (auto again = StartOf(job, position, now)) starts_.push_back(*std::move(again));
       return;
     }
@@ -330,6 +333,7 @@
     Stop(job, position);
     return;
   }
+  if (worker != nullptr) worker->unanswered = 0;
   // An obsolete run has started there and ended, perhaps done: a copy of this
   // start arrived before. The worker's report tells how.
   const OrderRefusal refusal = (*answer)->refusal;
@@ -346,13 +350,20 @@
     Stop(job, position);
     return;
   }
-  if (WorkerRow* worker = workers_.Find(order->worker)) {
+  if (worker != nullptr) {
     worker->avoid_until = std::max(worker->avoid_until, now + policy_->avoid_after_refusal);
   }
   if (task->stage == StartStage::kConfirmed) return;
   Unplace(job, position, TaskPhase::kWaiting, now);
 }
 
+void Shard::AvoidUnanswering(WorkerRow& worker, Time now) {
+  Duration pause = policy_->avoid_after_refusal;
+  for (int i = 0; i < worker.unanswered && pause < policy_->quarantine; ++i) pause *= 2;
+  ++worker.unanswered;
+  worker.avoid_until = std::max(worker.avoid_until, now + std::min(pause, policy_->quarantine));
+}
+
 void Shard::StopAnswered(const StopOrder& order, const std::optional<OrderAnswer>& answer,
                          Time now) {
   TaskRow* task = jobs_.Find(order->task);
@@ -420,6 +431,7 @@
       continue;
     }
     task->stage = StartStage::kSent;
+    task->sent = now;
     if (!job.begun) {
       decisions_.emplace_back(
           DecisionFields{.kind = "job-begun",
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -139,6 +139,8 @@
   void CountFailure(WorkerRow& worker, JobRow& job, std::size_t position, Time now);
   void FinishIfDone(JobRow& job, Time now);
   // Has the task's run stopped; the order is repeated until a report shows it.
+  // Leaves a worker out that did not answer a start, longer each time in a row.
+  void AvoidUnanswering(WorkerRow& worker, Time now);
   void Stop(JobRow& job, std::size_t position);
   void StopAll(JobRow& job);
   std::vector<Waiting> CollectWaiting(Time now, std::int64_t wall_ms);
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -66,6 +66,9 @@
     for (const auto& [ref, row] : worker.tasks) {
       JobRow& job = *row;
       TaskRow& task = job.tasks[ref.position];
+      if (task.stage == StartStage::kSent && now - task.sent >= policy_->slow_answer) {
+        worker.avoid_until = std::max(worker.avoid_until, now + kSweepPeriod + kSweepPeriod);
+      }
       if (task.stage != StartStage::kConfirmed || task.stopping) continue;
       const StepSpec& step = job.StepOf(ref.position);
       const bool stands = !step->gang && task.progress < kWhole && task.pace >= kWhole &&
@@ -163,6 +166,7 @@
   task.progress = 0;
   task.progressed = now;
   task.observed = 0;
+  task.pressure = 0;
   task.paced = Time();
   WorkerTable::Reserve(worker, job, position);
   jobs_.SetPhase(job, position, TaskPhase::kPlaced, now);
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -202,6 +202,67 @@
   CHECK(bench.shard.NextRenewal(kWorker, bench.now)->ends_seen == 1);
 }
 
+// The pattern: serving tasks are restarted on a fleet where fills wait.
+TEST_CASE("a restarted serving task does not count with its old pressure", "[scheduling][shard]") {
+  Bench bench;
+  bench.AddWorker(kWorker);
+  StepFields serving = kTask;
+  serving.long_running = true;
+  serving.image = "s";
+  serving.target_latency_ms = 100;
+  bench.Submit(serving, 1);
+  const StartOrder first = bench.Turn().at(0);
+  bench.Answer(first, OrderRefusal::kNone);
+  for (const std::int64_t tail_ms : {25, 99}) {
+    bench.Report(kWorker,
+                 {ReportedRun({.task = first->task,
+                               .run = first->run,
+                               .progress_percent = 100,
+                               .observed = tail_ms})},
+                 {});
+  }
+  StepFields fill = kTask;
+  fill.fills = true;
+  fill.image = "f";
+  fill.demand.millicores = 8'000;
+  bench.Submit(fill, 2);
+  CHECK(bench.Turn().empty());  // The serving task is at its target.
+  bench.Report(kWorker, {}, {Bench::End(first, EndKind::kFailed)});
+  bench.now += PolicyFields().retry_delay;
+  CHECK(bench.Turn().size() == 2);
+}
+
+// The pattern: some workers leave orders unanswered, or have gone dark.
+TEST_CASE("a worker that leaves starts unanswered gets no others", "[scheduling][shard][load]") {
+  struct Case {
+    std::string name;
+    Duration waits;  // For an answer, before the next job comes.
+    bool gives_up;   // The call has ended without an answer.
+    bool avoided;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"a moment ago", Duration(50), false, false},
+      {"longer than any usual answer takes", Duration(600), false, true},
+      {"the call timed out", Duration(1'000), true, true},
+  }));
+  CAPTURE(c.name);
+  Bench bench;
+  bench.AddWorker(kWorker);
+  bench.AddWorker(kOther);
+  bench.Submit(kTask, 1);
+  const StartOrder first = bench.Turn().at(0);
+  bench.now += c.waits;
+  if (c.gives_up) bench.Answer(first, std::nullopt);
+  bench.shard.Plan(bench.now, 0);
+  bench.Submit(kTask, 2);
+  const auto starts = bench.Turn();
+  const auto second = std::find_if(starts.begin(), starts.end(),
+                                   [](const StartOrder& start) { return start->task.job == 2; });
+  REQUIRE(second != starts.end());
+  // Best fit would choose the worker that has one task already.
+  CHECK(((*second)->worker != first->worker) == c.avoided);
+}
+
 // The pattern: wide jobs come faster than they are done, on a full fleet.
 TEST_CASE("a plan does not grow with waiting steps times workers", "[scheduling][shard][load]") {
   struct Case {
