--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -15,6 +15,8 @@
 constexpr Duration kFollowWait{1'000};
 // What was learned of harm is recorded this often: a kilobyte or two.
 constexpr Duration kHarmPeriod{2'000};
+// The load of the shard is logged this often.
+constexpr Duration kLoadPeriod{2'000};
 // Recording has no deadline: nothing may be forgotten. This is longer than any
 // process lives between two looks at it.
 constexpr Duration kNoDeadline{24 * 3'600'000};
@@ -249,6 +251,7 @@
 }
 
 Task<> ShardOwner::PlanLoop() {
+  Time load_logged = Now();
   while (active_) {
     const std::uint64_t ticket = changed_.Ticket();
     const Time now = Now();
@@ -258,6 +261,11 @@
       return std::make_pair(table.shard.TakeOrders(now), table.shard.TakeDecisions());
     });
     LogDecisions(decisions);
+    if (now - load_logged >= kLoadPeriod) {
+      load_logged = now;
+      const ShardLoad load = table_.With([&](Table& table) { return table.shard.Load(now); });
+      context_.log.Write("load", std::to_string(shard_), ToText(load));
+    }
     if (!orders.empty()) SendOrders(orders);
     recorded_.NotifyAll();
     co_await SleepFor(kPlanPause);
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -17,6 +17,7 @@
 #include "scheduling/internal/search_memo.h"
 #include "scheduling/internal/urgency.h"
 #include "scheduling/internal/worker_table.h"
+#include "scheduling/internal/shard_load.h"
 
 namespace dn {
 
@@ -116,6 +117,7 @@
   // Counts for metrics and logs.
   std::size_t jobs() const { return jobs_.jobs().size(); }
   std::size_t workers() const { return workers_.workers().size(); }
+  ShardLoad Load(Time now) const;
   std::vector<Decision> TakeDecisions();
   // Workers that were weighed for a task so far: what planning costs.
   std::int64_t workers_weighed() const { return workers_weighed_; }
@@ -138,9 +140,9 @@
   void Unplace(JobRow& job, std::size_t position, TaskPhase phase, Time now);
   void CountFailure(WorkerRow& worker, JobRow& job, std::size_t position, Time now);
   void FinishIfDone(JobRow& job, Time now);
-  // Has the task's run stopped; the order is repeated until a report shows it.
   // Leaves a worker out that did not answer a start, longer each time in a row.
   void AvoidUnanswering(WorkerRow& worker, Time now);
+  // Has the task's run stopped; the order is repeated until a report shows it.
   void Stop(JobRow& job, std::size_t position);
   void StopAll(JobRow& job);
   std::vector<Waiting> CollectWaiting(Time now, std::int64_t wall_ms);
