--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -1,5 +1,6 @@
 // Single decisions of a shard's owner.
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "scheduling/scheduling.h"
 
@@ -16,12 +17,15 @@
   explicit Bench(PolicyFields policy = {}) : shard(Policy(policy), 7) {}
 
   void AddWorker(const WorkerId& id, std::int64_t millicores = 16'000) {
-    shard.WorkerListed(WorkerEntry({.id = id,
-                                    .service = "s",
-                                    .address = {"127.0.0.1", 1},
-                                    .born_ms = 1,
-                                    .capacity = {.millicores = millicores, .memory_mb = 64'000}}),
-                       now);
+    AddWorker(
+        WorkerEntryFields{.id = id, .capacity = {.millicores = millicores, .memory_mb = 64'000}});
+  }
+  void AddWorker(WorkerEntryFields entry) {
+    entry.service = "s";
+    entry.address = {"127.0.0.1", 1};
+    entry.born_ms = 1;
+    const WorkerId id = entry.id;
+    shard.WorkerListed(WorkerEntry(std::move(entry)), now);
     Report(id, {}, {});
   }
 
@@ -47,9 +51,9 @@
   }
 
   // Plans, makes everything durable and returns the starts that are due.
-  std::vector<StartOrder> Turn() {
+  std::vector<StartOrder> Turn(std::int64_t wall_ms = 0) {
     now += Duration(10);
-    shard.Plan(now, 0);
+    shard.Plan(now, wall_ms);
     const RecordBatch batch = shard.TakeBatch();
     shard.Recorded(batch, now);
     orders = shard.TakeOrders(now);
@@ -202,6 +206,144 @@
   CHECK(bench.shard.NextRenewal(kWorker, bench.now)->ends_seen == 1);
 }
 
+// Two racks of two workers; the second rack has accelerators and a label.
+void AddRacks(Bench& bench) {
+  for (const int number : {1, 2, 3, 4}) {
+    const bool second = number > 2;
+    const std::string rack = second ? "r2" : "r1";
+    bench.AddWorker(
+        {.id = {"w" + std::to_string(number)},
+         .capacity = {.millicores = 8'000, .memory_mb = 64'000, .accelerators = second ? 2 : 0},
+         .labels = {second ? "large" : "small", rack},
+         .rack = rack});
+  }
+}
+
+TEST_CASE("where the tasks of a step may run", "[scheduling][shard]") {
+  struct Case {
+    std::string name;
+    void (*edit)(StepFields&);
+    std::multiset<std::string> workers;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"anywhere, packed", [](StepFields& step) { step.count = 2; }, {"w1", "w1"}},
+      {"with a label",
+       [](StepFields& step) {
+         step.count = 5;
+         step.required_label = "large";
+       },
+       {"w3", "w3", "w4", "w4"}},
+      {"with accelerators",
+       [](StepFields& step) {
+         step.count = 3;
+         step.demand.accelerators = 2;
+       },
+       {"w3", "w4"}},
+      {"near their data", [](StepFields& step) { step.data_rack = "r2"; }, {"w3"}},
+      {"near their data while there is room",
+       [](StepFields& step) {
+         step.count = 5;
+         step.data_rack = "r2";
+       },
+       {"w3", "w3", "w4", "w4", "w1"}},
+      {"one a worker",
+       [](StepFields& step) {
+         step.count = 5;
+         step.max_per_worker = 1;
+       },
+       {"w1", "w2", "w3", "w4"}},
+      {"on one rack",
+       [](StepFields& step) {
+         step.count = 4;
+         step.same_rack = true;
+       },
+       {"w1", "w1", "w2", "w2"}},
+      {"a gang as a whole",
+       [](StepFields& step) {
+         step.count = 8;
+         step.gang = true;
+       },
+       {"w1", "w1", "w2", "w2", "w3", "w3", "w4", "w4"}},
+      {"a gang that does not fit as a whole",
+       [](StepFields& step) {
+         step.count = 9;
+         step.gang = true;
+       },
+       {}},
+      {"a gang on one rack only",
+       [](StepFields& step) {
+         step.count = 4;
+         step.gang = true;
+         step.same_rack = true;
+       },
+       {"w1", "w1", "w2", "w2"}},
+      {"nowhere", [](StepFields& step) { step.required_label = "other"; }, {}},
+  }));
+  CAPTURE(c.name);
+  Bench bench;
+  AddRacks(bench);
+  StepFields step = kTask;
+  c.edit(step);
+  bench.Submit(step);
+  std::multiset<std::string> workers;
+  for (const StartOrder& start : bench.Turn()) workers.insert(start->worker.value);
+  CHECK(workers == c.workers);
+}
+
+TEST_CASE("the members of a gang run and end together", "[scheduling][shard]") {
+  struct Case {
+    EndKind kind;
+    std::size_t started_again;
+    ShownState shown;
+  };
+  const auto c = GENERATE(values<Case>({
+      {EndKind::kDone, 0, ShownState::kCompleted},
+      {EndKind::kFailed, 2, ShownState::kRunning},
+      {EndKind::kAlone, 2, ShownState::kRunning},
+  }));
+  CAPTURE(NameOf(c.kind));
+  Bench bench;
+  bench.AddWorker(kWorker);
+  StepFields step = kTask;
+  step.count = 2;
+  step.gang = true;
+  bench.Submit(step);
+  const auto starts = bench.Turn();
+  REQUIRE(starts.size() == 2);
+  CHECK(starts[0]->run == starts[1]->run);
+  for (const StartOrder& start : starts) bench.Answer(start, OrderRefusal::kNone);
+  const EndKind other = c.kind == EndKind::kDone ? EndKind::kDone : EndKind::kBroken;
+  bench.Report(kWorker, {}, {Bench::End(starts[0], c.kind, 1), Bench::End(starts[1], other, 2)});
+  bench.now += PolicyFields().retry_delay;
+  const auto again = bench.Turn();
+  CHECK(again.size() == c.started_again);
+  for (const StartOrder& start : again) CHECK(start->run == starts[0]->run + 1);
+  CHECK(bench.shard.StateOf(kJob) == c.shown);
+}
+
+TEST_CASE("occurrences start when they are due and may overlap", "[scheduling][shard]") {
+  struct Case {
+    std::int64_t wall_ms;
+    std::size_t started;
+  };
+  const auto c = GENERATE(
+      values<Case>({{9'999, 0}, {10'000, 1}, {10'999, 1}, {11'000, 2}, {12'500, 3}, {60'000, 3}}));
+  CAPTURE(c.wall_ms);
+  Bench bench;
+  bench.AddWorker(kWorker);
+  bench.shard.Accept(AcceptedJob({.id = kJob,
+                                  .queue = Queue({.name = "q", .service = "s"}),
+                                  .accepted_ms = 0,
+                                  .spec = JobSpec({.payload = "p",
+                                                   .steps = {StepSpec(kTask)},
+                                                   .occurrences = 3,
+                                                   .first_due_ms = 10'000,
+                                                   .interval_ms = 1'000})}),
+                     bench.now);
+  CHECK(bench.Turn(c.wall_ms).size() == c.started);
+  CHECK(bench.Turn(c.wall_ms).empty());
+}
+
 // The pattern: serving tasks are restarted on a fleet where fills wait.
 TEST_CASE("a restarted serving task does not count with its old pressure", "[scheduling][shard]") {
   Bench bench;
@@ -280,7 +422,7 @@
   constexpr int kWorkers = 20;
   constexpr int kJobs = 300;
   Bench bench;
-  for (int i = 0; i < kWorkers; ++i) bench.AddWorker({"w" + std::to_string(i)});
+  for (int i = 0; i < kWorkers; ++i) bench.AddWorker(WorkerId{"w" + std::to_string(i)});
   for (int i = 0; i < kJobs; ++i) bench.Submit(c.step, static_cast<JobId>(i) + 1);
   const std::size_t placed = bench.Turn().size();
   const std::int64_t before = bench.shard.workers_weighed();
