--- a/bench/load_model/load_model.cc
+++ b/bench/load_model/load_model.cc
@@ -46,9 +46,8 @@
   double whole_ms = 0;
   double saved_ms = 0;  // Work that the last checkpoint holds.
   int pace = 100;
-  double tail = 0;  // Serving: share of the target, lagging.
-  double shown_tail = 0;
-  double cores = 0;  // Others: in use.
+  double shown_tail = 0;  // Serving: share of the target, lagging.
+  double cores = 0;       // Others: in use.
   double over_ms = 0;
   Time started{};
   Time stops_at = Time::max();
@@ -487,7 +486,6 @@
     double used = LoadAt(task, at);
     for (std::size_t i = 0; i < kFillImages; ++i) used += harm_[image][i] * fills[i];
     const double tail = kRestShare / (1 - std::min(used, kFull));
-    run.tail = tail;
     // An average over the lag.
     run.shown_tail += (tail - run.shown_tail) * step_ms / static_cast<double>(kLag.count());
     if (now_ - run.started < kServingStart) return;
--- a/src/instance_link/internal/instance_link.cc
+++ b/src/instance_link/internal/instance_link.cc
@@ -15,8 +15,6 @@
 constexpr std::string_view kJob = "/jobs/";
 constexpr std::string_view kQueue = "/queues/";
 constexpr std::string_view kOwner = "/owners/";
-// Longest call: a lost owner must not use up a caller's patience.
-constexpr Duration kCallLimit{900};
 // Time that the called instance has: callers of instances wait a little longer.
 constexpr Duration kServeLimit{800};
 // The same for handing in a job. A slow store takes two answers of 0.4 s; giving
@@ -88,8 +86,8 @@
 }
 
 Task<Result<Endpoint>> RemoteInstance::OwnerOf(int shard, Time deadline) {
-  auto reply = co_await Call(HttpMethod::kGet, std::string(kOwner) + std::to_string(shard), {},
-                             deadline, kCallLimit);
+  auto reply =
+      co_await Call(HttpMethod::kGet, std::string(kOwner) + std::to_string(shard), {}, deadline);
   if (!reply) co_return reply.error();
   const std::string& text = reply.value().body;
   const std::size_t colon = text.rfind(':');
@@ -121,16 +119,15 @@
 }
 
 Task<Result<ShownState>> RemoteInstance::StateOf(JobId id, Time deadline) {
-  auto reply = co_await Call(HttpMethod::kGet, std::string(kJob) + FormatJobId(id), {}, deadline,
-                             kCallLimit);
+  auto reply = co_await Call(HttpMethod::kGet, std::string(kJob) + FormatJobId(id), {}, deadline);
   if (!reply) co_return reply.error();
   if (reply.value().status != kOk) co_return Errc::kUnavailable;
   co_return StateNamed(reply.value().body);
 }
 
 Task<Result<bool>> RemoteInstance::Cancel(JobId id, Time deadline) {
-  auto reply = co_await Call(HttpMethod::kDelete, std::string(kJob) + FormatJobId(id), {}, deadline,
-                             kCallLimit);
+  auto reply =
+      co_await Call(HttpMethod::kDelete, std::string(kJob) + FormatJobId(id), {}, deadline);
   if (!reply) co_return reply.error();
   if (reply.value().status == kOk) co_return true;
   if (reply.value().status == kGone) co_return false;
@@ -138,8 +135,7 @@
 }
 
 Task<Result<std::int64_t>> RemoteInstance::WaitingOf(std::string queue, Time deadline) {
-  auto reply =
-      co_await Call(HttpMethod::kGet, std::string(kQueue) + queue, {}, deadline, kCallLimit);
+  auto reply = co_await Call(HttpMethod::kGet, std::string(kQueue) + queue, {}, deadline);
   if (!reply) co_return reply.error();
   const auto waiting = ParseNumber(reply.value().body);
   if (reply.value().status != kOk || !waiting) co_return Errc::kUnavailable;
--- a/src/instance_link/internal/instance_link.h
+++ b/src/instance_link/internal/instance_link.h
@@ -37,9 +37,12 @@
   Task<Result<Endpoint>> OwnerOf(int shard, Time deadline);
 
  private:
+  // Longest call: a lost owner must not use up a caller's patience.
+  static constexpr Duration kCallLimit{900};
+
   // Ends at the deadline or after `limit`.
   Task<Result<HttpReply>> Call(HttpMethod method, std::string path, std::string body, Time deadline,
-                               Duration limit);
+                               Duration limit = kCallLimit);
 
   const Endpoint address_;
   HttpClient& http_;
--- a/src/node/internal/shard_membership.cc
+++ b/src/node/internal/shard_membership.cc
@@ -73,12 +73,11 @@
 
 Task<> ShardMembership::Run() {
   while (true) {
-    const auto [leaving, renew, offers, join] = table_.With([&](Table& table) {
-      return std::make_tuple(table.leaving, std::exchange(table.renew, false),
+    const auto [leaving, joined, renew, offers, join] = table_.With([&](Table& table) {
+      return std::make_tuple(table.leaving, table.joined, std::exchange(table.renew, false),
                              table.candidacy.Offers(), JoinOf(table));
     });
     if (leaving) co_return;
-    const bool joined = table_.With([](Table& table) { return table.joined; });
     if (joined && (renew || !offers)) {
       if (!offers) events_.candidacy(false);
       co_await StepDown(join);
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -40,7 +40,7 @@
   std::int64_t ends_seen = 0;      // Largest end applied.
   std::int64_t ends_recorded = 0;  // Largest end whose effect is durable.
   Time avoid_until{};
-  int unanswered = 0;  // Starts in a row that ended without an answer.
+  int unanswered = 0;           // Starts in a row that ended without an answer.
   std::set<JobId> failed_jobs;  // Failed here since the last success.
   Time last_report{};
   Time paced{};  // When the pace of fills was last considered.
--- a/tests/node_process_test.cc
+++ b/tests/node_process_test.cc
@@ -73,11 +73,21 @@
   co_return co_await fleet.WaitState(1, running, kFinishLimit);
 }
 
-// Requires a running job 1; what the nodes wrote explains why there is none.
-void RequireLongJob(Runner& runner, NodeFleet& fleet) {
-  const bool running = runner.Wait(StartLongJob(fleet));
-  CAPTURE(fleet.LogOf(0), fleet.LogOf(1), fleet.LogOf(2));
-  REQUIRE(running);
+// A fleet with a running job 1; what the nodes wrote explains why there is none.
+struct FleetAtWork {
+  FleetAtWork() {
+    const bool running = runner.Wait(StartLongJob(fleet));
+    CAPTURE(fleet.LogOf(0), fleet.LogOf(1), fleet.LogOf(2));
+    REQUIRE(running);
+  }
+
+  Runner runner;
+  NodeFleet fleet{runner.pool(), DN_BIN, kNodes, kWorkers};
+};
+
+// How the store turns callers away.
+standins::StoreFault AnyOutage() {
+  return GENERATE(standins::StoreFault{.busy = true}, standins::StoreFault{.silent = true});
 }
 
 TEST_CASE("accepted jobs are completed, each task done once", "[node][processes]") {
@@ -129,12 +139,10 @@
 
 TEST_CASE("the store is away: running tasks live on, nothing is accepted falsely",
           "[node][processes]") {
-  const auto fault =
-      GENERATE(standins::StoreFault{.busy = true}, standins::StoreFault{.silent = true});
+  const standins::StoreFault fault = AnyOutage();
   CAPTURE(fault.busy, fault.silent);
-  Runner runner;
-  NodeFleet fleet(runner.pool(), DN_BIN, kNodes, kWorkers);
-  RequireLongJob(runner, fleet);
+  FleetAtWork at_work;
+  auto& [runner, fleet] = at_work;
   std::this_thread::sleep_for(std::chrono::seconds(1));
   fleet.store().SetFault(fault);
   const std::string job = R"({"Spec":"s","Steps":[{}]})";
@@ -158,12 +166,10 @@
 
 TEST_CASE("a node that the store turns away learns of a new owner from the others",
           "[node][processes]") {
-  const auto fault =
-      GENERATE(standins::StoreFault{.busy = true}, standins::StoreFault{.silent = true});
+  const standins::StoreFault fault = AnyOutage();
   CAPTURE(fault.busy, fault.silent);
-  Runner runner;
-  NodeFleet fleet(runner.pool(), DN_BIN, kNodes, kWorkers);
-  RequireLongJob(runner, fleet);
+  FleetAtWork at_work;
+  auto& [runner, fleet] = at_work;
   // Long enough for every node to have heard of every other.
   std::this_thread::sleep_for(std::chrono::seconds(5));
   const int owner = fleet.Owner();
@@ -181,9 +187,8 @@
 }
 
 TEST_CASE("a cancelled job stops, an unknown one is gone", "[node][processes]") {
-  Runner runner;
-  NodeFleet fleet(runner.pool(), DN_BIN, kNodes, kWorkers);
-  RequireLongJob(runner, fleet);
+  FleetAtWork at_work;
+  auto& [runner, fleet] = at_work;
   REQUIRE(runner.Wait(fleet.Cancel(1, kSubmitLimit)));
   CHECK(runner.Wait(fleet.WaitState(1, "cancelled", kFinishLimit)));
   std::this_thread::sleep_for(std::chrono::seconds(2));
