--- a/src/entry/internal/instance_module.cc
+++ b/src/entry/internal/instance_module.cc
@@ -346,6 +346,7 @@
 std::vector<WorkerEntry> InstanceModule::Workers() const {
   return workers_.With([](const auto& workers) {
     std::vector<WorkerEntry> all;
+    all.reserve(workers.size());
     for (const auto& [id, entry] : workers) all.push_back(entry);
     return all;
   });
--- a/src/entry/internal/instance_module.h
+++ b/src/entry/internal/instance_module.h
@@ -85,7 +85,6 @@
   void Heard(const Heartbeat& heartbeat);
   // A sibling answered the heartbeat that was sent at `sent`.
   void Answered(const Heartbeat& heartbeat, Time sent);
-  std::string Rpc(const std::string& call);
   Status MakeStatus() const;
   void AppendRoster(RosterChange change, const Instance& instance);
 
@@ -120,7 +119,6 @@
   std::function<Task<>()> drain_;
   std::atomic<bool> drain_asked_{false};
   std::atomic<bool> draining_{false};
-  std::atomic<bool> left_{false};
 };
 
 }  // namespace dn
