One decoder of a stream's page; registrations are compared entry by entry

Cause: the follower of a stream and the operators' client each had the loop that decodes a page, numbers its records and skips what cannot be read; and an entry instance copied all registrations to see whether one had changed, each time that a worker renewed its own (every 0.3 s). Change: DecodePage serves both; HandleWorkers compares what came. The operators' client names skipped records on standard error, where it said nothing. Ruled out: one Submit for the two kinds of job of the load model (their data differ, the logic is one function already).

--- a/src/entry/internal/instance_module.cc
+++ b/src/entry/internal/instance_module.cc
@@ -148,21 +148,28 @@
 
 void InstanceModule::HandleWorkers(const std::vector<StoreRecord>& records, bool complete) {
   const bool changed = workers_.With([&](auto& workers) {
-    const auto before = workers;
-    if (complete) workers.clear();
+    bool any = false;
+    std::set<WorkerId> listed;
     for (const StoreRecord& record : records) {
+      const WorkerId id{record->key};
       Result<WorkerEntry> entry = Errc::kNotFound;
       if (record->value) entry = adapter_.registry.decode(record->key, *record->value);
-      if (entry) {
-        workers.insert_or_assign({record->key}, entry.value());
+      if (!entry) {
+        any = workers.erase(id) > 0 || any;
+        if (record->value) {
+          log_.Write("worker-entry-skipped", record->key, entry.error().message());
+        }
         continue;
       }
-      workers.erase({record->key});
-      if (record->value) {
-        log_.Write("worker-entry-skipped", record->key, entry.error().message());
-      }
+      listed.insert(id);
+      const auto known = workers.find(id);
+      if (known != workers.end() && known->second == entry.value()) continue;
+      workers.insert_or_assign(id, entry.value());
+      any = true;
     }
-    return workers != before;
+    const auto unlisted = [&](const auto& worker) { return !listed.contains(worker.first); };
+    if (complete) any = std::erase_if(workers, unlisted) > 0 || any;
+    return any;
   });
   if (changed) hooks_.workers_changed();
 }
--- a/src/operators/internal/operator_client.cc
+++ b/src/operators/internal/operator_client.cc
@@ -1,6 +1,8 @@
 // Reading and applying on behalf of operators.
 #include "operators/internal/operator_client.h"
 
+#include <iostream>
+
 namespace dn {
 namespace {
 
@@ -21,12 +23,11 @@
     if (page.value()->expired || !began) fold.Begin(next);
     began = true;
     if (page.value()->expired) continue;
-    const ClockReading now = Now().time_since_epoch().count();
-    for (const StoreRecord& record : page.value()->records) {
-      next = record->offset + 1;
-      auto decoded = DecodeMessage<Record>(record->value.value_or(""));
-      if (decoded) fold.Apply({record->offset, now, std::move(decoded).value()});
-    }
+    const auto skip = [&](Offset offset) {
+      std::cerr << "skipped: " << stream << '@' << offset << '\n';
+    };
+    for (const auto& record : DecodePage<Record>(page.value(), skip)) fold.Apply(record);
+    next = page.value()->next;
     if (next >= page.value()->end) break;
   }
   if (!fold.ready()) co_return Errc::kExpired;
--- a/src/store/internal/stream_follower.h
+++ b/src/store/internal/stream_follower.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "store/internal/store_client.h"
+#include "store/internal/stream_page.h"
 #include "store/internal/streams.h"
 
 namespace dn {
@@ -74,17 +75,8 @@
   }
 
   void Take(const ReadPage& page) {
-    std::vector<Logged<Record>> records;
-    const ClockReading now = Now().time_since_epoch().count();
-    for (const StoreRecord& record : page->records) {
-      next_ = record->offset + 1;
-      auto decoded = DecodeMessage<Record>(record->value.value_or(""));
-      if (!decoded) {
-        Skip(record->offset);
-        continue;
-      }
-      records.push_back({record->offset, now, std::move(decoded).value()});
-    }
+    const auto records = DecodePage<Record>(page, [this](Offset offset) { Skip(offset); });
+    next_ = page->next;
     metrics_.Add(Counter::kRecordsRead, page->records.size());
     fold_.With([&](Fold& fold) {
       for (const auto& record : records) fold.Apply(record);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -7,5 +7,6 @@
 #include "store/internal/store_protocol.h"
 #include "store/internal/stream_appender.h"
 #include "store/internal/stream_follower.h"
+#include "store/internal/stream_page.h"
 #include "store/internal/streams.h"
 #include "store/internal/worker_registry.h"
