Log how a number of waiting jobs came about

Cause: an instance reported 6 waiting jobs while 20 had waited for over 5 s, after 1.3 s. Neither the number, nor the owner that computed it, nor the age of its view, nor the calls to owners were logged, so three explanations could not be told apart. Change: waiting-told and waiting-not-told on the instance that was asked, waiting-counted on the owner (open jobs, jobs that count as started without a confirmed run by the origin of the start, age of the view, time since the shard was opened, token), owner-called for calls to an owner that failed, were repeated or took over 0.5 s; histogram dn_owner_call_ms. No decision changes.

--- a/src/job_client/internal/job_request_handler.cc
+++ b/src/job_client/internal/job_request_handler.cc
@@ -20,6 +20,8 @@
 // Reserved out of the caller's timeout for the response: processing delays and the
 // transmission to the caller.
 constexpr Duration kResponseMargin{250};
+// Characters of a request's identifier that are logged; four times those of a UUID.
+constexpr std::size_t kMaxLoggedId = 144;
 
 std::string HostOf(const HttpCall& call) {
   const auto found = call.headers.find("host");
@@ -75,6 +77,7 @@
   Request request{.queue = *queue,
                   .job_text = call.path.substr((*queue)->path_prefix.size()),
                   .body = std::move(call.body),
+                  .id = protocol_.request_id(call).substr(0, kMaxLoggedId),
                   .deadline = Now() + std::max(timeout - kResponseMargin, timeout / 2)};
   const bool has_job_id = !request.job_text.empty();
   for (const Operation& operation : kOperations) {
@@ -132,8 +135,17 @@
 }
 
 Task<HttpReply> JobRequestHandler::ShowWaiting(Request request) {
+  const Time asked = Now();
   const auto waiting = co_await service_.WaitingOf(request.queue->name, request.deadline);
-  if (!waiting) co_return UnavailableReply("owner-unavailable");
+  const std::string call =
+      "request=" + request.id + " took_ms=" + std::to_string((Now() - asked).count());
+  if (!waiting) {
+    log_.Write("waiting-not-told", request.queue->name,
+               call + " cause=" + waiting.error().message());
+    co_return UnavailableReply("owner-unavailable");
+  }
+  log_.Write("waiting-told", request.queue->name,
+             call + " count=" + std::to_string(waiting.value()));
   co_return HttpReply{.status = kOk, .body = protocol_.encode_waiting(waiting.value())};
 }
 
--- a/src/job_client/internal/job_request_handler.h
+++ b/src/job_client/internal/job_request_handler.h
@@ -21,6 +21,7 @@
     Queue queue;
     std::string job_text;  // Path after the queue's prefix: a job id or empty.
     std::string body;
+    std::string id;  // Identifier that the caller gave the request; may be empty.
     Time deadline;
   };
   struct Operation {
--- a/src/job_client/internal/job_service.h
+++ b/src/job_client/internal/job_service.h
@@ -57,6 +57,8 @@
   std::string (*encode_problem)(const std::string& reason, const Findings& findings) = nullptr;
   // Time that the caller waits for the response.
   Duration (*caller_timeout)(const HttpCall&) = nullptr;
+  // Identifier that the caller gave the request; empty if it gave none.
+  std::string (*request_id)(const HttpCall&) = nullptr;
   // Path of the readiness check.
   std::string (*readiness_path)() = nullptr;
 };
--- a/src/node/internal/node_module.cc
+++ b/src/node/internal/node_module.cc
@@ -43,7 +43,7 @@
             {.gained = [this](int shard, FencingToken token) { OnShardGained(shard, token); },
              .lost = [this](int shard) { OnShardLost(shard); },
              .candidacy = [this](bool is_candidate) { LogCandidacy(is_candidate); }}),
-        service_(local_, membership_, http_, settings->instances),
+        service_(local_, membership_, http_, settings->instances, log_, metrics_),
         request_handler_(service_, adapter.jobs, log_),
         instance_server_(local_, [this](int shard) { return membership_.CachedOwnerOf(shard); }),
         configuration_(store_, adapter.operator_records, {.wait = kConfigurationWait}, log_,
--- a/src/node/internal/node_service.cc
+++ b/src/node/internal/node_service.cc
@@ -107,22 +107,54 @@
 template <class T, class CallLocal, class CallRemote>
 Task<Result<T>> NodeService::CallOwner(int shard, Time deadline, CallLocal local,
                                        CallRemote remote) {
-  deadline = std::min(deadline, Now() + kOwnerLookupTimeout);
+  const Time started = Now();
+  deadline = std::min(deadline, started + kOwnerLookupTimeout);
+  OwnerCall call;
   while (true) {
+    const Time called_locally = Now();
     Result<T> response = co_await local();
-    if (response) co_return response;
-    auto owner = co_await FindOwner(shard, deadline);
-    if (owner && owner.value() != own_address_) {
-      RemoteInstance instance(owner.value(), http_);
-      response = co_await remote(instance);
-      if (response) co_return response;
+    OwnerAttempt attempt{.owner = own_address_,
+                         .local = true,
+                         .call = Now() - called_locally,
+                         .error = response ? std::error_code() : response.error()};
+    if (!response) {
+      const Time looked_up = Now();
+      auto owner = co_await FindOwner(shard, deadline);
+      attempt.lookup = Now() - looked_up;
+      if (!owner) {
+        attempt.owner.reset();
+        attempt.local = false;
+        attempt.error = owner.error();
+      } else if (owner.value() != own_address_) {
+        const Time called = Now();
+        RemoteInstance instance(owner.value(), http_);
+        response = co_await remote(instance);
+        attempt.owner = owner.value();
+        attempt.local = false;
+        attempt.call = Now() - called;
+        attempt.error = response ? std::error_code() : response.error();
+        metrics_.RecordLatency(Latency::kOwnerCall, attempt.call);
+      }
+    }
+    call.Add(attempt);
+    if (response) {
+      LogOwnerCall(shard, call, Now() - started);
+      co_return response;
     }
     membership_.InvalidateOwners();
-    if (Now() + kOwnerRetryPause >= deadline) co_return Errc::kUnavailable;
+    if (Now() + kOwnerRetryPause >= deadline) {
+      LogOwnerCall(shard, call, Now() - started);
+      co_return Errc::kUnavailable;
+    }
     co_await SleepFor(kOwnerRetryPause);
   }
 }
 
+void NodeService::LogOwnerCall(int shard, const OwnerCall& call, Duration took) {
+  if (!call.IsNotable(took)) return;
+  log_.Write("owner-called", std::to_string(shard), call.ToText(took));
+}
+
 Task<SubmitOutcome> NodeService::Submit(AcceptedJob job, Time deadline) {
   // The owner stores the jobs of all nodes, since it combines them into few appends.
   // Concurrent appends of many nodes would block each other at the store.
--- a/src/node/internal/node_service.h
+++ b/src/node/internal/node_service.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "instance_link/instance_link.h"
+#include "node/internal/owner_call.h"
 #include "node/internal/shard_membership.h"
 #include "node/internal/shard_owner.h"
 
@@ -50,8 +51,13 @@
 class NodeService final : public JobService {
  public:
   NodeService(LocalService& local, ShardMembership& membership, HttpClient& http,
-              Endpoint own_address)
-      : local_(local), membership_(membership), http_(http), own_address_(std::move(own_address)) {}
+              Endpoint own_address, DecisionLog& log, Metrics& metrics)
+      : local_(local),
+        membership_(membership),
+        http_(http),
+        own_address_(std::move(own_address)),
+        log_(log),
+        metrics_(metrics) {}
 
   std::shared_ptr<const QueueConfigurationView> CurrentConfiguration() override {
     return local_.CurrentConfiguration();
@@ -71,11 +77,15 @@
   // succeeds. kUnavailable: none did within kOwnerLookupTimeout or by `deadline`.
   template <class T, class CallLocal, class CallRemote>
   Task<Result<T>> CallOwner(int shard, Time deadline, CallLocal local, CallRemote remote);
+  // Logs a call to the owner of `shard` that failed, was repeated or was slow.
+  void LogOwnerCall(int shard, const OwnerCall& call, Duration took);
 
   LocalService& local_;
   ShardMembership& membership_;
   HttpClient& http_;
   const Endpoint own_address_;
+  DecisionLog& log_;
+  Metrics& metrics_;
 };
 
 }  // namespace dn
--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -59,6 +59,7 @@
   context_.log.Write("shard-take-over", std::to_string(shard_), "token=" + std::to_string(token_));
   const Time started = Now();
   if (!co_await TakeOver()) co_return;
+  opened_ms_ = Now().time_since_epoch().count();
   open_ = true;
   const auto [jobs, workers] = table_.With(
       [](Table& table) { return std::make_pair(table.shard.jobs(), table.shard.workers()); });
@@ -368,7 +369,17 @@
 
 Result<std::int64_t> ShardOwner::WaitingOf(const std::string& queue) {
   if (!open_) return Errc::kUnavailable;
-  return table_.With([&](Table& table) { return table.shard.WaitingOf(queue); });
+  const auto [waiting, starts] = table_.With([&](Table& table) {
+    return std::make_pair(table.shard.WaitingOf(queue), table.shard.CountStarts(queue));
+  });
+  const Time now = Now();
+  const Duration open_for = now - Time(Duration(opened_ms_.load()));
+  context_.log.Write("waiting-counted", queue,
+                     "count=" + std::to_string(waiting) + " " + ToText(starts) +
+                         " view_age_ms=" + std::to_string((now - jobs_.last_success()).count()) +
+                         " open_for_ms=" + std::to_string(open_for.count()) +
+                         " token=" + std::to_string(token_));
+  return waiting;
 }
 
 }  // namespace dn
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -78,8 +78,9 @@
   Context context_;
   const int shard_;
   const FencingToken token_;
-  std::atomic<bool> active_{true};  // Drop has not been called.
-  std::atomic<bool> open_{false};   // The take-over is complete; requests are served.
+  std::atomic<bool> active_{true};          // Drop has not been called.
+  std::atomic<bool> open_{false};           // The take-over is complete; requests are served.
+  std::atomic<std::int64_t> opened_ms_{0};  // Time when `open_` was set.
   Shared<Table, LockRank::kShard> table_;
   Notifier changed_;   // The shard needs a new plan.
   Notifier recorded_;  // There may be something to record, or a batch is durable.
--- a/src/runtime/internal/metrics.h
+++ b/src/runtime/internal/metrics.h
@@ -54,14 +54,16 @@
 // Measured latencies, other than those of callers' requests to backend servers.
 enum class Latency {
   kCallerCall,  // Call of a caller to the job service, until its response is ready.
+  kOwnerCall,   // Call to the owner of a shard on another instance, until it responds or fails.
   kRecord,      // Append by the owner of a shard, until it is durable.
   kTakeOver,    // Take-over of a shard, until the shard is open.
   kFirstStart,  // From a job's arrival at its owner to its first start.
 };
 template <>
 struct EnumNames<Latency> {
-  static constexpr std::array<EnumName<Latency>, 4> kNames = {
+  static constexpr std::array<EnumName<Latency>, 5> kNames = {
       {{Latency::kCallerCall, "caller_call"},
+       {Latency::kOwnerCall, "owner_call"},
        {Latency::kRecord, "record"},
        {Latency::kTakeOver, "take_over"},
        {Latency::kFirstStart, "first_start"}}};
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -15,6 +15,7 @@
 #include "scheduling/internal/placement_policy.h"
 #include "scheduling/internal/search_memo.h"
 #include "scheduling/internal/shard_load.h"
+#include "scheduling/internal/start_counts.h"
 #include "scheduling/internal/urgency.h"
 #include "scheduling/internal/worker_table.h"
 
@@ -120,6 +121,8 @@
   JobState StateOf(JobId id) const;
   // Returns the number of open jobs of `queue` of which no task has started.
   std::int64_t WaitingOf(const std::string& queue) const;
+  // Returns the numbers of open jobs of `queue` by the evidence of their start, for the log.
+  StartCounts CountStarts(const std::string& queue) const { return dn::CountStarts(jobs_, queue); }
   // Counts for metrics and logs.
   std::size_t jobs() const { return jobs_.jobs().size(); }
   std::size_t workers() const { return workers_.workers().size(); }
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -13,5 +13,6 @@
 #include "scheduling/internal/policy.h"
 #include "scheduling/internal/record_codec.h"
 #include "scheduling/internal/shard.h"
+#include "scheduling/internal/start_counts.h"
 #include "scheduling/internal/urgency.h"
 #include "scheduling/internal/worker_table.h"
