Tests: a job counts as begun though no worker has begun it (known red)

What callers saw: a queue's number of waiting jobs was 6, though 20 accepted jobs of it had waited for more than 5 s without any worker having begun a task of them; a job's state was "running" likewise. Cause: Shard::Recorded sets JobRow::started when a start is queued for sending, and nothing sets it back when the worker refuses the start, does not answer, or the run is revoked or lost. JobTable::Restore sets it for every record with a run number, but an intent is recorded before its start is sent. Tests: tables of cases for one shard (responses, refusals, revoked runs, reports, ends, restored records, cancelled jobs), and a check in the simulated interleavings, which compares what every owner shows with the log of the simulated workers: never begun without a run, never waiting once the owner was told of a run. Each job of the simulation has a queue of its own, so that the number of waiting jobs tells which one waits; the sets of faults moved to a table that both tests use, unchanged.

--- a/src/scheduling/tests/shard_interleavings_test.cc
+++ b/src/scheduling/tests/shard_interleavings_test.cc
@@ -1,6 +1,7 @@
 // Simulates owners, workers, the store and the network in virtual time, with interleavings and
-// faults that a seed determines. The checker uses the log of what the workers ran, not the state of
-// the shard, except for the final states of the jobs.
+// faults that a seed determines. The checker uses the log of what the workers ran and what the
+// owners were told, and compares it with the states of the jobs that the owners show.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
@@ -69,6 +70,9 @@
   bool open = false;
   bool appending = false;
   Time frozen_until{};
+  Time planned_at{};  // When the last plan began: jobs accepted by then are known.
+  // Jobs of which a response, a report or a record has shown a run to this owner.
+  std::set<JobId> shown_runs;
 };
 
 class World {
@@ -83,6 +87,7 @@
     TakeOver();
     Every(Duration(100), [this] { InjectFaults(); });
     Every(Duration(10), [this] { AdvanceWorkers(); });
+    Every(Duration(10), [this] { CheckBegun(); });
   }
 
   void Run() {
@@ -94,6 +99,8 @@
   }
 
   std::vector<std::string> Check() const;
+  // Jobs that an owner showed as begun without a run or as waiting although it knew of a run.
+  const std::set<std::string>& begun_findings() const { return begun_findings_; }
 
  private:
   using Event = std::function<void()>;
@@ -122,6 +129,9 @@
     });
   }
 
+  // A queue for each job, so that the number of waiting jobs tells whether this one waits.
+  static std::string QueueOf(JobId id) { return "q" + FormatJobId(id); }
+
   static JobSpec SpecOf(JobId id) {
     StepFields first{
         .count = 2, .demand = {.millicores = 1'000, .memory_mb = 1}, .estimate_ms = 300};
@@ -134,7 +144,7 @@
   void SubmitJob(JobId id) {
     accepted_.emplace_back(AcceptedJobFields{
         .id = id,
-        .queue = Queue({.name = "q", .service = "s", .max_attempts = kMaxAttempts}),
+        .queue = Queue({.name = QueueOf(id), .service = "s", .max_attempts = kMaxAttempts}),
         .accepted_ms = now_.time_since_epoch().count(),
         .spec = SpecOf(id)});
   }
@@ -158,6 +168,13 @@
       const auto decoded = DecodeJobProgress(progress);
       REQUIRE(decoded);
       owner->shard.Restore(decoded.value(), now_);
+      const auto& tasks = decoded.value()->tasks;
+      if (std::any_of(tasks.begin(), tasks.end(), [](const TaskProgress& task) {
+            return task->phase == TaskPhase::kDone || task->failures > 0 ||
+                   !task->checkpoint.empty();
+          })) {
+        owner->shown_runs.insert(id);
+      }
     }
     owner->open = true;
     Plan(owner);
@@ -165,6 +182,7 @@
   }
 
   void Plan(const std::shared_ptr<Owner>& owner) {
+    owner->planned_at = now_;
     for (const AcceptedJob& job : accepted_) owner->shard.Accept(job, now_);
     for (int i = 0; i < kWorkers; ++i) {
       const SimWorker& worker = workers_[i];
@@ -214,6 +232,9 @@
       Call(
           owner, IndexOf(order->worker), [this, order] { return Start(order); },
           [this, owner, order](const auto& response) {
+            if (response && (*response)->refusal == OrderRefusal::kNone) {
+              owner->shown_runs.insert(order->task.job);
+            }
             owner->shard.StartAnswered(order, response, now_);
           });
     }
@@ -236,6 +257,14 @@
             owner->alive = false;
             return;
           }
+          if (response && owner->shard.ManagedWorker(IdOf(index))) {
+            for (const auto& run : (*response)->report->running) {
+              owner->shown_runs.insert(run->task.job);
+            }
+            for (const auto& end : (*response)->report->ended) {
+              owner->shown_runs.insert(end->task.job);
+            }
+          }
           if (response) owner->shard.Reported(IdOf(index), *response, sent, now_);
           RunInOwner(owner, now_ + Duration(response ? 50 : 200),
                      [this, owner, index] { Renew(owner, index); });
@@ -387,6 +416,28 @@
     }
   }
 
+  // Compares what each owner shows of each job with the log of the workers.
+  void CheckBegun() {
+    CheckBegun(*owner_);
+    for (const auto& owner : former_owners_) CheckBegun(*owner);
+  }
+  void CheckBegun(const Owner& owner) {
+    if (!owner.alive || !owner.open) return;
+    for (const AcceptedJob& job : accepted_) {
+      if (Time(Duration(job->accepted_ms)) > owner.planned_at) continue;
+      const bool shown_as_waiting = owner.shard.WaitingOf(QueueOf(job->id)) > 0;
+      const bool shown_as_pending = owner.shard.StateOf(job->id) == JobState::kPending;
+      const bool begun = std::any_of(log_.begin(), log_.end(),
+                                     [&](const RunLog& run) { return run.task.job == job->id; });
+      if (!begun && !(shown_as_waiting && shown_as_pending)) {
+        begun_findings_.insert("shown as begun without a run: " + FormatJobId(job->id));
+      }
+      if (owner.shown_runs.count(job->id) > 0 && (shown_as_waiting || shown_as_pending)) {
+        begun_findings_.insert("shown as waiting after a run: " + FormatJobId(job->id));
+      }
+    }
+  }
+
   // The worker restarts under the same identifier without any state.
   void Crash(SimWorker& worker) {
     while (!worker.running.empty()) EndRun(worker, worker.running.begin()->first, "lost");
@@ -408,6 +459,7 @@
   FencingToken last_token_ = 0;
   std::shared_ptr<Owner> owner_;
   std::vector<std::shared_ptr<Owner>> former_owners_;
+  std::set<std::string> begun_findings_;
 };
 
 std::vector<std::string> World::Check() const {
@@ -465,37 +517,39 @@
   return findings;
 }
 
+const std::vector<Faults> kFaults = {
+    {.name = "none"},
+    {.name = "lost requests", .lost_requests = 100},
+    {.name = "lost responses", .lost_responses = 100},
+    {.name = "late orders", .late_orders = 60},
+    {.name = "failing tasks", .failing_tasks = 150},
+    {.name = "owner killed", .owner_kills = 15},
+    {.name = "owner frozen", .owner_freezes = 15},
+    {.name = "shard reassigned", .reassignments = 30},
+    {.name = "workers crash", .worker_crashes = 4},
+    {.name = "workers unreachable", .worker_disconnects = 4},
+    {.name = "slow store", .slow_store = 100},
+    {.name = "slow store, owner killed", .owner_kills = 15, .slow_store = 200},
+    {.name = "late orders, owner frozen", .late_orders = 60, .owner_freezes = 15},
+    {.name = "lost responses, workers unreachable, shard reassigned",
+     .lost_responses = 60,
+     .reassignments = 20,
+     .worker_disconnects = 3},
+    {.name = "all faults except crashes",
+     .lost_requests = 30,
+     .lost_responses = 30,
+     .late_orders = 20,
+     .failing_tasks = 30,
+     .owner_kills = 8,
+     .owner_freezes = 8,
+     .reassignments = 8,
+     .worker_disconnects = 1,
+     .slow_store = 30},
+};
+
 TEST_CASE("every task is done once under all faults and interleavings",
           "[scheduling][interleavings]") {
-  const auto faults = GENERATE(values<Faults>({
-      {.name = "none"},
-      {.name = "lost requests", .lost_requests = 100},
-      {.name = "lost responses", .lost_responses = 100},
-      {.name = "late orders", .late_orders = 60},
-      {.name = "failing tasks", .failing_tasks = 150},
-      {.name = "owner killed", .owner_kills = 15},
-      {.name = "owner frozen", .owner_freezes = 15},
-      {.name = "shard reassigned", .reassignments = 30},
-      {.name = "workers crash", .worker_crashes = 4},
-      {.name = "workers unreachable", .worker_disconnects = 4},
-      {.name = "slow store", .slow_store = 100},
-      {.name = "slow store, owner killed", .owner_kills = 15, .slow_store = 200},
-      {.name = "late orders, owner frozen", .late_orders = 60, .owner_freezes = 15},
-      {.name = "lost responses, workers unreachable, shard reassigned",
-       .lost_responses = 60,
-       .reassignments = 20,
-       .worker_disconnects = 3},
-      {.name = "all faults except crashes",
-       .lost_requests = 30,
-       .lost_responses = 30,
-       .late_orders = 20,
-       .failing_tasks = 30,
-       .owner_kills = 8,
-       .owner_freezes = 8,
-       .reassignments = 8,
-       .worker_disconnects = 1,
-       .slow_store = 30},
-  }));
+  const auto faults = GENERATE(from_range(kFaults));
   for (const std::uint64_t seed : testing::Seeds(12)) {
     CAPTURE(faults.name, seed);
     World world(faults, seed);
@@ -506,5 +560,19 @@
   }
 }
 
+// Guards against a count of waiting jobs far below the truth: starts that no worker had carried out
+// counted as begun jobs.
+TEST_CASE("jobs are shown as begun exactly when a worker has begun them",
+          "[scheduling][interleavings]") {
+  const auto faults = GENERATE(from_range(kFaults));
+  for (const std::uint64_t seed : testing::Seeds(12)) {
+    CAPTURE(faults.name, seed);
+    World world(faults, seed);
+    world.Run();
+    CAPTURE(world.begun_findings());
+    CHECK(world.begun_findings().empty());
+  }
+}
+
 }  // namespace
 }  // namespace dn
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -1,4 +1,5 @@
 // Tests of single decisions of a shard's owner.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <set>
 
@@ -66,6 +67,26 @@
     shard.StartAnswered(start, response, now);
   }
 
+  // Returns how often the shard has decided that a job has begun since the last call.
+  std::int64_t BegunDecisions() {
+    const std::vector<Decision> decisions = shard.TakeDecisions();
+    return std::count_if(decisions.begin(), decisions.end(),
+                         [](const Decision& decision) { return decision->kind == "job-begun"; });
+  }
+
+  // Lets the responses to all starts of a run fail to arrive, and revokes the run.
+  void Revoke(const StartOrder& start) {
+    for (int attempt = 0; attempt < 3; ++attempt) {
+      Respond(start, std::nullopt);
+      orders = shard.TakeOrders(now);
+    }
+    for (const StopOrder& stop : orders.stops) {
+      shard.StopAnswered(stop, OrderResponse(), now);
+    }
+    now += Duration(1);
+    Report(start->worker, {}, {});
+  }
+
   static ReportedRun Running(const StartOrder& start, int progress = 10) {
     return ReportedRun({.task = start->task, .run = start->run, .progress_percent = progress});
   }
@@ -188,6 +209,259 @@
   CHECK(harness.shard.StateOf(kJob) == JobState::kFailed);
 }
 
+// What a caller sees of a job: its state, and whether its queue counts it as waiting.
+void CheckShown(const Shard& shard, JobState state) {
+  CHECK(shard.StateOf(kJob) == state);
+  CHECK(shard.WaitingOf("q") == (state == JobState::kPending ? 1 : 0));
+}
+
+// Guards against a count of waiting jobs far below the truth: starts that no worker had carried out
+// counted as begun jobs.
+TEST_CASE("a job has begun once a worker confirmed a run of it", "[scheduling][shard]") {
+  struct Case {
+    std::string name;
+    void (*events)(ShardHarness&, const StartOrder&);  // After the start was sent.
+    bool begun;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"no response yet", [](ShardHarness&, const StartOrder&) {}, false},
+      {"no response",
+       [](ShardHarness& harness, const StartOrder& start) { harness.Respond(start, std::nullopt); },
+       false},
+      {"revoked", [](ShardHarness& harness, const StartOrder& start) { harness.Revoke(start); },
+       false},
+      {"accepted",
+       [](ShardHarness& harness, const StartOrder& start) {
+         harness.Respond(start, OrderRefusal::kNone);
+       },
+       true},
+      {"accepted, reported and then lost",
+       [](ShardHarness& harness, const StartOrder& start) {
+         harness.Respond(start, OrderRefusal::kNone);
+         for (int i = 0; i < 3; ++i) harness.Report(start->worker, {}, {});
+       },
+       true},
+      {"accepted by a worker that then restarted",
+       [](ShardHarness& harness, const StartOrder& start) {
+         harness.Respond(start, OrderRefusal::kNone);
+         harness.Report(start->worker, {}, {}, 2);
+       },
+       true},
+      {"accepted after the run was revoked",
+       [](ShardHarness& harness, const StartOrder& start) {
+         harness.Revoke(start);
+         harness.Respond(start, OrderRefusal::kNone);
+       },
+       true},
+      {"reported without a response",
+       [](ShardHarness& harness, const StartOrder& start) {
+         harness.Report(start->worker, {ShardHarness::Running(start)}, {});
+       },
+       true},
+      {"reported after the run was revoked",
+       [](ShardHarness& harness, const StartOrder& start) {
+         harness.Revoke(start);
+         harness.Report(start->worker, {ShardHarness::Running(start)}, {});
+       },
+       true},
+      {"reported by a worker other than the one it was sent to",
+       [](ShardHarness& harness, const StartOrder& start) {
+         harness.AddWorker(kOtherWorker);
+         harness.Report(kOtherWorker, {ShardHarness::Running(start)}, {});
+       },
+       true},
+      {"end of an earlier run reported",
+       [](ShardHarness& harness, const StartOrder& start) {
+         harness.Respond(start, OrderRefusal::kNoRoom);
+         harness.now += PolicyFields().avoid_after_refusal;
+         REQUIRE(harness.PlanAndRecord().size() == 1);
+         harness.Report(start->worker, {}, {ShardHarness::End(start, EndKind::kStopped)});
+       },
+       true},
+  }));
+  CAPTURE(c.name);
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.Submit(kTask);
+  CheckShown(harness.shard, JobState::kPending);
+  const StartOrder start = harness.PlanAndRecord().at(0);
+  CheckShown(harness.shard, JobState::kPending);
+  CHECK(harness.BegunDecisions() == 0);
+  c.events(harness, start);
+  CheckShown(harness.shard, c.begun ? JobState::kRunning : JobState::kPending);
+  CHECK(harness.BegunDecisions() == (c.begun ? 1 : 0));
+  // Further evidence changes nothing.
+  harness.Report(kWorker, {ShardHarness::Running(start)}, {});
+  CheckShown(harness.shard, JobState::kRunning);
+  CHECK(harness.BegunDecisions() == (c.begun ? 0 : 1));
+}
+
+// Guards against a count of waiting jobs far below the truth: refused starts counted as begun jobs.
+TEST_CASE("a refused start does not begin its job", "[scheduling][shard]") {
+  const auto refusal = GENERATE(from_range(EnumNames<OrderRefusal>::kNames));
+  const bool after_lost_copy = GENERATE(false, true);
+  CAPTURE(refusal.name, after_lost_copy);
+  const bool begun = refusal.value == OrderRefusal::kNone;
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.Submit(kTask);
+  const StartOrder start = harness.PlanAndRecord().at(0);
+  if (after_lost_copy) harness.Respond(start, std::nullopt);
+  harness.Respond(start, refusal.value);
+  CheckShown(harness.shard, begun ? JobState::kRunning : JobState::kPending);
+  CHECK(harness.BegunDecisions() == (begun ? 1 : 0));
+  harness.PlanAndRecord();
+  CheckShown(harness.shard, begun ? JobState::kRunning : JobState::kPending);
+}
+
+// Guards against begun jobs that are counted as waiting: an end may be all that is heard of a run.
+TEST_CASE("the end of a run shows that its job has begun", "[scheduling][shard]") {
+  const auto end = GENERATE(from_range(EnumNames<EndKind>::kNames));
+  const auto response = GENERATE(values<std::optional<OrderRefusal>>(
+      {std::nullopt, OrderRefusal::kNone, OrderRefusal::kObsolete}));
+  CAPTURE(end.name, response.has_value());
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.Submit(kTask);
+  const StartOrder start = harness.PlanAndRecord().at(0);
+  CheckShown(harness.shard, JobState::kPending);
+  if (response) harness.Respond(start, response);
+  harness.Report(kWorker, {}, {ShardHarness::End(start, end.value)});
+  CHECK(harness.BegunDecisions() == 1);
+  harness.PlanAndRecord();
+  CheckShown(harness.shard,
+             end.value == EndKind::kDone ? JobState::kCompleted : JobState::kRunning);
+  CHECK(harness.BegunDecisions() == 0);
+}
+
+// Guards against a count of waiting jobs far below the truth after a take-over: starts that the
+// earlier owner had recorded but not sent counted as begun jobs.
+TEST_CASE("a restored job has begun if its record or a worker shows a run", "[scheduling][shard]") {
+  struct Case {
+    std::string name;
+    TaskProgressFields task;
+    void (*events)(ShardHarness&, const StartOrder&);  // After the job was restored.
+    JobState restored;                                 // Shown before the events.
+    JobState state;                                    // Shown after them.
+    JobPhase phase = JobPhase::kOpen;
+  };
+  const auto nothing = [](ShardHarness&, const StartOrder&) {};
+  const TaskProgressFields placed{.phase = TaskPhase::kPlaced, .run = 1, .worker = kWorker.value};
+  const TaskProgressFields waiting{.phase = TaskPhase::kWaiting, .run = 1};
+  const auto c = GENERATE_COPY(values<Case>({
+      {"intent only", placed, nothing, JobState::kPending, JobState::kPending},
+      {"intent only, not reported by its worker", placed,
+       [](ShardHarness& harness, const StartOrder& start) {
+         harness.Report(start->worker, {}, {});
+         REQUIRE(harness.PlanAndRecord().size() == 1);  // It is started again.
+       },
+       JobState::kPending, JobState::kPending},
+      {"intent, reported as running", placed,
+       [](ShardHarness& harness, const StartOrder& start) {
+         harness.Report(start->worker, {ShardHarness::Running(start)}, {});
+       },
+       JobState::kPending, JobState::kRunning},
+      {"intent, reported as ended", placed,
+       [](ShardHarness& harness, const StartOrder& start) {
+         harness.Report(start->worker, {}, {ShardHarness::End(start, EndKind::kLapsed)});
+       },
+       JobState::kPending, JobState::kRunning},
+      {"waiting again without a trace of a run", waiting, nothing, JobState::kPending,
+       JobState::kPending},
+      {"checkpoint",
+       {.phase = TaskPhase::kWaiting, .run = 1, .checkpoint = "c"},
+       nothing,
+       JobState::kRunning,
+       JobState::kRunning},
+      {"failure",
+       {.phase = TaskPhase::kWaiting, .run = 1, .failures = 1},
+       nothing,
+       JobState::kRunning,
+       JobState::kRunning},
+      {"one task done",
+       {.phase = TaskPhase::kDone, .run = 1},
+       nothing,
+       JobState::kRunning,
+       JobState::kRunning},
+      {"cancelled", placed, nothing, JobState::kCancelled, JobState::kCancelled,
+       JobPhase::kCancelled},
+      {"cancelled, reported as running", placed,
+       [](ShardHarness& harness, const StartOrder& start) {
+         harness.Report(start->worker, {ShardHarness::Running(start)}, {});
+       },
+       JobState::kCancelled, JobState::kCancelled, JobPhase::kCancelled},
+  }));
+  CAPTURE(c.name);
+  ShardHarness harness;
+  StepFields step = kTask;
+  step.count = 2;
+  harness.Submit(step);
+  harness.shard.Restore(
+      JobProgress({.id = kJob, .phase = c.phase, .tasks = {TaskProgress(c.task), TaskProgress()}}),
+      harness.now);
+  CheckShown(harness.shard, c.restored);
+  const StartOrder start(
+      {.worker = kWorker, .task = {.job = kJob, .occurrence = 0, .step = 0, .index = 0}, .run = 1});
+  harness.shard.WorkerListed(WorkerEntry({.id = kWorker,
+                                          .service = "s",
+                                          .address = {"127.0.0.1", 1},
+                                          .start_time_ms = 1,
+                                          .capacity = {.millicores = 4'000, .memory_mb = 64'000}}),
+                             harness.now);
+  c.events(harness, start);
+  CheckShown(harness.shard, c.state);
+}
+
+// Guards against cancelled jobs that are counted as waiting.
+TEST_CASE("a cancelled job neither waits nor runs", "[scheduling][shard]") {
+  struct Case {
+    std::string name;
+    void (*events)(ShardHarness&);  // Before the job is cancelled.
+  };
+  const auto c = GENERATE(values<Case>({
+      {"not placed", [](ShardHarness&) {}},
+      {"start sent", [](ShardHarness& harness) { harness.PlanAndRecord(); }},
+      {"begun",
+       [](ShardHarness& harness) {
+         harness.Respond(harness.PlanAndRecord().at(0), OrderRefusal::kNone);
+       }},
+  }));
+  CAPTURE(c.name);
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.Submit(kTask);
+  c.events(harness);
+  harness.shard.Cancel(kJob, harness.now);
+  CHECK(harness.shard.WaitingOf("q") == 0);
+  harness.PlanAndRecord();
+  CheckShown(harness.shard, JobState::kCancelled);
+}
+
+// Guards against measuring how long a job waited for its first start from the take-over on.
+TEST_CASE("the wait for the first start is measured unless an earlier owner may have begun the job",
+          "[scheduling][shard]") {
+  const bool restored = GENERATE(false, true);
+  CAPTURE(restored);
+  ShardHarness harness;
+  harness.Submit(kTask);
+  if (restored) {
+    harness.shard.Restore(
+        JobProgress(
+            {.id = kJob, .tasks = {TaskProgress({.phase = TaskPhase::kWaiting, .run = 1})}}),
+        harness.now);
+  }
+  const Time submitted = harness.now;
+  harness.AddWorker(kWorker);
+  const StartOrder start = harness.PlanAndRecord().at(0);
+  harness.shard.TakeDecisions();
+  harness.Respond(start, OrderRefusal::kNone);
+  const std::vector<Decision> decisions = harness.shard.TakeDecisions();
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions[0]->kind == "job-begun");
+  CHECK(decisions[0]->waited ==
+        (restored ? std::nullopt : std::optional<Duration>(harness.now - submitted)));
+}
+
 TEST_CASE("no state is reported to callers or workers before it is durable",
           "[scheduling][shard]") {
   ShardHarness harness;
