A job has begun once a worker has shown a run of it

What callers saw: a queue's number of waiting jobs was 6, though 20 accepted jobs of it had waited for more than 5 s without any worker having begun a task of them; the state of such jobs was "running". Cause: JobRow::started was set when a start was queued for sending, and for every restored record with a run number. A refused, unanswered, revoked or lost start left it set, and so did an intent of an owner that was replaced before it sent the start. Change: JobRow::begun is set by a start that a worker accepted, by a report that lists a run (also a stray one), and by a listed end. "Obsolete" does not set it: a worker also responds so for a run that was stopped before it began. A restored job has begun if its record holds a done task, a checkpoint or a failure. Why this works: each of these is something that only a worker that began a run produces, and any other run that counts reaches the owner by a report before the worker may forget it, since ends are recorded before they are acknowledged. What stays inexact: the format of the record is unchanged, because an instance of the previous version that takes over during a rolling update would skip records of another format and run their tasks again. So after a take-over a job is shown as pending until the first report of its worker, and a job whose only runs were stopped or lost without a checkpoint counts as waiting until its next run. job-begun and the latency first_start are now decided on the confirmation; for a job that an earlier owner may have begun, the decision has no wait, since the time of its first run is not known.

--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -38,7 +38,7 @@
   // Cancels the job and waits until that is durable. False: there is no such job.
   // kUnavailable: also if the job has not ended by `deadline`.
   Task<Result<bool>> Cancel(JobId id, Time deadline);
-  // Number of accepted jobs of `queue` of which no task has started.
+  // Number of accepted jobs of `queue` of which no worker has begun a task.
   Result<std::int64_t> WaitingOf(const std::string& queue);
 
   // WorkerLinkDelegate:
--- a/src/runtime/internal/metrics.h
+++ b/src/runtime/internal/metrics.h
@@ -56,7 +56,7 @@
   kCallerCall,  // Call of a caller to the job service, until its response is ready.
   kRecord,      // Append by the owner of a shard, until it is durable.
   kTakeOver,    // Take-over of a shard, until the shard is open.
-  kFirstStart,  // From a job's arrival at its owner to its first start.
+  kFirstStart,  // From a job's arrival at its owner to its first confirmed run.
 };
 template <>
 struct EnumNames<Latency> {
--- a/src/scheduling/internal/job_table.cc
+++ b/src/scheduling/internal/job_table.cc
@@ -118,7 +118,11 @@
     task.last_progress_at = now;
     task.stage = StartStage::kSent;
     task.inherited = from->phase == TaskPhase::kPlaced;
-    if (from->run > 0) job->started = true;
+    if (from->run > 0) job->has_earlier_intent = true;
+    // The run number is no evidence: an intent is recorded before its start is sent.
+    if (from->phase == TaskPhase::kDone || from->failures > 0 || !from->checkpoint.empty()) {
+      job->begun = true;
+    }
   }
   for (const TaskRow& task : job->tasks) {
     if (task.phase == TaskPhase::kDone) ++job->done;
--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -76,7 +76,12 @@
   std::size_t tasks_per_occurrence = 0;
   std::size_t done = 0;     // Number of tasks in kDone.
   std::size_t waiting = 0;  // Number of tasks in kWaiting.
-  bool started = false;     // Whether any task of the job has ever been started.
+  // Whether a worker has shown a run of the job: by accepting its start, or by reporting the run or
+  // its end. A start that was only sent may never take effect.
+  bool begun = false;
+  // Whether an earlier owner recorded an intent to start a task. If so, the time of the first run
+  // is not known.
+  bool has_earlier_intent = false;
   // Latency-critical jobs: normalised load from the job's own requests, without interference.
   std::optional<double> own_load;
 
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -125,8 +125,24 @@
   ObserveInterference(*worker);
 }
 
+void Shard::MarkBegun(JobRow& job, const WorkerId& worker, Time now) {
+  if (job.begun) return;
+  job.begun = true;
+  DecisionFields decision{.kind = "job-begun",
+                          .subject = FormatJobId(job.accepted->id),
+                          .detail = "worker=" + worker.value};
+  if (job.has_earlier_intent) {
+    decision.detail += " waited=unknown";
+  } else {
+    decision.waited = now - job.received_at;
+    decision.detail += " waited_ms=" + std::to_string(decision.waited->count());
+  }
+  decisions_.emplace_back(std::move(decision));
+}
+
 void Shard::ApplyEnd(WorkerRow& worker, const ReportedEnd& end, Time now) {
   TaskRow* task = jobs_.Find(end->task);
+  if (task != nullptr) MarkBegun(*jobs_.Find(end->task.job), worker.entry->id, now);
   if (task == nullptr || task->phase == TaskPhase::kDone || end->run != task->run) {
     Decide("end-ignored", FormatTaskKey(end->task),
            "run=" + std::to_string(end->run) + " how=" + std::string(NameOf(end->kind)));
@@ -240,6 +256,7 @@
 
 void Shard::ApplyRunning(WorkerRow& worker, const ReportedRun& running, Time now) {
   TaskRow* task = jobs_.Find(running->task);
+  if (task != nullptr) MarkBegun(*jobs_.Find(running->task.job), worker.entry->id, now);
   const bool accounted_for = task != nullptr && task->phase == TaskPhase::kPlaced &&
                              task->worker == worker.entry->id && task->run == running->run;
   if (!accounted_for) {
@@ -322,9 +339,12 @@
 void Shard::StartAnswered(const StartOrder& order, const std::optional<OrderResponse>& response,
                           Time now) {
   TaskRow* task = jobs_.Find(order->task);
-  if (task == nullptr || task->phase != TaskPhase::kPlaced || task->run != order->run) return;
-  if (task->worker != order->worker) return;
+  if (task == nullptr) return;
   JobRow& job = *jobs_.Find(order->task.job);
+  // "Obsolete" does not show a run: a worker also responds so if a stop arrived before the start.
+  if (response && (*response)->refusal == OrderRefusal::kNone) MarkBegun(job, order->worker, now);
+  if (task->phase != TaskPhase::kPlaced || task->run != order->run) return;
+  if (task->worker != order->worker) return;
   const std::size_t position = job.PositionOf(order->task);
   WorkerRow* const worker = workers_.Find(order->worker);
   if (!response) {
@@ -341,8 +361,8 @@
     return;
   }
   if (worker != nullptr) worker->unanswered_starts = 0;
-  // An obsolete run has already started and ended on the worker, possibly successfully: a duplicate
-  // of this start arrived earlier. The worker's report contains the end.
+  // An obsolete run cannot start any more. Either a duplicate of this start arrived earlier and the
+  // run has ended, possibly successfully, which the worker's report shows; or a stop came first.
   const OrderRefusal refusal = (*response)->refusal;
   if (refusal == OrderRefusal::kNone || refusal == OrderRefusal::kObsolete) {
     task->stage = StartStage::kConfirmed;
@@ -439,15 +459,6 @@
     }
     task->stage = StartStage::kSent;
     task->start_sent_at = now;
-    if (!job.started) {
-      decisions_.emplace_back(
-          DecisionFields{.kind = "job-begun",
-                         .subject = FormatJobId(key.job),
-                         .detail = "worker=" + task->worker.value +
-                                   " waited_ms=" + std::to_string((now - job.received_at).count()),
-                         .waited = now - job.received_at});
-    }
-    job.started = true;
     starts_.push_back(*std::move(start));
   }
   for (const JobId id : batch.expired) jobs_.Erase(id);
@@ -502,13 +513,13 @@
   for (const auto& [phase, state] : kEnded) {
     if (job->recorded_phase == phase) return state;
   }
-  return job->started ? JobState::kRunning : JobState::kPending;
+  return job->begun ? JobState::kRunning : JobState::kPending;
 }
 
 std::int64_t Shard::WaitingOf(const std::string& queue) const {
   return std::count_if(jobs_.jobs().begin(), jobs_.jobs().end(), [&](const auto& entry) {
     const JobRow& job = entry.second;
-    return job.phase == JobPhase::kOpen && !job.started && job.accepted->queue->name == queue;
+    return job.phase == JobPhase::kOpen && !job.begun && job.accepted->queue->name == queue;
   });
 }
 
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -25,7 +25,7 @@
   std::string kind;
   std::string subject;
   std::string detail;
-  // Set for the first start of a job: time since this owner received the job.
+  // Set when a job begins that no earlier owner may have begun: time since this owner received it.
   std::optional<Duration> waited = std::nullopt;
 
   friend auto operator<=>(const DecisionFields&, const DecisionFields&) = default;
@@ -118,7 +118,7 @@
 
   // Returns the state of a job, as far as it is durable.
   JobState StateOf(JobId id) const;
-  // Returns the number of open jobs of `queue` of which no task has started.
+  // Returns the number of open jobs of `queue` of which no worker has shown a run.
   std::int64_t WaitingOf(const std::string& queue) const;
   // Counts for metrics and logs.
   std::size_t jobs() const { return jobs_.jobs().size(); }
@@ -139,6 +139,8 @@
     friend bool operator<(const Waiting& a, const Waiting& b) { return a.urgency < b.urgency; }
   };
 
+  // Notes that `worker` has shown a run of the job.
+  void MarkBegun(JobRow& job, const WorkerId& worker, Time now);
   void ApplyEnd(WorkerRow& worker, const ReportedEnd& end, Time now);
   void ApplyRunning(WorkerRow& worker, const ReportedRun& running, Time now);
   void Reconcile(WorkerRow& worker, const RunReport& report, Time sent, Time now);
