--- a/src/runtime/internal/metrics.h
+++ b/src/runtime/internal/metrics.h
@@ -57,7 +57,7 @@
   kOwnerCall,   // Call to the owner of a shard on another instance, until it responds or fails.
   kRecord,      // Append by the owner of a shard, until it is durable.
   kTakeOver,    // Take-over of a shard, until the shard is open.
-  kFirstStart,  // From a job's arrival at its owner to its first start.
+  kFirstStart,  // From a job's arrival at its owner to its first confirmed run.
 };
 template <>
 struct EnumNames<Latency> {
--- a/src/scheduling/internal/start_counts.cc
+++ b/src/scheduling/internal/start_counts.cc
@@ -6,22 +6,14 @@
 namespace dn {
 namespace {
 
-bool IsConfirmed(const TaskRow& task) {
-  return task.phase == TaskPhase::kDone || task.failures > 0 || !task.checkpoint.empty() ||
-         (task.phase == TaskPhase::kPlaced && task.stage == StartStage::kConfirmed);
-}
-
 bool WasSentStart(const TaskRow& task) { return task.start_sent_at != Time(); }
 
 }  // namespace
 
 StartEvidence StartEvidenceOf(const JobRow& job) {
-  if (!job.started) return StartEvidence::kNone;
-  if (std::any_of(job.tasks.begin(), job.tasks.end(), IsConfirmed)) {
-    return StartEvidence::kConfirmed;
-  }
-  const bool sent = std::any_of(job.tasks.begin(), job.tasks.end(), WasSentStart);
-  return sent ? StartEvidence::kSent : StartEvidence::kRestored;
+  if (job.begun) return StartEvidence::kConfirmed;
+  if (std::any_of(job.tasks.begin(), job.tasks.end(), WasSentStart)) return StartEvidence::kSent;
+  return job.has_earlier_intent ? StartEvidence::kRestored : StartEvidence::kNone;
 }
 
 std::string ToText(const StartCounts& counts) {
--- a/src/scheduling/internal/start_counts.h
+++ b/src/scheduling/internal/start_counts.h
@@ -1,5 +1,6 @@
-// Counts the open jobs of a queue whose start is not confirmed by any worker. A number of waiting
-// jobs that is too low shows operators here which jobs it leaves out.
+// Counts the open jobs of a queue by the evidence that they have begun. Only a worker's
+// confirmation ends the wait of a job; the log shows how many jobs wait although a start was sent
+// or recorded.
 #pragma once
 
 #include <compare>
@@ -12,14 +13,13 @@
 
 // Evidence of a job's start.
 enum class StartEvidence {
-  kNone,       // Counts as waiting.
-  kSent,       // This owner sent a start that no worker has confirmed.
+  kNone,       // No start was sent.
   kRestored,   // Only the record of an earlier owner mentions a start.
-  kConfirmed,  // A worker has confirmed a run, or a run has left a trace.
+  kSent,       // This owner sent a start; no worker has confirmed it.
+  kConfirmed,  // The job has begun; see JobRow::begun.
 };
 
-// Returns the evidence that any task of `job` has started. Once a confirmed run is lost without an
-// end or a checkpoint, nothing of it remains and the job counts as kSent or kRestored.
+// Returns the strongest evidence that any task of `job` has started.
 StartEvidence StartEvidenceOf(const JobRow& job);
 
 // Numbers of open jobs of a queue.
