--- a/bench/load_model/load_model.cc
+++ b/bench/load_model/load_model.cc
@@ -351,7 +351,12 @@
       ScheduleAfter(kRoundTrip / 2, [this, order] {
         SimWorker& worker = workers_.at(order->worker);
         const auto found = worker.running.find(order->task);
+        std::optional<OrderResponse> response;
+        if (!worker.lost) response = OrderResponse({.clock = now_.time_since_epoch().count()});
         if (found != worker.running.end()) found->second.speed_percent = order->percent;
+        ScheduleAfter(kRoundTrip / 2, [this, order, response] {
+          CallShard([&] { shard_.ThrottleAnswered(order, response, now_); });
+        });
       });
     }
   }
--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -230,6 +230,12 @@
   table_.With([&](Table& table) { table.shard.StopAnswered(order, response, Now()); });
 }
 
+void ShardOwner::OnThrottleResponse(const ThrottleOrder& order,
+                                    const std::optional<OrderResponse>& response) {
+  if (!active_) return;
+  table_.With([&](Table& table) { table.shard.ThrottleAnswered(order, response, Now()); });
+}
+
 void ShardOwner::OnFenced(const WorkerId& worker) {
   if (!active_) return;
   context_.log.Write("fenced-by-worker", worker.value, "token=" + std::to_string(token_));
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -49,6 +49,8 @@
                        const std::optional<OrderResponse>& response) override;
   void OnStopResponse(const StopOrder& order,
                       const std::optional<OrderResponse>& response) override;
+  void OnThrottleResponse(const ThrottleOrder& order,
+                          const std::optional<OrderResponse>& response) override;
   void OnFenced(const WorkerId& worker) override;
 
  private:
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -401,6 +401,9 @@
   if (acknowledged && task->stage == StartStage::kSent && !task->revoked_at) task->revoked_at = now;
 }
 
+void Shard::ThrottleAnswered(const ThrottleOrder& /*order*/,
+                             const std::optional<OrderResponse>& /*response*/, Time /*now*/) {}
+
 bool Shard::Cancel(JobId id, Time now) {
   JobRow* job = jobs_.Find(id);
   if (job == nullptr) return false;
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -103,6 +103,10 @@
   // Handles the response to a stop; std::nullopt if none arrived.
   void StopAnswered(const StopOrder& order, const std::optional<OrderResponse>& response, Time now);
 
+  // Handles the response to a change of speed; std::nullopt if none arrived.
+  void ThrottleAnswered(const ThrottleOrder& order, const std::optional<OrderResponse>& response,
+                        Time now);
+
   // Cancels a job. Returns false if there is no such job.
   bool Cancel(JobId id, Time now);
 
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -1,6 +1,8 @@
 // Tests of single decisions of a shard's owner.
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <functional>
+#include <map>
 #include <set>
 
 #include "scheduling/scheduling.h"
@@ -652,6 +654,170 @@
   CHECK(harness.PlanAndRecord().size() == 2);
 }
 
+// What happens to an order on its way to the worker and back.
+enum class Delivery {
+  kApplied,
+  kUnhealthy,     // Refused; the worker did nothing.
+  kRequestLost,   // No response; no effect.
+  kResponseLost,  // No response; it has taken effect.
+  kLate,          // No response; it takes effect seconds later, after newer orders.
+};
+
+// A worker with a latency-critical task and a best-effort task that is throttled for it. The orders
+// that change its speed meet the given deliveries in turn, and are applied after that.
+class ThrottledWorker {
+ public:
+  ThrottledWorker() {
+    harness_.AddWorker(kWorker);
+    StepFields latency_critical = kTask;
+    latency_critical.long_running = true;
+    latency_critical.image = "s";
+    latency_critical.target_latency_ms = kTargetMs;
+    harness_.Submit(latency_critical, 1);
+    latency_critical_ = Start();
+    Report(kLowTailMs);
+    StepFields best_effort = kTask;
+    best_effort.best_effort = true;
+    best_effort.image = "f";
+    harness_.Submit(best_effort, 2);
+    best_effort_ = Start();
+  }
+
+  // Lets the tail latency of the latency-critical task be `tail_ms` for `duration`.
+  void Run(std::int64_t tail_ms, Duration duration, const std::vector<Delivery>& deliveries) {
+    next_delivery_ = deliveries;
+    orders_ = 0;
+    for (const Time end = harness_.now + duration; harness_.now < end;) {
+      Report(tail_ms);
+      for (auto event = events_.begin(); event != events_.end() && event->first <= harness_.now;) {
+        event->second();
+        event = events_.erase(event);
+      }
+      harness_.PlanAndRecord();
+      for (const ThrottleOrder& order : harness_.orders.throttles) Deliver(order);
+    }
+  }
+
+  int speed_percent() const { return speed_percent_; }
+  int orders() const { return orders_; }                  // During the last call of Run.
+  int most_in_flight() const { return most_in_flight_; }  // At any time.
+
+  static constexpr std::int64_t kTargetMs = 100;
+  static constexpr std::int64_t kLowTailMs = kTargetMs / 4;
+  static constexpr std::int64_t kHighTailMs = kTargetMs * 3 / 2;
+
+ private:
+  StartOrder Start() {
+    const StartOrder start = harness_.PlanAndRecord().at(0);
+    harness_.Respond(start, OrderRefusal::kNone);
+    return start;
+  }
+
+  void Report(std::int64_t tail_ms) {
+    harness_.now += Duration(50);
+    progress_ = progress_ == 20 ? 21 : 20;  // Neither stalled nor worth a move.
+    std::vector<ReportedRun> running = {ReportedRun({.task = (*latency_critical_)->task,
+                                                     .run = (*latency_critical_)->run,
+                                                     .progress_percent = 100,
+                                                     .observed = tail_ms})};
+    if (best_effort_) running.push_back(ShardHarness::Running(*best_effort_, progress_));
+    harness_.Report(kWorker, std::move(running), {});
+  }
+
+  void Deliver(const ThrottleOrder& order) {
+    static constexpr Duration kRoundTrip{10};
+    static constexpr Duration kTimeout{1'000};
+    static constexpr Duration kDelay{4'000};
+    ++orders_;
+    most_in_flight_ = std::max(most_in_flight_, ++in_flight_);
+    Delivery delivery = Delivery::kApplied;
+    if (!next_delivery_.empty()) {
+      delivery = next_delivery_.front();
+      next_delivery_.erase(next_delivery_.begin());
+    }
+    std::optional<OrderResponse> response;
+    if (delivery == Delivery::kApplied) response = OrderResponse();
+    if (delivery == Delivery::kUnhealthy) {
+      response = OrderResponse({.refusal = OrderRefusal::kUnhealthy});
+    }
+    if (delivery == Delivery::kApplied || delivery == Delivery::kResponseLost) {
+      speed_percent_ = order->percent;
+    }
+    if (delivery == Delivery::kLate) {
+      events_.emplace(harness_.now + kDelay,
+                      [this, percent = order->percent] { speed_percent_ = percent; });
+    }
+    events_.emplace(harness_.now + (response ? kRoundTrip : kTimeout), [this, order, response] {
+      --in_flight_;
+      harness_.shard.ThrottleAnswered(order, response, harness_.now);
+    });
+  }
+
+  ShardHarness harness_;
+  std::optional<StartOrder> latency_critical_;
+  std::optional<StartOrder> best_effort_;
+  int progress_ = 0;
+  int speed_percent_ = 100;  // Of the best-effort task on the worker.
+  std::vector<Delivery> next_delivery_;
+  std::multimap<Time, std::function<void()>> events_;
+  int orders_ = 0;
+  int in_flight_ = 0;
+  int most_in_flight_ = 0;
+};
+
+// Guards against best-effort tasks that keep interfering, or stay slow for good, because the only
+// order that changes their speed did not take effect.
+TEST_CASE("a change of speed is ordered until the worker has acknowledged it",
+          "[scheduling][shard]") {
+  struct Case {
+    std::string name;
+    std::vector<Delivery> deliveries;
+    int orders;  // At least one for each delivery that fails, and one a second at most.
+  };
+  const auto c = GENERATE(values<Case>({
+      {"applied", {}, 1},
+      {"response lost", {Delivery::kResponseLost}, 12},
+      {"request lost", {Delivery::kRequestLost}, 12},
+      {"three requests lost",
+       {Delivery::kRequestLost, Delivery::kRequestLost, Delivery::kRequestLost},
+       12},
+      {"refused by an unhealthy worker", {Delivery::kUnhealthy}, 2},
+      {"refused, then lost", {Delivery::kUnhealthy, Delivery::kRequestLost}, 12},
+      {"late", {Delivery::kLate}, 12},
+      {"late twice", {Delivery::kLate, Delivery::kLate}, 12},
+  }));
+  const bool suspending = GENERATE(false, true);
+  const bool speeding_up = GENERATE(false, true);
+  CAPTURE(c.name, suspending, speeding_up);
+  constexpr Duration kPhase{12'000};
+  const std::vector<Delivery> all_applied;
+  ThrottledWorker worker;
+  worker.Run(ThrottledWorker::kHighTailMs, kPhase, suspending ? c.deliveries : all_applied);
+  CHECK(worker.speed_percent() == 0);
+  CHECK(worker.orders() <= (suspending ? c.orders : 1));
+  worker.Run(ThrottledWorker::kLowTailMs, kPhase, speeding_up ? c.deliveries : all_applied);
+  CHECK(worker.speed_percent() == 100);
+  CHECK(worker.orders() <= (speeding_up ? c.orders : 1));
+  CHECK(worker.most_in_flight() == 1);
+}
+
+// Guards against a change of speed that is undone for good by an older order that takes effect
+// after it.
+TEST_CASE("a late change of speed does not last", "[scheduling][shard]") {
+  constexpr Duration kShortPhase{4'000};  // The late order takes effect after its end.
+  constexpr Duration kLongPhase{16'000};
+  const auto deliveries =
+      GENERATE(values<std::vector<Delivery>>({{Delivery::kLate},
+                                              {Delivery::kLate, Delivery::kLate},
+                                              {Delivery::kLate, Delivery::kUnhealthy}}));
+  CAPTURE(deliveries.size());
+  ThrottledWorker worker;
+  worker.Run(ThrottledWorker::kHighTailMs, kShortPhase, deliveries);
+  worker.Run(ThrottledWorker::kLowTailMs, kLongPhase, {});
+  CHECK(worker.speed_percent() == 100);
+  CHECK(worker.most_in_flight() == 1);
+}
+
 // Guards against tasks that wait for a worker that is down or does not respond to orders.
 TEST_CASE("a worker that does not respond to starts gets no others", "[scheduling][shard][load]") {
   struct Case {
--- a/src/task_worker/internal/worker_link.cc
+++ b/src/task_worker/internal/worker_link.cc
@@ -101,7 +101,8 @@
     delegate_->OnStopResponse(*stop, response);
   } else if (const auto* throttle = std::get_if<ThrottleOrder>(&order)) {
     HttpCall call = protocol_.encode_throttle(*throttle);
-    co_await Call(std::move(call), kOrderTimeout);
+    auto response = co_await Call(std::move(call), kOrderTimeout);
+    delegate_->OnThrottleResponse(*throttle, response);
   }
 }
 
--- a/src/task_worker/internal/worker_link.h
+++ b/src/task_worker/internal/worker_link.h
@@ -26,6 +26,8 @@
                                const std::optional<OrderResponse>& response) = 0;
   virtual void OnStopResponse(const StopOrder& order,
                               const std::optional<OrderResponse>& response) = 0;
+  virtual void OnThrottleResponse(const ThrottleOrder& order,
+                                  const std::optional<OrderResponse>& response) = 0;
   // The worker rejected a request because it has seen a higher fencing token.
   virtual void OnFenced(const WorkerId& worker) = 0;
 };
