Order a change of speed until the worker has acknowledged it

What callers would see: a best-effort task that goes on interfering with the latency-critical task beside it although its owner believes that it is suspended, or one that stays slow until it ends. Cause: TaskRow::speed_percent was set when the order was queued; the order was sent once and its response ignored. A lost order, or one that an unhealthy worker refused, left the old speed in force; an order without a response that took effect after newer ones undid them. Change: SpeedOrders keeps what the worker has acknowledged. Until it has acknowledged the newest speed, the order is repeated every second, with the newest speed and with at most one order of a run in flight. After an order without a response the speed is ordered again until 8 s have passed. A refusal that shows that the run is not there, and the end of a run, end the repetition. ShardOwner::SendOrders answers an order for which there is no link with "no response", as the links do; before, it was dropped without a trace, and a start among them would have stayed in "sent" until the worker was lost. Why this works: a worker applies a speed before it acknowledges it, so the last order sent after every unanswered one has run out decides. The phases of the first test last 16 s instead of 12 s: an order lost 4.5 s into a phase is rightly repeated up to 12.5 s, which the 12 s counted in the next phase; the bound of 12 orders stays. Not tested: the answer for an order without a link, which needs a link that closes between two plans.

--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -252,15 +252,19 @@
 
 void ShardOwner::SendOrders(const Orders& orders) {
   const Links links = table_.With([](Table& table) { return table.links; });
-  const auto send = [&](const auto& list) {
+  const auto send = [&](const auto& list, auto on_response) {
     for (const auto& order : list) {
       const auto link = links.find(order->worker);
-      if (link != links.end()) link->second->Send(order);
+      if (link != links.end()) {
+        link->second->Send(order);
+      } else {
+        (this->*on_response)(order, std::nullopt);
+      }
     }
   };
-  send(orders.starts);
-  send(orders.stops);
-  send(orders.throttles);
+  send(orders.starts, &ShardOwner::OnStartResponse);
+  send(orders.stops, &ShardOwner::OnStopResponse);
+  send(orders.throttles, &ShardOwner::OnThrottleResponse);
 }
 
 Task<> ShardOwner::PlanLoop() {
--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -20,6 +20,20 @@
   kConfirmed,   // The worker has acknowledged or reported the run.
 };
 
+// Progress of the orders that set the speed of a run.
+struct SpeedOrders {
+  bool acknowledged =
+      true;                // The worker has acknowledged the run's speed. Runs start at full speed.
+  bool in_flight = false;  // Neither a response to the last order nor its timeout has arrived.
+  int sent_percent = 0;    // Speed in the last order.
+  Time sent_at{};          // When the last order was sent.
+  // Until then, an earlier order without a response may still take effect.
+  Time unsettled_until{};
+
+  // Returns whether the run keeps the speed that the worker acknowledged.
+  bool settled() const { return acknowledged && sent_at >= unsettled_until; }
+};
+
 struct TaskRow {
   TaskPhase phase = TaskPhase::kWaiting;
   int run = 0;
@@ -44,8 +58,9 @@
   Time last_progress_at{};     // When `progress` last changed.
   std::int64_t observed = 0;   // Latency or CPU use; see ReportedRunFields.
   double normalised_load = 0;  // See interference.h; latency-critical tasks only.
-  int speed_percent = 100;     // Speed that was last ordered, in percent.
-  Time speed_changed_at{};     // When the ordered speed last changed.
+  int speed_percent = 100;     // Intended speed, in percent.
+  Time speed_changed_at{};     // When the intended speed last changed or took effect.
+  SpeedOrders speed_orders;
   std::optional<Time> over_target_since;  // Latency-critical tasks only.
 };
 
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -21,6 +21,15 @@
 // Period at which a stop is repeated until a report shows its effect: the platform's time limit for
 // a stop, and a round trip.
 constexpr Duration kStopRepeat{1'000};
+// Period at which a change of speed is repeated until the worker has acknowledged it: the timeout
+// of a call.
+constexpr Duration kThrottleRepeat{1'000};
+// How long an order without a response may still take effect. The platform says "seconds"; the
+// simulated interleavings delay orders by up to this time.
+constexpr Duration kLateOrderLimit{8'000};
+// Refusals of a change of speed by a worker that does not have the run.
+constexpr std::array kRunIsGone = {OrderRefusal::kFenced, OrderRefusal::kObsolete,
+                                   OrderRefusal::kOtherIncarnation};
 // Number of consecutive reports without a confirmed run after which the run counts as lost. One is
 // not enough, since a report may have overtaken the response to the start.
 constexpr int kMaxMissedReports = 3;
@@ -250,6 +259,7 @@
   task.missed_reports = 0;
   task.start_attempts = 0;
   task.speed_percent = kFullPercent;
+  task.speed_orders = {};
   task.stage = StartStage::kUnrecorded;
   jobs_.SetPhase(job, position, phase, now);
 }
@@ -401,8 +411,34 @@
   if (acknowledged && task->stage == StartStage::kSent && !task->revoked_at) task->revoked_at = now;
 }
 
-void Shard::ThrottleAnswered(const ThrottleOrder& /*order*/,
-                             const std::optional<OrderResponse>& /*response*/, Time /*now*/) {}
+void Shard::ThrottleAnswered(const ThrottleOrder& order,
+                             const std::optional<OrderResponse>& response, Time now) {
+  TaskRow* task = jobs_.Find(order->task);
+  if (task == nullptr || task->phase != TaskPhase::kPlaced || task->run != order->run) return;
+  if (task->worker != order->worker) return;
+  SpeedOrders& orders = task->speed_orders;
+  orders.in_flight = false;
+  const OrderRefusal refusal = response ? (*response)->refusal : OrderRefusal::kNone;
+  if (response && refusal == OrderRefusal::kNone) {
+    if (order->percent != task->speed_percent) return;
+    // A repeated order took effect only now; what follows from the change is measured from now on.
+    if (!orders.acknowledged && orders.sent_at > task->speed_changed_at) {
+      task->speed_changed_at = now;
+      task->last_progress_at = now;
+    }
+    orders.acknowledged = true;
+    return;
+  }
+  if (std::find(kRunIsGone.begin(), kRunIsGone.end(), refusal) != kRunIsGone.end()) {
+    orders = {};
+    return;
+  }
+  orders.acknowledged = false;
+  if (!response) orders.unsettled_until = orders.sent_at + kLateOrderLimit;
+  Decide("pace-failed", FormatTaskKey(order->task),
+         "worker=" + order->worker.value + " to=" + std::to_string(order->percent) +
+             " reason=" + (response ? std::string(NameOf(refusal)) : "no-response"));
+}
 
 bool Shard::Cancel(JobId id, Time now) {
   JobRow* job = jobs_.Find(id);
@@ -486,7 +522,7 @@
 Orders Shard::TakeOrders(Time now) {
   Orders orders{.starts = std::exchange(starts_, {}),
                 .stops = std::exchange(orphaned_run_stops_, {}),
-                .throttles = std::exchange(throttle_orders_, {})};
+                .throttles = DueThrottles(now)};
   for (auto entry = stopping_.begin(); entry != stopping_.end();) {
     JobRow* const job = jobs_.Find(entry->job);
     if (job == nullptr || !job->tasks[entry->position].stopping) {
@@ -506,6 +542,32 @@
   return orders;
 }
 
+std::vector<ThrottleOrder> Shard::DueThrottles(Time now) {
+  std::vector<ThrottleOrder> due;
+  for (auto entry = throttling_.begin(); entry != throttling_.end();) {
+    JobRow* const job = jobs_.Find(entry->job);
+    if (job == nullptr || job->tasks[entry->position].speed_orders.settled()) {
+      entry = throttling_.erase(entry);
+      continue;
+    }
+    TaskRow& task = job->tasks[entry->position];
+    SpeedOrders& orders = task.speed_orders;
+    const bool repeated = orders.sent_percent == task.speed_percent;
+    if (!orders.in_flight && (!repeated || now - orders.sent_at >= kThrottleRepeat)) {
+      orders.in_flight = true;
+      orders.sent_percent = task.speed_percent;
+      orders.sent_at = now;
+      due.emplace_back(ThrottleOrderFields{.worker = task.worker,
+                                           .task = job->KeyOf(entry->position),
+                                           .run = task.run,
+                                           .percent = task.speed_percent,
+                                           .token = token_});
+    }
+    ++entry;
+  }
+  return due;
+}
+
 JobState Shard::StateOf(JobId id) const {
   constexpr std::array<std::pair<JobPhase, JobState>, 3> kEnded = {
       {{JobPhase::kCompleted, JobState::kCompleted},
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -116,8 +116,10 @@
   RecordBatch TakeBatch();
   // Handles the completion of a write: `batch` is durable, and its starts may be sent.
   void Recorded(const RecordBatch& batch, Time now);
-  // Returns the orders that are due. A start and a change of speed are returned once; a stop is
-  // returned repeatedly until a report shows its effect.
+  // Returns the orders that are due. A start is returned once; a stop is returned repeatedly until
+  // a report shows its effect, and a change of speed until the worker has acknowledged it. For each
+  // order, the caller passes the response to StartAnswered(), StopAnswered() or ThrottleAnswered(),
+  // or std::nullopt if the order cannot be sent.
   Orders TakeOrders(Time now);
 
   // Returns the state of a job, as far as it is durable.
@@ -166,6 +168,7 @@
   void ReleaseLostWorkers(Time now);
   void MoveStalled(Time now);
   void ControlThrottling(Time now);
+  std::vector<ThrottleOrder> DueThrottles(Time now);
   void MoveIfSlow(JobRow& job, std::size_t position, Time now);
   std::optional<StartOrder> StartOf(const JobRow& job, std::size_t position, Time now);
   void Decide(std::string kind, std::string subject, std::string detail);
@@ -175,13 +178,13 @@
   JobTable jobs_;
   WorkerTable workers_;
   Interference interference_;
-  std::set<TaskRef> stopping_;  // Contains all tasks with `stopping` set; may contain others.
+  std::set<TaskRef> stopping_;    // Contains all tasks with `stopping` set; may contain others.
+  std::set<TaskRef> throttling_;  // Contains all tasks whose speed is not settled; others too.
   std::int64_t workers_evaluated_ = 0;
   Time last_sweep_{};             // When Plan() last looked for stalled tasks and lost workers.
   std::vector<TaskKey> planned_;  // Planned starts that are not in a batch yet.
   std::vector<StartOrder> starts_;
   std::vector<StopOrder> orphaned_run_stops_;  // Stops of orphaned runs.
-  std::vector<ThrottleOrder> throttle_orders_;
   std::map<WorkerId, std::pair<std::int64_t, std::int64_t>> ends_taken_;
   std::set<JobId> expired_;
   bool advice_reported_ = false;  // Whether the log already contains advice-not-supported.
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -238,8 +238,8 @@
       task.speed_percent = change.percent;
       task.speed_changed_at = now;
       task.last_progress_at = now;
-      throttle_orders_.emplace_back(ThrottleOrderFields{
-          .worker = id, .task = key, .run = task.run, .percent = change.percent, .token = token_});
+      task.speed_orders.acknowledged = false;
+      throttling_.insert(change.task);
       MoveIfSlow(job, change.task.position, now);
     }
   }
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -698,6 +698,12 @@
     }
   }
 
+  // Reports the end of the best-effort task.
+  void End() {
+    harness_.Report(kWorker, {}, {ShardHarness::End(*best_effort_, EndKind::kStopped)});
+    best_effort_.reset();
+  }
+
   int speed_percent() const { return speed_percent_; }
   int orders() const { return orders_; }                  // During the last call of Run.
   int most_in_flight() const { return most_in_flight_; }  // At any time.
@@ -708,7 +714,7 @@
 
  private:
   StartOrder Start() {
-    const StartOrder start = harness_.PlanAndRecord().at(0);
+    StartOrder start = harness_.PlanAndRecord().at(0);
     harness_.Respond(start, OrderRefusal::kNone);
     return start;
   }
@@ -789,7 +795,7 @@
   const bool suspending = GENERATE(false, true);
   const bool speeding_up = GENERATE(false, true);
   CAPTURE(c.name, suspending, speeding_up);
-  constexpr Duration kPhase{12'000};
+  constexpr Duration kPhase{16'000};
   const std::vector<Delivery> all_applied;
   ThrottledWorker worker;
   worker.Run(ThrottledWorker::kHighTailMs, kPhase, suspending ? c.deliveries : all_applied);
@@ -801,6 +807,18 @@
   CHECK(worker.most_in_flight() == 1);
 }
 
+// Guards against orders that are repeated for runs that do not exist any more.
+TEST_CASE("a change of speed is not repeated after the end of the run", "[scheduling][shard]") {
+  const Delivery delivery = GENERATE(Delivery::kUnhealthy, Delivery::kRequestLost);
+  CAPTURE(static_cast<int>(delivery));
+  ThrottledWorker worker;
+  worker.Run(ThrottledWorker::kHighTailMs, Duration(4'000), std::vector<Delivery>(9, delivery));
+  CHECK(worker.orders() >= 2);
+  worker.End();
+  worker.Run(ThrottledWorker::kHighTailMs, Duration(4'000), {});
+  CHECK(worker.orders() == 0);
+}
+
 // Guards against a change of speed that is undone for good by an older order that takes effect
 // after it.
 TEST_CASE("a late change of speed does not last", "[scheduling][shard]") {
