--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -836,6 +836,59 @@
   CHECK(worker.most_in_flight() == 1);
 }
 
+// Guards against best-effort tasks that an earlier owner throttled and that stay slow, or count as
+// stalled, because their new owner believes that they run at full speed.
+TEST_CASE("an inherited best-effort run is set to the speed that its owner believes",
+          "[scheduling][shard]") {
+  struct Case {
+    std::string name;
+    bool best_effort;
+    bool inherited;  // Otherwise this owner starts the run.
+    std::size_t orders;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"best-effort, inherited", true, true, 1},
+      {"batch, inherited", false, true, 0},
+      {"best-effort, own", true, false, 0},
+  }));
+  CAPTURE(c.name);
+  ShardHarness harness;
+  StepFields step = kTask;
+  step.best_effort = c.best_effort;
+  step.image = "f";
+  harness.Submit(step);
+  StartOrder start({.worker = kWorker, .task = {.job = kJob}, .run = 1});
+  if (c.inherited) {
+    harness.shard.Restore(
+        JobProgress({.id = kJob,
+                     .tasks = {TaskProgress(
+                         {.phase = TaskPhase::kPlaced, .run = 1, .worker = kWorker.value})}}),
+        harness.now);
+    harness.PlanAndRecord();
+    CHECK(harness.orders.throttles.empty());  // The worker may not have the run.
+    harness.shard.WorkerListed(
+        WorkerEntry({.id = kWorker, .service = "s", .address = {"127.0.0.1", 1}}), harness.now);
+  } else {
+    harness.AddWorker(kWorker);
+    start = harness.PlanAndRecord().at(0);
+    harness.Respond(start, OrderRefusal::kNone);
+  }
+  harness.Report(kWorker, {ShardHarness::Running(start)}, {});
+  harness.PlanAndRecord();
+  REQUIRE(harness.orders.throttles.size() == c.orders);
+  for (const ThrottleOrder& order : harness.orders.throttles) {
+    CHECK(order->task == start->task);
+    CHECK(order->percent == 100);
+    harness.shard.ThrottleAnswered(order, OrderResponse(), harness.now);
+  }
+  for (int i = 0; i < 3; ++i) {
+    harness.now += Duration(1'000);
+    harness.Report(kWorker, {ShardHarness::Running(start, 20 + i)}, {});
+    harness.PlanAndRecord();
+    CHECK(harness.orders.throttles.empty());
+  }
+}
+
 // Guards against tasks that wait for a worker that is down or does not respond to orders.
 TEST_CASE("a worker that does not respond to starts gets no others", "[scheduling][shard][load]") {
   struct Case {
