Order the speed of best-effort runs that a new owner takes over

What callers would see: a best-effort task that an earlier owner throttled stays slow until it ends; one at speed 0 is moved as stalled 2 s after the take-over, and its worker gets no task for 4 s. Cause: the speed of a run is not in the record, and the new owner believed full speed without ordering it. Change: the first report of an inherited best-effort run makes its speed unacknowledged, so that full speed is ordered until the worker acknowledges it. Why this works: from the acknowledgement on, belief and worker agree, and the speed is controlled as for any other run. Orders of the earlier owner are refused from then on, since the worker has responded to the new token. Full speed may bring the latency-critical task back over its target for the 1.2 s that precede a throttle; an estimate of the old speed from the reported use of cores was not taken, because half of the tasks use two thirds of their cores at full speed. The record keeps its format, for the reason given in docs/DESIGN.md ("Begun").

--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -276,6 +276,14 @@
         .worker = worker.entry->id, .task = running->task, .run = running->run, .token = token_});
     return;
   }
+  const JobRow& job = *jobs_.Find(running->task.job);
+  const std::size_t position = job.PositionOf(running->task);
+  const StepSpec& step = job.StepOf(position);
+  // An earlier owner may have changed the speed of the run; the record does not contain it.
+  if (task->inherited && step->best_effort) {
+    task->speed_orders.acknowledged = false;
+    throttling_.insert({.job = running->task.job, .position = position});
+  }
   task->stage = StartStage::kConfirmed;
   task->inherited = false;
   task->worker_start_time_ms = worker.start_time_ms;
@@ -286,8 +294,6 @@
     task->progress = running->progress_percent;
     task->last_progress_at = now;
   }
-  const JobRow& job = *jobs_.Find(running->task.job);
-  const StepSpec& step = job.StepOf(job.PositionOf(running->task));
   if (!step->long_running || step->target_latency_ms <= 0) return;
   const bool over =
       task->progress >= kFullPercent &&
