Test: the checkpoint of a run that was given up is not recorded (known red)

What callers would see: after a take-over a task starts again from an older checkpoint or from the beginning, though its worker had handed over a newer one. Cause: Shard::ApplyEnd keeps the checkpoint of an end in memory and returns early if the task is not placed any more, without marking the job as changed. The end is acknowledged, so the worker forgets it. Measured before the fix: the case "run given up" fails (0 records, 1 expected); "run placed" passes.

--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -484,6 +484,37 @@
   CHECK(harness.shard.NextRenewal(kWorker, harness.now)->ends_seen == 1);
 }
 
+// Guards against checkpoints that are lost at a take-over: the worker forgets an end once it is
+// acknowledged, also that of a run that had been given up.
+TEST_CASE("the checkpoint of an end is durable before the end is acknowledged",
+          "[scheduling][shard]") {
+  struct Case {
+    std::string name;
+    bool lost;  // The run had been given up before its end was reported.
+  };
+  const auto c = GENERATE(values<Case>({{"run placed", false}, {"run given up", true}}));
+  CAPTURE(c.name);
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.Submit(kTask);
+  const StartOrder start = harness.PlanAndRecord().at(0);
+  harness.Respond(start, OrderRefusal::kNone);
+  if (c.lost) {
+    for (int i = 0; i < 3; ++i) harness.Report(kWorker, {}, {});
+    harness.shard.Recorded(harness.shard.TakeBatch(), harness.now);
+  }
+  harness.Report(kWorker, {},
+                 {ReportedEnd({.number = 1,
+                               .task = start->task,
+                               .run = start->run,
+                               .kind = EndKind::kStopped,
+                               .checkpoint = "c"})});
+  const RecordBatch batch = harness.shard.TakeBatch();
+  CHECK(batch.ends.size() == 1);
+  REQUIRE(batch.records.size() == 1);
+  CHECK(batch.records[0]->tasks[0]->checkpoint == "c");
+}
+
 // Adds two racks of two workers; only the second has accelerators and the label "large".
 void AddRacks(ShardHarness& harness) {
   for (const int number : {1, 2, 3, 4}) {
