Test: a task counts as stalled at a speed that was not raised (known red)

What callers would see: a best-effort task that was suspended is stopped and its worker avoided for 4 s, because the order to speed it up was lost or refused. Cause: MoveStalled takes the ordered speed for the real one. Measured before the fix: "acknowledged := false" fails (stopped after 2 s); "acknowledged := true" passes.

--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -867,6 +867,40 @@
   CHECK(worker.most_in_flight() == 1);
 }
 
+// Guards against a task that is moved, and a worker that is avoided, because the task makes no
+// progress at a speed that has not been raised yet.
+TEST_CASE("a task is not stalled while its speed is not acknowledged", "[scheduling][shard]") {
+  const bool acknowledged = GENERATE(false, true);
+  CAPTURE(acknowledged);
+  ShardHarness harness;
+  StepFields step = kTask;
+  step.best_effort = true;
+  step.image = "f";
+  harness.Submit(step);
+  harness.shard.Restore(
+      JobProgress({.id = kJob,
+                   .tasks = {TaskProgress(
+                       {.phase = TaskPhase::kPlaced, .run = 1, .worker = kWorker.value})}}),
+      harness.now);
+  harness.shard.WorkerListed(
+      WorkerEntry({.id = kWorker, .service = "s", .address = {"127.0.0.1", 1}}), harness.now);
+  const StartOrder start({.worker = kWorker, .task = {.job = kJob}, .run = 1});
+  std::size_t stops = 0;
+  for (int i = 0; i < 40; ++i) {
+    harness.now += Duration(100);
+    harness.Report(kWorker, {ShardHarness::Running(start)}, {});
+    harness.PlanAndRecord();
+    stops += harness.orders.stops.size();
+    for (const ThrottleOrder& order : harness.orders.throttles) {
+      harness.shard.ThrottleAnswered(
+          order,
+          OrderResponse({.refusal = acknowledged ? OrderRefusal::kNone : OrderRefusal::kUnhealthy}),
+          harness.now);
+    }
+  }
+  CHECK((stops > 0) == acknowledged);
+}
+
 // Guards against best-effort tasks that an earlier owner throttled and that stay slow, or count as
 // stalled, because their new owner believes that they run at full speed.
 TEST_CASE("an inherited best-effort run is set to the speed that its owner believes",
