A task is not stalled before its speed is acknowledged

What callers would see: a best-effort task is stopped as stalled, and its worker avoided for 4 s, because the order that speeds it up was lost or refused. Cause: MoveStalled took the ordered speed for the real one. Change: the speed must also be acknowledged. Why this works: a task that makes no progress at an acknowledged full speed is stalled; at any other speed the cause may be the throttling itself. A worker that acknowledges no change of speed would not carry out the stop either.

--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -75,10 +75,10 @@
       }
       if (task.stage != StartStage::kConfirmed || task.stopping) continue;
       const StepSpec& step = job.StepOf(ref.position);
-      const bool task_stalled = !step->gang && task.progress < kFullPercent &&
-                                task.speed_percent >= kFullPercent &&
-                                now - task.last_progress_at > policy_->stall_limit &&
-                                worker.last_report > task.last_progress_at + policy_->stall_limit;
+      const bool task_stalled =
+          !step->gang && task.progress < kFullPercent && task.speed_percent >= kFullPercent &&
+          task.speed_orders.acknowledged && now - task.last_progress_at > policy_->stall_limit &&
+          worker.last_report > task.last_progress_at + policy_->stall_limit;
       stalled = stalled || task_stalled;
       if (task_stalled || (leaving && step->long_running) ||
           (leaving_soon && step->checkpointing)) {
