--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -231,6 +231,12 @@
   table_.With([&](Table& table) { table.shard.StopAnswered(order, response, Now()); });
 }
 
+void ShardOwner::OnThrottleResponse(const ThrottleOrder& order,
+                                    const std::optional<OrderResponse>& response) {
+  if (!active_) return;
+  table_.With([&](Table& table) { table.shard.ThrottleAnswered(order, response, Now()); });
+}
+
 void ShardOwner::OnFenced(const WorkerId& worker) {
   if (!active_) return;
   context_.log.Write("fenced-by-worker", worker.value, "token=" + std::to_string(token_));
@@ -247,15 +253,19 @@
 
 void ShardOwner::SendOrders(const Orders& orders) {
   const Links links = table_.With([](Table& table) { return table.links; });
-  const auto send = [&](const auto& list) {
+  const auto send = [&](const auto& list, auto on_response) {
     for (const auto& order : list) {
       const auto link = links.find(order->worker);
-      if (link != links.end()) link->second->Send(order);
+      if (link != links.end()) {
+        link->second->Send(order);
+      } else {
+        (this->*on_response)(order, std::nullopt);
+      }
     }
   };
-  send(orders.starts);
-  send(orders.stops);
-  send(orders.throttles);
+  send(orders.starts, &ShardOwner::OnStartResponse);
+  send(orders.stops, &ShardOwner::OnStopResponse);
+  send(orders.throttles, &ShardOwner::OnThrottleResponse);
 }
 
 Task<> ShardOwner::PlanLoop() {
