HTTP client: an address of 64 KB no longer ends the calling coroutine

Seen by other operators: one odd entry among those of the workers, processes that stopped following the list, and work lost.

Cause here: a registration whose host had 64 KB or more was accepted. Beast throws std::length_error when the Host header is set; the exception left HttpClient::Call and ended the coroutine that renews the leases of the worker (RunLink), which then never removed the link from the table, so that no new one was opened. The worker got no renewals for the rest of the ownership, also after its registration had been repaired: its tasks lapsed and new ones never ended.

Such a call can't be sent, which is what kUnreachable says; every caller handles that already.

--- a/src/runtime/internal/http_client.cc
+++ b/src/runtime/internal/http_client.cc
@@ -5,6 +5,7 @@
 #include <boost/beast.hpp>
 #include <boost/url/url.hpp>
 #include <map>
+#include <stdexcept>
 #include <vector>
 
 #include "runtime/internal/lock_order.h"
@@ -31,6 +32,7 @@
 using ConnectionPtr = std::unique_ptr<Connection>;
 using Idle = std::map<Endpoint, std::vector<ConnectionPtr>>;
 
+// Throws std::length_error if a header is longer than 64 KB.
 http::request<http::string_body> MakeRequest(const Endpoint& to, HttpCall&& call) {
   boost::urls::url target;
   target.set_path(call.path);
@@ -134,7 +136,12 @@
                                          TrafficKind kind) {
   const Time deadline = Now() + timeout;
   const bool retry_on_broken_connection = call.retry_on_broken_connection;
-  auto request = MakeRequest(to, std::move(call));
+  http::request<http::string_body> request;
+  try {
+    request = MakeRequest(to, std::move(call));
+  } catch (const std::length_error&) {
+    co_return Errc::kUnreachable;
+  }
   ConnectionPtr connection = impl_->TakeIdle(to);
   bool keep_alive = false;
   if (connection) {
