Registrations: foreign entries are recognised, and logged once with their cause

Seen by other operators: one odd entry of another writer among those of the workers, and machines that ended or lost work.

Cause here: a registration was accepted with any text as host, without zone, labels or capacity figures, with numbers up to 9e15 cores, and with keys that break a header (CR LF). What was rejected was logged as cause=unreadable at each heartbeat, in both programs, followed in dn-node by worker-unlisted for a worker that was never listed.

RegistrationReader, used by both programs, logs the first problem of a key and again only when the problem changes. A worker whose entry turns odd is treated as unlisted: its tasks keep their leases, it gets nothing new until the entry is valid again.

--- a/src/entry/internal/instance_module.cc
+++ b/src/entry/internal/instance_module.cc
@@ -48,6 +48,7 @@
       store_(settings->store, adapter.store, http_),
       appender_(pool, store_, metrics_, [this] { return AppendInterval(member_count()); }),
       self_(MakeSelf(settings, incarnation_)),
+      registrations_(adapter.registry, log_),
       worker_follower_(
           store_, adapter.registry.records, {.wait = kReadWait, .pause = kWorkerReadPause}, log_,
           [this](const auto& records, bool complete) { HandleWorkers(records, complete); }),
@@ -159,19 +160,15 @@
     std::set<WorkerId> listed;
     for (const StoreRecord& record : records) {
       const WorkerId id{record->key};
-      Result<WorkerEntry> entry = Errc::kNotFound;
-      if (record->value) entry = adapter_.registry.decode(record->key, *record->value);
+      const std::optional<WorkerEntry> entry = registrations_.Read(record);
       if (!entry) {
         changed = workers.erase(id) > 0 || changed;
-        if (record->value) {
-          log_.Write("worker-entry-skipped", record->key, entry.error().message());
-        }
         continue;
       }
       listed.insert(id);
       const auto known = workers.find(id);
-      if (known != workers.end() && known->second == entry.value()) continue;
-      workers.insert_or_assign(id, entry.value());
+      if (known != workers.end() && known->second == *entry) continue;
+      workers.insert_or_assign(id, *entry);
       changed = true;
     }
     const auto unlisted = [&](const auto& worker) { return !listed.contains(worker.first); };
--- a/src/entry/internal/instance_module.h
+++ b/src/entry/internal/instance_module.h
@@ -121,6 +121,7 @@
   Shared<Instance, LockRank::kIsolation> self_;
   SharedSiblings siblings_;
   RpcDispatcher rpc_;
+  RegistrationReader registrations_;  // Used by the handler of worker_follower_ only.
   KeyedFollower worker_follower_;
   HeartbeatSender heartbeats_;
   MembershipFollower membership_follower_;
--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -41,6 +41,7 @@
                                                   "cleaner-" + std::to_string(token), 0)),
       jobs_(context_.store, JobsOf(shard), {.wait = kFollowWait, .pause = Duration(0)},
             context_.log, [this](const auto& records, bool) { HandleJobs(records); }),
+      registrations_(context_.adapter.registry, context_.log),
       workers_(context_.store, context_.adapter.registry.records,
                {.wait = kFollowWait, .pause = kWorkerPause}, context_.log,
                [this](const auto& records, bool complete) { HandleWorkers(records, complete); }) {}
@@ -142,14 +143,10 @@
   std::set<WorkerId> listed;
   for (const StoreRecord& record : records) {
     const WorkerId id{record->key};
-    Result<WorkerEntry> entry = Errc::kNotFound;
-    if (record->value) {
-      entry = context_.adapter.registry.decode(record->key, *record->value);
-      if (!entry) context_.log.Write("worker-entry-skipped", record->key, "cause=unreadable");
-    }
+    const std::optional<WorkerEntry> entry = registrations_.Read(record);
     table_.With([&](Table& table) {
       if (entry) {
-        table.shard.WorkerListed(entry.value(), now);
+        table.shard.WorkerListed(*entry, now);
       } else {
         table.shard.WorkerUnlisted(id, now);
       }
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -86,6 +86,7 @@
   const std::shared_ptr<RecordWriter> progress_;
   const std::shared_ptr<RecordWriter> job_cleaner_;  // Deletes expired jobs.
   KeyedFollower jobs_;                               // Submitted jobs.
+  RegistrationReader registrations_;                 // Used by the handler of workers_ only.
   KeyedFollower workers_;                            // Worker registrations.
 };
 
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -59,8 +59,7 @@
 void Shard::WorkerListed(const WorkerEntry& entry, Time now) { workers_.Listed(entry, now); }
 
 void Shard::WorkerUnlisted(const WorkerId& id, Time now) {
-  workers_.Unlisted(id, now);
-  Decide("worker-unlisted", id.value, "");
+  if (workers_.Unlisted(id, now)) Decide("worker-unlisted", id.value, "");
 }
 
 std::optional<WorkerEntry> Shard::ManagedWorker(const WorkerId& id) {
--- a/src/scheduling/internal/worker_table.cc
+++ b/src/scheduling/internal/worker_table.cc
@@ -35,11 +35,12 @@
                          : Time::max();
 }
 
-void WorkerTable::Unlisted(const WorkerId& id, Time now) {
+bool WorkerTable::Unlisted(const WorkerId& id, Time now) {
   WorkerRow* worker = Find(id);
-  if (worker == nullptr || !worker->listed) return;
+  if (worker == nullptr || !worker->listed) return false;
   worker->listed = false;
   worker->unlisted_at = now;
+  return true;
 }
 
 WorkerRow* WorkerTable::Find(const WorkerId& id) {
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -62,7 +62,8 @@
   // Adds or updates the entry of a registered worker.
   void Listed(const WorkerEntry& entry, Time now);
   // Handles the end of a worker's registration.
-  void Unlisted(const WorkerId& id, Time now);
+  // Returns whether the worker was listed.
+  bool Unlisted(const WorkerId& id, Time now);
   WorkerRow* Find(const WorkerId& id);
   WorkerRow& FindOrAdd(const WorkerId& id, Time now);
   std::map<WorkerId, WorkerRow>& workers() { return workers_; }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -3,6 +3,7 @@
 
 #include "store/internal/keyed_follower.h"
 #include "store/internal/record_writer.h"
+#include "store/internal/registration_reader.h"
 #include "store/internal/store_client.h"
 #include "store/internal/store_protocol.h"
 #include "store/internal/stream_appender.h"
--- a/standins/internal/task_worker_standin.cc
+++ b/standins/internal/task_worker_standin.cc
@@ -64,10 +64,13 @@
 Task<> TaskWorkerStandin::Register() {
   bool registered = false;
   while (true) {
-    const auto [unavailable, sequence] = state_.With([](State& state) {
-      return std::make_pair(state.fault.dead || state.fault.disconnected, ++state.sequence);
+    const auto [unavailable, sequence, replaced] = state_.With([](State& state) {
+      return std::make_tuple(state.fault.dead || state.fault.disconnected, ++state.sequence,
+                             state.fault.registration);
     });
-    if (!unavailable) {
+    if (!unavailable && !replaced.empty()) {
+      store_.Put("keyed.servers", id_, replaced);
+    } else if (!unavailable) {
       const json::object entry{
           {"Service", service_},
           {"Address", server_->address().ToString()},
@@ -120,6 +123,8 @@
     return state_.With([](State& state) { return state.fault.dead || state.fault.disconnected; });
   };
   while (is_unavailable()) co_await SleepFor(kPollInterval);
+  const auto intended = call.headers.find("expected-instance");
+  if (intended != call.headers.end() && intended->second != id_) co_return HttpReply{.status = 421};
   if (call.path == "/api/hold") co_return co_await RenewLease(std::move(call));
   const auto route = kRoutes.find(call.path);
   if (route == kRoutes.end()) co_return HttpReply{.status = 404};
--- a/standins/internal/task_worker_standin.h
+++ b/standins/internal/task_worker_standin.h
@@ -20,6 +20,8 @@
   // affect renewals of the lease.
   int lost_answers_percent = 0;
   bool fails_all = false;  // Every started task fails after 20 ms.
+  // Text that is registered instead of the worker's own registration; empty: none.
+  std::string registration;
 
   friend auto operator<=>(const TaskWorkerFault&, const TaskWorkerFault&) = default;
 };
@@ -49,6 +51,7 @@
   void SetFault(const TaskWorkerFault& fault);
   // All runs since the start, in order of their start.
   std::vector<RunRecord> Runs() const;
+  Endpoint address() const { return server_->address(); }
   // Violations of the capacity of this worker.
   std::vector<std::string> Findings() const;
 
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -250,6 +250,11 @@
   return names;
 }
 
+std::string Fleet::LogOf(const std::string& name) const {
+  std::ifstream file(folder_ + "/" + name + ".log");
+  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
 std::uint64_t Fleet::LinkBytes() const { return link_->bytes(); }
 
 void Fleet::SetLink(standins::RelayMode mode) { link_->SetMode(mode); }
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -79,6 +79,8 @@
   Instance instance(const std::string& name) const { return instances_.at(name); }
   Endpoint store() const { return store_; }
   pid_t pid(const std::string& name) const { return processes_.at(name).pid; }
+  // Returns the log that the process has written so far.
+  std::string LogOf(const std::string& name) const;
   std::uint64_t LinkBytes() const;
   void SetLink(standins::RelayMode mode);
   HttpClient& http() { return http_; }
--- a/tests/support/node_fleet.cc
+++ b/tests/support/node_fleet.cc
@@ -38,11 +38,7 @@
     : pool_(pool), bin_(std::move(bin)), folder_(MakeFolder()), store_(pool) {
   static_cast<void>(store_.Start());
   PutConfiguration(3);
-  for (int i = 0; i < workers; ++i) {
-    workers_.push_back(std::make_unique<standins::TaskWorkerStandin>(
-        pool, store_, "worker-" + std::to_string(i), "service", kTaskTime));
-    static_cast<void>(workers_.back()->Start());
-  }
+  for (int i = 0; i < workers; ++i) AddWorker();
   const std::string net = NextNetworkPrefix();
   for (int i = 0; i < nodes; ++i) {
     const std::string host = net + std::to_string(i + 1);
@@ -85,6 +81,12 @@
   store_.Put("keyed.op", "config", text.str());
 }
 
+void NodeFleet::AddWorker() {
+  workers_.push_back(std::make_unique<standins::TaskWorkerStandin>(
+      pool_, store_, "worker-" + std::to_string(workers_.size()), "service", kTaskTime));
+  static_cast<void>(workers_.back()->Start());
+}
+
 void NodeFleet::Start(int index) {
   Node& node = nodes_[static_cast<std::size_t>(index)];
   const std::string program = bin_ + "/dn-node";
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -46,6 +46,8 @@
   // Cancels a job, with retries at the nodes in turn. Returns false after `limit`.
   Task<bool> Cancel(JobId id, Duration limit);
 
+  // Adds a worker, which registers itself.
+  void AddWorker();
   standins::StoreStandin& store() { return store_; }
   standins::TaskWorkerStandin& worker(int index) {
     return *workers_[static_cast<std::size_t>(index)];
