Log: every line is JSON of at most 4 KB, whatever bytes it names

A subject or detail had no limit, while a pipe takes only 4,096 bytes at once.

Texts of a line are now validated: bytes that are not UTF-8 become U+FFFD, subject and detail are cut at 800 and 2,400 bytes.

--- a/src/runtime/internal/decision_log.cc
+++ b/src/runtime/internal/decision_log.cc
@@ -4,6 +4,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include "runtime/internal/json_string.h"
+
 namespace dn {
 namespace {
 
@@ -11,17 +13,11 @@
 // log uses at most 0.2 % of a core.
 constexpr int kLinesPerWindow = 200;
 constexpr Duration kWindow{1'000};
-
-// Appends `text` as a JSON string. Control characters are replaced by spaces.
-void AppendQuoted(std::string& out, std::string_view text) {
-  constexpr char kFirstPrintable = 0x20;
-  out.push_back('"');
-  for (const char c : text) {
-    if (c == '"' || c == '\\') out.push_back('\\');
-    out.push_back(c >= kFirstPrintable || c < 0 ? c : ' ');
-  }
-  out.push_back('"');
-}
+// Maximum sizes of the texts of a line, in bytes. A pipe takes a line of up to 4,096 bytes
+// (PIPE_BUF) whole or not at all.
+constexpr std::size_t kMaxNameBytes = 256;
+constexpr std::size_t kMaxSubjectBytes = 800;
+constexpr std::size_t kMaxDetailBytes = 2'400;
 
 }  // namespace
 
@@ -68,13 +64,13 @@
   });
   if (!unreported) return;
   std::string line = R"({"at_ms":)" + std::to_string(WallMs()) + R"(,"instance":)";
-  AppendQuoted(line, instance_);
+  AppendJsonString(line, instance_, kMaxNameBytes);
   line += R"(,"kind":)";
-  AppendQuoted(line, kind);
+  AppendJsonString(line, kind, kMaxNameBytes);
   line += R"(,"subject":)";
-  AppendQuoted(line, subject);
+  AppendJsonString(line, subject, kMaxSubjectBytes);
   line += R"(,"detail":)";
-  AppendQuoted(line, detail);
+  AppendJsonString(line, detail, kMaxDetailBytes);
   if (*unreported > 0) line += R"(,"left_out":)" + std::to_string(*unreported);
   line += "}\n";
   // The reader does not keep up: the line is lost or incomplete, and is counted.
