Job records: tasks that cannot be counted make a record malformed

What operators would see: an owner that ends or stops following the jobs at one record, and each owner after it too. A record without steps makes the owner divide by zero, a negative count of a step asks for 2^64 rows, and an index in After beyond the steps reads outside the table. Such records come from a damaged value or from another program that writes to the topic or calls POST /jobs of an instance; jobs of callers are checked before.

The decoder checks what the table of jobs relies on; the record is then logged as record-skipped and the others are used.

--- a/src/scheduling/internal/record_codec.cc
+++ b/src/scheduling/internal/record_codec.cc
@@ -2,6 +2,7 @@
 // decoder recognises records of later formats.
 #include "scheduling/internal/record_codec.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace dn {
@@ -129,6 +130,20 @@
   return StepSpec(std::move(step));
 }
 
+// Whether the tasks of a job can be counted and its steps depend on earlier ones only.
+bool IsConsistent(const JobSpecFields& spec) {
+  if (spec.steps.empty() || spec.occurrences < 0) return false;
+  std::uint64_t tasks = 0;
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    const StepSpec& step = spec.steps[i];
+    if (step->count < 1) return false;
+    tasks += static_cast<std::uint64_t>(step->count);
+    const auto is_earlier = [&](int n) { return n >= 0 && static_cast<std::size_t>(n) < i; };
+    if (!std::all_of(step->after.begin(), step->after.end(), is_earlier)) return false;
+  }
+  return tasks * static_cast<std::uint64_t>(std::max(1, spec.occurrences)) <= kMaxTasks;
+}
+
 constexpr double kStretchUnit = 1000;      // Stretch is stored in thousandths.
 constexpr double kInterferenceUnit = 1e6;  // Interference estimates are stored in millionths.
 
@@ -188,7 +203,7 @@
   spec.interval_ms = in.Signed();
   const std::uint64_t steps = in.Count(kMaxSteps);
   for (std::uint64_t i = 0; i < steps && !in.failed(); ++i) spec.steps.push_back(ReadStep(in));
-  if (!in.complete()) return Errc::kMalformed;
+  if (!in.complete() || !IsConsistent(spec)) return Errc::kMalformed;
   job.spec = JobSpec(std::move(spec));
   return AcceptedJob(std::move(job));
 }
--- a/src/scheduling/tests/record_codec_test.cc
+++ b/src/scheduling/tests/record_codec_test.cc
@@ -127,6 +127,46 @@
   CHECK_FALSE(DecodeJobProgress("\x02"));                              // A later format.
 }
 
+// Guards against an owner that ends, or stops following the jobs, at a record whose tasks
+// cannot be counted: no steps (a division by zero), a negative count (a huge allocation).
+TEST_CASE("records of inconsistent jobs are refused", "[scheduling][records]") {
+  using Edit = void (*)(JobSpecFields&);
+  struct Case {
+    std::string name;
+    Edit edit;
+    bool valid;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"one task", [](JobSpecFields&) {}, true},
+      {"no steps", [](JobSpecFields& job) { job.steps.clear(); }, false},
+      {"a step without tasks", [](JobSpecFields& job) { job.steps[0] = StepSpec({.count = 0}); },
+       false},
+      {"a negative count", [](JobSpecFields& job) { job.steps[0] = StepSpec({.count = -1}); },
+       false},
+      {"more tasks than a progress record can hold",
+       [](JobSpecFields& job) { job.steps[0] = StepSpec({.count = 2'000'001}); }, false},
+      {"too many tasks in all occurrences",
+       [](JobSpecFields& job) {
+         job.steps[0] = StepSpec({.count = 100'000});
+         job.occurrences = 100'000;
+       },
+       false},
+      {"negative occurrences", [](JobSpecFields& job) { job.occurrences = -1; }, false},
+      {"a step after itself", [](JobSpecFields& job) { job.steps[0] = StepSpec({.after = {0}}); },
+       false},
+      {"a step after a step that does not exist",
+       [](JobSpecFields& job) { job.steps[0] = StepSpec({.after = {1'000'000}}); }, false},
+      {"a step after a negative index",
+       [](JobSpecFields& job) { job.steps[0] = StepSpec({.after = {-1}}); }, false},
+  }));
+  CAPTURE(c.name);
+  JobSpecFields job{.payload = "p", .steps = {StepSpec({.count = 1})}};
+  c.edit(job);
+  const std::string record =
+      EncodeAcceptedJob(AcceptedJob({.id = 1, .spec = JobSpec(std::move(job))}));
+  CHECK(DecodeAcceptedJob(record).has_value() == c.valid);
+}
+
 TEST_CASE("job identifiers are 16 hexadecimal digits", "[scheduling][records]") {
   struct Case {
     std::string text;
