--- a/src/instance_link/internal/instance_link.cc
+++ b/src/instance_link/internal/instance_link.cc
@@ -2,6 +2,7 @@
 #include "instance_link/internal/instance_link.h"
 
 #include <charconv>
+#include <limits>
 
 namespace dn {
 namespace {
@@ -11,6 +12,7 @@
 constexpr int kGone = 410;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
+constexpr std::int64_t kMaxPort = 65'535;
 constexpr std::string_view kJobsPath = "/jobs";
 constexpr std::string_view kJobPrefix = "/jobs/";
 constexpr std::string_view kQueuePrefix = "/queues/";
@@ -81,7 +83,9 @@
   }
   if (const auto shard = RemovePrefix(kOwnerPrefix, call.path)) {
     const auto number = ParseNumber(*shard);
-    if (!number) co_return HttpReply{.status = kNotFound};
+    if (!number || *number < 0 || *number > std::numeric_limits<int>::max()) {
+      co_return HttpReply{.status = kNotFound};
+    }
     const auto owner = owner_of_(static_cast<int>(*number));
     if (!owner) co_return HttpReply{.status = kUnavailable};
     co_return HttpReply{.status = kOk, .body = owner.value().ToString()};
@@ -97,7 +101,7 @@
   const std::size_t colon = text.rfind(':');
   if (reply.value().status != kOk || colon == std::string::npos) co_return Errc::kUnavailable;
   const auto port = ParseNumber(std::string_view(text).substr(colon + 1));
-  if (!port) co_return Errc::kMalformed;
+  if (!port || *port < 1 || *port > kMaxPort) co_return Errc::kMalformed;
   co_return Endpoint{.host = text.substr(0, colon), .port = static_cast<std::uint16_t>(*port)};
 }
 
