JSON of peers and operators: a long number no longer ends the process

What operators would see: dn-entry ends by itself, and again after each start, at one record of a stream, one heartbeat or one file with a number of some ten thousand digits.

Cause: jsoncpp quotes a number that it cannot represent in its error message, and the message was split by a regular expression. libstdc++ matches [^\n]+ with a recursion for each byte, so that the stack overflowed.

Evidence, before: "odd messages are refused" c.name := "a number of 400,000 digits" SIGSEGV - Segmentation violation signal

Messages are now split line by line and cut at 200 bytes.

--- a/src/runtime/internal/json_codec.cc
+++ b/src/runtime/internal/json_codec.cc
@@ -3,8 +3,9 @@
 
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
+#include <charconv>
 #include <memory>
-#include <regex>
+#include <utility>
 
 namespace dn {
 namespace {
@@ -18,14 +19,26 @@
   return builder;
 }
 
-// Adds the errors that jsoncpp reports, each as "* Line 3, Column 7\n  message".
+// Adds the errors that jsoncpp reports, each as "* Line 3, Column 7\n  message". Messages
+// quote the text that they refer to, whatever its length.
 void AddSyntaxErrors(const std::string& file, const std::string& errors, Findings& findings) {
-  static const std::regex kPattern(R"(\* Line (\d+), Column \d+\n\s*([^\n]+))");
-  for (std::sregex_iterator it(errors.begin(), errors.end(), kPattern), end; it != end; ++it) {
-    findings.push_back({.file = file,
-                        .pointer = {},
-                        .line = std::stoi((*it)[1].str()),
-                        .message = (*it)[2].str()});
+  constexpr std::string_view kLinePrefix = "* Line ";
+  constexpr std::size_t kMaxMessageBytes = 200;  // The longest message without a quote has 80.
+  int line_number = 0;                           // Of the message that follows; 0: none does.
+  std::string_view rest = errors;
+  while (!rest.empty()) {
+    std::string_view line = rest.substr(0, rest.find('\n'));
+    rest.remove_prefix(std::min(rest.size(), line.size() + 1));
+    if (line.starts_with(kLinePrefix)) {
+      const char* const digits = line.data() + kLinePrefix.size();
+      std::from_chars(digits, line.data() + line.size(), line_number);
+    } else if (line_number > 0) {
+      line.remove_prefix(std::min(line.size(), line.find_first_not_of(' ')));
+      findings.push_back({.file = file,
+                          .pointer = {},
+                          .line = std::exchange(line_number, 0),
+                          .message = std::string(line.substr(0, kMaxMessageBytes))});
+    }
   }
 }
 
