Heartbeats: a deeply nested response no longer ends the instance

What operators would see: dn-entry ends by itself when a peer on the address of a sibling answers a heartbeat with JSON that is nested more than 1,000 deep.

Cause: jsoncpp throws at that depth, and the client of libjsonrpccpp has exception specifications, so that std::terminate follows before any handler. A call that is nested so deeply got an empty response.

Evidence, before: "odd calls get an error response" terminate called after throwing an instance of 'Json::RuntimeError' what(): Exceeded stackLimit in readValue().

Text is parsed once, with the exception handled, before the library sees it: a response that is no JSON is no response, a call that is none gets a parse error.

--- a/src/sibling/internal/rpc_codec.cc
+++ b/src/sibling/internal/rpc_codec.cc
@@ -7,6 +7,7 @@
 #include <jsonrpccpp/server.h>
 
 #include <map>
+#include <memory>
 
 namespace dn {
 namespace {
@@ -26,6 +27,20 @@
   return value;
 }
 
+// Whether `text` is JSON. The library must not see deeply nested text: its client has
+// exception specifications, so that the exception of the parser ends the process.
+bool IsJson(const std::string& text) {
+  Json::Value value;
+  const Json::CharReaderBuilder builder;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  std::string errors;
+  try {
+    return reader->parse(text.data(), text.data() + text.size(), &value, &errors);
+  } catch (const std::exception&) {
+    return false;
+  }
+}
+
 // Stands in for the transport of the library's client: stores the call that the
 // client encodes and returns a given response to it.
 class CapturingConnector : public jsonrpc::IClientConnector {
@@ -53,6 +68,7 @@
 }
 
 std::string DecodeRpcResponse(const std::string& response) {
+  if (!IsJson(response)) return {};
   CapturingConnector connector;
   connector.response = response;
   jsonrpc::Client client(connector);
@@ -90,6 +106,9 @@
 }
 
 std::string RpcDispatcher::Dispatch(const std::string& call) const {
+  if (!IsJson(call)) {
+    return R"({"error":{"code":-32700,"message":"Parse error"},"id":null,"jsonrpc":"2.0"})";
+  }
   std::string response;
   impl_->protocol->HandleRequest(call, response);
   return response;
