--- a/tests/support/odd_registrations.cc
+++ b/tests/support/odd_registrations.cc
@@ -143,7 +143,7 @@
 std::vector<OddRegistration> OddRegistrations(const std::string& service,
                                               const std::string& address) {
   const std::string valid = RegistrationText(service, address);
-  const std::string control_key("odd\0-\r\nX-A: b", 14);
+  const std::string control_key("odd\0-\r\nX-A: b", 13);
   std::vector<OddRegistration> out = {
       {"invalid UTF-8 in the key", "odd-\x80\xff", valid, "/"},
       {"control characters in the key", control_key, valid, "/"},
