--- /dev/null
+++ b/src/caller/tests/caller_server_test.cc
@@ -0,0 +1,208 @@
+// Shutdown of the server for callers, seen from a connection on loopback.
+#include <poll.h>
+
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+#include <future>
+#include <thread>
+
+#include "caller/caller.h"
+
+namespace dn {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr Duration kReadTimeout{5000};  // Fails a test whose server neither responds nor closes.
+constexpr const char* kRequest = "GET /work HTTP/1.1\r\nHost: desk\r\n\r\n";
+
+// A server that responds to each request with "done". Its only thread can be held, so that what
+// happens in the meantime reaches the server at once.
+class TestServer {
+ public:
+  TestServer() : pool_(1), server_(Start()), thread_([this] { pool_.Run(); }) {}
+  ~TestServer() {
+    pool_.Stop();
+    thread_.join();
+  }
+
+  CallerServer& server() { return *server_; }
+  tcp::endpoint address() const {
+    return {asio::ip::make_address(server_->address().host), server_->address().port};
+  }
+  // Returns once the thread is held.
+  void HoldThread() {
+    std::promise<void> held;
+    asio::post(pool_.context(), [&held, released = released_.get_future()] {
+      held.set_value();
+      released.wait();
+    });
+    held.get_future().wait();
+  }
+  void ReleaseThread() { released_.set_value(); }
+
+ private:
+  std::unique_ptr<CallerServer> Start() {
+    return CallerServer::Start(pool_, {.host = "127.0.0.1", .port = 0},
+                               {.header_limit_bytes = [] { return 16U * 1024U; }}, metrics_,
+                               [](CallerExchange& caller) { return Respond(caller); })
+        .value();
+  }
+  static Task<> Respond(CallerExchange& caller) {
+    const std::string body = "done";
+    const ResponseHead head{
+        .status = 200, .framing = BodyFraming::kLength, .body_length = body.size()};
+    if (co_await caller.SendHead(head)) co_await caller.SendBody(body, true);
+  }
+
+  Metrics metrics_;
+  WorkerPool pool_;
+  std::promise<void> released_;
+  std::unique_ptr<CallerServer> server_;
+  std::thread thread_;
+};
+
+// Connection of a caller.
+class TestCaller {
+ public:
+  void Connect(const tcp::endpoint& to) { socket_.connect(to); }
+  // Ignores errors: ReadUntil reports the end of the connection.
+  void Send(const std::string& bytes) {
+    boost::system::error_code ignored;
+    asio::write(socket_, asio::buffer(bytes), ignored);
+  }
+
+  // Reads until `end` has been received. Appends ", closed", ", reset" or ", silent" if the
+  // connection ends or the time limit is exceeded before that.
+  std::string ReadUntil(const std::string& end) {
+    std::string text;
+    std::array<char, 4096> buffer{};
+    while (end.empty() || !text.ends_with(end)) {
+      pollfd readable{.fd = socket_.native_handle(), .events = POLLIN, .revents = 0};
+      if (::poll(&readable, 1, static_cast<int>(kReadTimeout.count())) != 1) {
+        return text + ", silent";
+      }
+      boost::system::error_code error;
+      text.append(buffer.data(), socket_.read_some(asio::buffer(buffer), error));
+      if (error) return text + (error == asio::error::eof ? ", closed" : ", reset");
+    }
+    return text;
+  }
+
+ private:
+  asio::io_context context_;
+  tcp::socket socket_{context_};
+};
+
+// Returns once the server has stopped to listen.
+void WaitUntilRefused(const tcp::endpoint& address) {
+  const Time deadline = Now() + kReadTimeout;
+  boost::system::error_code error;
+  while (error != asio::error::connection_refused && Now() < deadline) {
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(address, error);
+  }
+  REQUIRE(error == asio::error::connection_refused);
+}
+
+// Sends a request on `caller` and reads its response.
+void ExchangeOne(TestCaller& caller) {
+  caller.Send(kRequest);
+  REQUIRE_THAT(caller.ReadUntil("done"), Catch::EndsWith("done"));
+}
+
+void CheckLastResponse(const std::string& received) {
+  CHECK_THAT(received, Catch::StartsWith("HTTP/1.1 200 OK"));
+  CHECK_THAT(received, Catch::Contains("Connection: close"));
+  CHECK_THAT(received, Catch::EndsWith("done, closed"));
+}
+
+// Guards against a reset of connections whose request the kernel has received and the server has
+// not read yet.
+TEST_CASE("a stopping server for callers responds to requests that it has not read",
+          "[caller][shutdown]") {
+  const std::string request = kRequest;
+  struct Case {
+    std::string name;
+    bool accepted;             // Whether the connection has carried a request before.
+    std::size_t bytes_read;    // Bytes of the request that the server has read.
+    std::size_t bytes_unread;  // Bytes that arrive while the server's thread is held.
+    std::size_t bytes_after;   // Bytes that are sent after the server has stopped to listen.
+  };
+  const std::size_t half = request.size() / 2;
+  const std::size_t rest = request.size() - half;
+  const auto c = GENERATE_COPY(values<Case>({
+      {"request received", true, 0, request.size(), 0},
+      {"head read in part, the rest received", true, half, rest, 0},
+      {"head read in part, the rest not sent", true, half, 0, rest},
+      {"head received in part", true, 0, half, rest},
+      {"connection not accepted, request received", false, 0, request.size(), 0},
+      {"connection not accepted, head received in part", false, 0, half, rest},
+  }));
+  CAPTURE(c.name);
+  TestServer test;
+  TestCaller caller;
+  if (c.accepted) {
+    caller.Connect(test.address());
+    ExchangeOne(caller);
+    caller.Send(request.substr(0, c.bytes_read));
+  }
+  // The server reads what arrived earlier before it reads this request.
+  TestCaller other;
+  other.Connect(test.address());
+  ExchangeOne(other);
+
+  test.HoldThread();
+  if (!c.accepted) caller.Connect(test.address());
+  caller.Send(request.substr(c.bytes_read, c.bytes_unread));
+  test.server().CloseIdle();
+  test.ReleaseThread();
+  WaitUntilRefused(test.address());
+  caller.Send(request.substr(c.bytes_read + c.bytes_unread));
+  CheckLastResponse(caller.ReadUntil(""));
+}
+
+// Guards against callers that read "connection broken" because the server closed an open connection
+// just before they sent a request on it.
+TEST_CASE("a stopping server for callers waits for a request on each open connection",
+          "[caller][shutdown]") {
+  struct Case {
+    std::string name;
+    bool accepted;  // Whether the server has accepted the connection.
+    bool reused;    // Whether the connection has carried a request before.
+    bool sends;     // Whether the caller sends a request after the server has stopped to listen.
+  };
+  const auto c = GENERATE(values<Case>({
+      {"new connection", true, false, true},
+      {"connection not accepted", false, false, true},
+      {"connection with an earlier request", true, true, true},
+      {"new connection without a request", true, false, false},
+      {"connection not accepted, without a request", false, false, false},
+      {"connection without a further request", true, true, false},
+  }));
+  CAPTURE(c.name);
+  TestServer test;
+  TestCaller caller;
+  if (c.accepted) caller.Connect(test.address());
+  if (c.reused) ExchangeOne(caller);
+  // The server accepts connections in their order.
+  TestCaller other;
+  other.Connect(test.address());
+  ExchangeOne(other);
+
+  test.HoldThread();
+  if (!c.accepted) caller.Connect(test.address());
+  test.server().CloseIdle();
+  test.ReleaseThread();
+  WaitUntilRefused(test.address());
+  if (c.sends) {
+    caller.Send(kRequest);
+    CheckLastResponse(caller.ReadUntil(""));
+  } else {
+    CHECK(caller.ReadUntil("") == ", closed");
+  }
+}
+
+}  // namespace
+}  // namespace dn
