Callers: a stopping server responds to the requests that have arrived

Callers read "connection broken" on requests that the kernel of the instance had received when its drain closed the connections.

Cause: CloseIdle ended the read of every connection whose handler had not resumed with a complete head, whatever was unread or read in part; the connection was then closed with unread bytes, which resets it. Closing the listener reset the connections of its backlog, and a connection that had been accepted at that moment was closed without a read.

Change: TcpServer in runtime holds the connections of a server. It accepts what is established before it closes the listener, takes a connection for idle only while no byte of a request has arrived, looks for bytes once more before it closes, and always shuts the sending side down first. A drain ends when the listener is closed and no connection is open; before, it could end with connections not accepted.

Why this works: whether a request is on its way is decided on the bytes of the socket, on the strand that reads it, right before the close, and not on a flag set after the read.

--- a/src/caller/internal/caller_server.h
+++ b/src/caller/internal/caller_server.h
@@ -1,7 +1,6 @@
 // HTTP/1.1 server for callers. Bodies of requests and responses are streamed.
 #pragma once
 
-#include <atomic>
 #include <functional>
 #include <memory>
 
@@ -29,8 +28,11 @@
   virtual Endpoint address() const = 0;
   // Keeps accepting requests, but sends "Connection: close" with each response from now on.
   virtual void BeginDrain() = 0;
-  // Stops listening and closes the connections that carry no request.
+  // Stops listening and closes each connection once it carries no request. Responds to the requests
+  // that have arrived, also on connections that were not accepted yet.
   virtual void CloseIdle() = 0;
+  // Whether the server has stopped listening and no connection is open.
+  virtual bool closed() const = 0;
   virtual int open_connections() const = 0;
 };
 
--- a/src/entry/internal/entry_module.cc
+++ b/src/entry/internal/entry_module.cc
@@ -149,8 +149,7 @@
       co_await SleepFor(instance_.settings()->drain_grace);
       server->CloseIdle();
     }
-    while (flow_.in_flight() > 0 || (server && server->open_connections() > 0)) {
-      if (server) server->CloseIdle();
+    while (flow_.in_flight() > 0 || (server && !server->closed())) {
       co_await SleepFor(kDrainPollInterval);
     }
     co_await WaitForLateResponses();
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -17,5 +17,6 @@
 #include "runtime/internal/notifier.h"
 #include "runtime/internal/process.h"
 #include "runtime/internal/settings.h"
+#include "runtime/internal/tcp_server.h"
 #include "runtime/internal/upstream_connection.h"
 #include "runtime/internal/worker_pool.h"
