Callers: a stopping server waits for a request on each open connection

Callers read "connection broken" in place of a response head during a rolling restart of dn-entry.

Cause: the drain closed each connection without a request as soon as its grace period was over, among them those that a caller had just opened and was about to use. While the drain lasts responses carry "Connection: close", so most requests come on new connections, and each of them passes through that state.

Change: once a server has stopped listening, connections without a request stay open for another second. A drain ends earlier if no connection is left.

Why this works: with the listener closed there are no new connections, and callers that reuse connections send their next requests on those that are open, each of which gets a response with "Connection: close". After that, only connections that nobody has used for the grace period and a second are closed, by a shutdown of the sending side. HTTP/1.1 leaves one race: a caller that sends between that shutdown and its arrival gets no response; no byte of its request is processed then.

--- a/src/caller/internal/caller_server.h
+++ b/src/caller/internal/caller_server.h
@@ -28,8 +28,8 @@
   virtual Endpoint address() const = 0;
   // Keeps accepting requests, but sends "Connection: close" with each response from now on.
   virtual void BeginDrain() = 0;
-  // Stops listening and closes each connection once it carries no request. Responds to the requests
-  // that have arrived, also on connections that were not accepted yet.
+  // Stops listening. Each connection, also one that was not accepted yet, is closed after one more
+  // response, or if no request arrives on it within 1 s.
   virtual void CloseIdle() = 0;
   // Whether the server has stopped listening and no connection is open.
   virtual bool closed() const = 0;
--- a/src/entry/internal/entry_module.cc
+++ b/src/entry/internal/entry_module.cc
@@ -138,8 +138,8 @@
     status.busy_slots = slots_.BusyCount();
   }
 
-  // Gives the platform's balancer time to notice the drain, then closes idle connections, waits for
-  // the requests in flight and leaves the members.
+  // Gives the platform's balancer time to notice the drain, then stops listening, responds to the
+  // last request of each connection and leaves the members.
   Task<> Drain() {
     instance_.events().Emit(EventKind::kDraining, instance_.settings()->id.value);
     instance_.draining() = true;
--- a/src/runtime/internal/tcp_server.cc
+++ b/src/runtime/internal/tcp_server.cc
@@ -22,6 +22,10 @@
 constexpr Duration kLingerTime{1'000};
 // Pause after a failure to accept, usually for want of file descriptors.
 constexpr Duration kAcceptRetryPause{50};
+// Time for which connections stay open once the server has stopped listening. A peer that reuses
+// its connections sends its next requests on them and learns from the responses that they are
+// closed; a peer that has just connected sends its first request.
+constexpr Duration kLastRequestTime{1'000};
 // Pause between checks for connections that have become idle.
 constexpr Duration kClosePollInterval{20};
 
@@ -123,6 +127,8 @@
   }
   AcceptEstablished();
   listening_ = false;
+  const Time idle_end = Now() + kLastRequestTime;
+  while (open_connections() > 0 && Now() < idle_end) co_await SleepFor(kClosePollInterval);
   while (open_connections() > 0) {
     const Connections open = connections_.With([](const Connections& all) { return all; });
     for (const auto& connection : open) connection->CloseIfIdle();
--- a/src/runtime/internal/tcp_server.h
+++ b/src/runtime/internal/tcp_server.h
@@ -59,8 +59,8 @@
 
   // Bound address, with the selected port.
   Endpoint address() const { return address_; }
-  // Accepts the connections that are established already, stops listening, and closes each
-  // connection once it carries no request.
+  // Accepts the connections that are established already and stops listening. Closes connections
+  // that carry no request after 1 s, in which peers may use them once more.
   void Close();
   bool closing() const { return closing_; }
   // Whether the server has stopped listening and no connection is open.
