Tests: HttpServer resets connections when it closes (known red)

Callers of dn-node and of the control addresses would see the fault of CallerServer: HttpServer closes its listener without accepting what is established, and never closes an idle connection but by its timeout of 60 s, so that nothing can wait for its connections to end.

The two tests of CallerServer become tests of both servers, by a table of kinds, under names without "for callers"; the cases and checks are the same.

--- a/src/caller/tests/caller_server_test.cc
+++ b/tests/server_shutdown_test.cc
@@ -16,17 +16,78 @@
 constexpr Duration kReadTimeout{5000};  // Fails a test whose server neither responds nor closes.
 constexpr const char* kRequest = "GET /work HTTP/1.1\r\nHost: desk\r\n\r\n";
 
+// A running server of one kind.
+class Server {
+ public:
+  virtual ~Server() = default;
+  virtual Endpoint address() const = 0;
+  virtual void Close() = 0;
+};
+
+class ServerForCallers final : public Server {
+ public:
+  explicit ServerForCallers(WorkerPool& pool)
+      : server_(CallerServer::Start(pool, {.host = "127.0.0.1", .port = 0},
+                                    {.header_limit_bytes = [] { return 16U * 1024U; }}, metrics_,
+                                    [](CallerExchange& caller) { return Respond(caller); })
+                    .value()) {}
+  Endpoint address() const override { return server_->address(); }
+  void Close() override { server_->CloseIdle(); }
+
+ private:
+  static Task<> Respond(CallerExchange& caller) {
+    const std::string body = "done";
+    const ResponseHead head{
+        .status = 200, .framing = BodyFraming::kLength, .body_length = body.size()};
+    if (co_await caller.SendHead(head)) co_await caller.SendBody(body, true);
+  }
+
+  Metrics metrics_;
+  std::unique_ptr<CallerServer> server_;
+};
+
+class ServerForControlMessages final : public Server {
+ public:
+  explicit ServerForControlMessages(WorkerPool& pool)
+      : server_(HttpServer::Start(pool, {.host = "127.0.0.1", .port = 0}, [](HttpCall) {
+                  return Respond();
+                }).value()) {}
+  Endpoint address() const override { return server_->address(); }
+  void Close() override { server_->Close(); }
+
+ private:
+  static Task<HttpReply> Respond() { co_return HttpReply{.body = "done"}; }
+
+  std::unique_ptr<HttpServer> server_;
+};
+
+template <class Kind>
+std::unique_ptr<Server> Make(WorkerPool& pool) {
+  return std::make_unique<Kind>(pool);
+}
+
+struct ServerKind {
+  std::string name;
+  std::unique_ptr<Server> (*start)(WorkerPool&);
+};
+
+std::vector<ServerKind> ServerKinds() {
+  return {{"callers", &Make<ServerForCallers>},
+          {"control messages", &Make<ServerForControlMessages>}};
+}
+
 // A server that responds to each request with "done". Its only thread can be held, so that what
 // happens in the meantime reaches the server at once.
 class TestServer {
  public:
-  TestServer() : pool_(1), server_(Start()), thread_([this] { pool_.Run(); }) {}
+  explicit TestServer(const ServerKind& kind)
+      : pool_(1), server_(kind.start(pool_)), thread_([this] { pool_.Run(); }) {}
   ~TestServer() {
     pool_.Stop();
     thread_.join();
   }
 
-  CallerServer& server() { return *server_; }
+  void Close() { server_->Close(); }
   tcp::endpoint address() const {
     return {asio::ip::make_address(server_->address().host), server_->address().port};
   }
@@ -42,23 +103,9 @@
   void ReleaseThread() { released_.set_value(); }
 
  private:
-  std::unique_ptr<CallerServer> Start() {
-    return CallerServer::Start(pool_, {.host = "127.0.0.1", .port = 0},
-                               {.header_limit_bytes = [] { return 16U * 1024U; }}, metrics_,
-                               [](CallerExchange& caller) { return Respond(caller); })
-        .value();
-  }
-  static Task<> Respond(CallerExchange& caller) {
-    const std::string body = "done";
-    const ResponseHead head{
-        .status = 200, .framing = BodyFraming::kLength, .body_length = body.size()};
-    if (co_await caller.SendHead(head)) co_await caller.SendBody(body, true);
-  }
-
-  Metrics metrics_;
   WorkerPool pool_;
   std::promise<void> released_;
-  std::unique_ptr<CallerServer> server_;
+  std::unique_ptr<Server> server_;
   std::thread thread_;
 };
 
@@ -120,8 +167,8 @@
 
 // Guards against a reset of connections whose request the kernel has received and the server has
 // not read yet.
-TEST_CASE("a stopping server for callers responds to requests that it has not read",
-          "[caller][shutdown]") {
+TEST_CASE("a stopping server responds to requests that it has not read", "[shutdown]") {
+  const auto kind = GENERATE(from_range(ServerKinds()));
   const std::string request = kRequest;
   struct Case {
     std::string name;
@@ -140,8 +187,8 @@
       {"connection not accepted, request received", false, 0, request.size(), 0},
       {"connection not accepted, head received in part", false, 0, half, rest},
   }));
-  CAPTURE(c.name);
-  TestServer test;
+  CAPTURE(kind.name, c.name);
+  TestServer test(kind);
   TestCaller caller;
   if (c.accepted) {
     caller.Connect(test.address());
@@ -156,7 +203,7 @@
   test.HoldThread();
   if (!c.accepted) caller.Connect(test.address());
   caller.Send(request.substr(c.bytes_read, c.bytes_unread));
-  test.server().CloseIdle();
+  test.Close();
   test.ReleaseThread();
   WaitUntilRefused(test.address());
   caller.Send(request.substr(c.bytes_read + c.bytes_unread));
@@ -165,8 +212,8 @@
 
 // Guards against callers that read "connection broken" because the server closed an open connection
 // just before they sent a request on it.
-TEST_CASE("a stopping server for callers waits for a request on each open connection",
-          "[caller][shutdown]") {
+TEST_CASE("a stopping server waits for a request on each open connection", "[shutdown]") {
+  const auto kind = GENERATE(from_range(ServerKinds()));
   struct Case {
     std::string name;
     bool accepted;  // Whether the server has accepted the connection.
@@ -181,8 +228,8 @@
       {"connection not accepted, without a request", false, false, false},
       {"connection without a further request", true, true, false},
   }));
-  CAPTURE(c.name);
-  TestServer test;
+  CAPTURE(kind.name, c.name);
+  TestServer test(kind);
   TestCaller caller;
   if (c.accepted) caller.Connect(test.address());
   if (c.reused) ExchangeOne(caller);
@@ -193,7 +240,7 @@
 
   test.HoldThread();
   if (!c.accepted) caller.Connect(test.address());
-  test.server().CloseIdle();
+  test.Close();
   test.ReleaseThread();
   WaitUntilRefused(test.address());
   if (c.sends) {
