HttpServer: close listeners and connections in the way of CallerServer

Callers of a closed HttpServer met a reset on connections that it had not accepted, and idle connections stayed open for 60 s, so that no owner could wait until its connections have ended.

Cause: HttpServer had its own loop to accept and to serve, which closed the listener with its backlog and ended connections only after a response.

Change: its connections are held by TcpServer, as those of CallerServer. closed() tells whether all have ended. The bytes of a test caller move to tests/support.

Why this works: there is one place that decides when a connection is closed, and it has its tests.

--- a/src/runtime/internal/http_server.cc
+++ b/src/runtime/internal/http_server.cc
@@ -7,17 +7,16 @@
 #include <boost/beast.hpp>
 #include <boost/url/parse.hpp>
 
-#include "runtime/internal/listen.h"
+#include "runtime/internal/tcp_server.h"
 
 namespace dn {
 namespace {
 
 namespace beast = boost::beast;
 namespace http = beast::http;
-using asio::ip::tcp;
 
-// Time limit for receiving the next request of a connection, and for sending a
-// response.
+// Time limit for the first bytes of the next request of a connection, for the rest of it, and for
+// sending a response.
 constexpr Duration kTransferTimeout{60'000};
 
 constexpr std::array<std::pair<http::verb, HttpMethod>, 3> kMethods = {
@@ -52,129 +51,89 @@
   return call;
 }
 
-class Server final : public HttpServer, public std::enable_shared_from_this<Server> {
- public:
-  Server(WorkerPool& pool, tcp::acceptor acceptor, Handler handler, HttpLimits limits)
-      : pool_(pool),
-        acceptor_(std::move(acceptor)),
-        handler_(std::move(handler)),
-        limits_(limits) {}
-
-  Endpoint address() const override {
-    const tcp::endpoint bound = acceptor_.local_endpoint();
-    return {.host = bound.address().to_string(), .port = bound.port()};
-  }
-
-  void DisableKeepAlive() override { keep_alive_disabled_ = true; }
-
-  void Close() override {
-    keep_alive_disabled_ = true;
-    closing_ = true;
-    asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
-      boost::system::error_code ignored;
-      self->acceptor_.close(ignored);
-    });
-  }
-
-  Task<> Accept() {
-    const auto self = shared_from_this();
-    while (!closing_) {
-      boost::system::error_code error;
-      tcp::socket socket(asio::make_strand(pool_.context()));
-      co_await acceptor_.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
-      if (error == asio::error::operation_aborted) co_return;
-      if (error) {
-        co_await SleepFor(Duration(50));  // Usually out of file descriptors.
-        continue;
-      }
-      const auto executor = socket.get_executor();
-      asio::co_spawn(executor, Serve(self, beast::tcp_stream(std::move(socket))), asio::detached);
-    }
-  }
+// What the connections of a server share.
+struct Connections {
+  const HttpServer::Handler handler;
+  const HttpLimits limits;
+  std::atomic<bool> keep_alive_disabled{false};  // Each connection is closed after a response.
+};
 
- private:
-  static Task<> Serve(std::shared_ptr<Server> self, beast::tcp_stream stream) {
-    beast::flat_buffer buffer;
-    stream.socket().set_option(tcp::no_delay(true));
-    while (!self->closing_) {
-      http::request_parser<http::string_body> parser;
-      parser.header_limit(static_cast<std::uint32_t>(self->limits_.header));
-      parser.body_limit(self->limits_.body);
-      stream.expires_after(kTransferTimeout);
-      boost::system::error_code error;
-      co_await http::async_read(stream, buffer, parser,
-                                asio::redirect_error(asio::use_awaitable, error));
-      if (error) {
-        co_await RejectMalformed(stream, error);
-        co_return;
-      }
-      const bool keep_alive_requested = parser.get().keep_alive();
-      HttpReply reply = co_await self->handler_(DecodeCall(parser.release()));
-      const bool keep_alive = keep_alive_requested && !self->keep_alive_disabled_;
-      co_await Write(stream, std::move(reply), keep_alive, error);
-      if (error || !keep_alive) co_return;
-    }
-  }
+Task<> Write(beast::tcp_stream& stream, HttpReply reply, bool keep_alive,
+             boost::system::error_code& error) {
+  http::response<http::string_body> response(static_cast<http::status>(reply.status), 11);
+  response.set(http::field::content_type, reply.content_type);
+  for (const auto& [name, value] : reply.headers) response.set(name, value);
+  if (!reply.tag.empty()) response.set(http::field::etag, reply.tag);
+  response.body() = std::move(reply.body);
+  response.keep_alive(keep_alive);
+  response.prepare_payload();
+  stream.expires_after(kTransferTimeout);
+  co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, error));
+}
 
-  // Responds to a request that violates the protocol or a limit. Other errors close
-  // the connection without a response.
-  static Task<> RejectMalformed(beast::tcp_stream& stream, boost::system::error_code error) {
-    const auto& http_errors = http::make_error_code(http::error::end_of_stream).category();
-    if (error == http::error::end_of_stream || error.category() != http_errors) co_return;
-    const bool too_large = error == http::error::header_limit || error == http::error::body_limit;
-    boost::system::error_code ignored;
-    HttpReply reply{.status = too_large ? 413 : 400, .body = "{}"};
-    co_await Write(stream, std::move(reply), false, ignored);
-  }
+// Responds to a request that violates the protocol or a limit. Other errors close
+// the connection without a response.
+Task<> RejectMalformed(beast::tcp_stream& stream, boost::system::error_code error) {
+  const auto& http_errors = http::make_error_code(http::error::end_of_stream).category();
+  if (error == http::error::end_of_stream || error.category() != http_errors) co_return;
+  const bool too_large = error == http::error::header_limit || error == http::error::body_limit;
+  boost::system::error_code ignored;
+  HttpReply reply{.status = too_large ? 413 : 400, .body = "{}"};
+  co_await Write(stream, std::move(reply), false, ignored);
+}
 
-  static Task<> Write(beast::tcp_stream& stream, HttpReply reply, bool keep_alive,
-                      boost::system::error_code& error) {
-    http::response<http::string_body> response(static_cast<http::status>(reply.status), 11);
-    response.set(http::field::content_type, reply.content_type);
-    for (const auto& [name, value] : reply.headers) response.set(name, value);
-    if (!reply.tag.empty()) response.set(http::field::etag, reply.tag);
-    response.body() = std::move(reply.body);
-    response.keep_alive(keep_alive);
-    response.prepare_payload();
+// Processes the requests of one connection, one after the other.
+Task<> Serve(std::shared_ptr<Connections> connections, ServerConnection& connection) {
+  beast::tcp_stream& stream = connection.stream();
+  bool keep_alive = true;
+  while (keep_alive && co_await connection.WaitForRequest(kTransferTimeout)) {
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(connections->limits.header));
+    parser.body_limit(connections->limits.body);
     stream.expires_after(kTransferTimeout);
-    co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, error));
+    boost::system::error_code error;
+    co_await http::async_read(stream, connection.buffer(), parser,
+                              asio::redirect_error(asio::use_awaitable, error));
+    if (error) co_return co_await RejectMalformed(stream, error);
+    keep_alive = parser.get().keep_alive();
+    HttpReply reply = co_await connections->handler(DecodeCall(parser.release()));
+    keep_alive = keep_alive && !connections->keep_alive_disabled;
+    co_await Write(stream, std::move(reply), keep_alive, error);
+    if (error) co_return;
   }
+}
 
-  WorkerPool& pool_;
-  tcp::acceptor acceptor_;
-  const Handler handler_;
-  const HttpLimits limits_;
-  std::atomic<bool> keep_alive_disabled_{false};  // Each connection is closed after a response.
-  std::atomic<bool> closing_{false};  // No further connections or requests are accepted.
-};
-
-// Owner's handle of a server, which open connections share: closes the server on
-// destruction.
+// Closes the server when its owner destroys it, while open connections finish their requests.
 class Handle final : public HttpServer {
  public:
-  explicit Handle(std::shared_ptr<Server> server)
-      : server_(std::move(server)), address_(server_->address()) {}
-  ~Handle() override { server_->Close(); }
-  Endpoint address() const override { return address_; }
-  void DisableKeepAlive() override { server_->DisableKeepAlive(); }
-  void Close() override { server_->Close(); }
+  Handle(std::shared_ptr<Connections> connections, std::shared_ptr<TcpServer> server)
+      : connections_(std::move(connections)), server_(std::move(server)) {}
+  ~Handle() override { Close(); }
+  Endpoint address() const override { return server_->address(); }
+  void DisableKeepAlive() override { connections_->keep_alive_disabled = true; }
+  void Close() override {
+    DisableKeepAlive();
+    server_->Close();
+  }
+  bool closed() const override { return server_->closed(); }
 
  private:
-  const std::shared_ptr<Server> server_;
-  const Endpoint address_;
+  const std::shared_ptr<Connections> connections_;
+  const std::shared_ptr<TcpServer> server_;
 };
 
 }  // namespace
 
 Result<std::unique_ptr<HttpServer>> HttpServer::Start(WorkerPool& pool, const Endpoint& address,
                                                       Handler handler, HttpLimits limits) {
-  auto acceptor = Listen(pool, address);
-  if (!acceptor) return acceptor.error();
-  const auto executor = acceptor.value().get_executor();
-  auto server =
-      std::make_shared<Server>(pool, std::move(acceptor).value(), std::move(handler), limits);
-  asio::co_spawn(executor, server->Accept(), asio::detached);
-  return std::unique_ptr<HttpServer>(std::make_unique<Handle>(std::move(server)));
+  const std::shared_ptr<Connections> connections(
+      new Connections{.handler = std::move(handler), .limits = limits});
+  auto server = TcpServer::Start(pool, address, [connections](ServerConnection& connection) {
+    return Serve(connections, connection);
+  });
+  if (!server) return server.error();
+  return std::unique_ptr<HttpServer>(
+      std::make_unique<Handle>(connections, std::move(server).value()));
 }
 
 }  // namespace dn
--- a/src/runtime/internal/http_server.h
+++ b/src/runtime/internal/http_server.h
@@ -34,9 +34,11 @@
   // Closes each connection after the response to its current or next request. New
   // connections are still accepted.
   virtual void DisableKeepAlive() = 0;
-  // Stops accepting connections. Open connections are closed after their current
-  // response.
+  // Stops listening. Each connection, also one that was not accepted yet, is closed
+  // after one more response, or if no request arrives on it within 1 s.
   virtual void Close() = 0;
+  // Whether the server has stopped listening and no connection is open.
+  virtual bool closed() const = 0;
 };
 
 }  // namespace dn
--- a/tests/server_shutdown_test.cc
+++ b/tests/server_shutdown_test.cc
@@ -1,19 +1,15 @@
-// Shutdown of the server for callers, seen from a connection on loopback.
-#include <poll.h>
-
+// Shutdown of the servers, seen from a connection on loopback.
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 #include <future>
 #include <thread>
 
 #include "caller/caller.h"
+#include "tests/support/test_caller.h"
 
-namespace dn {
+namespace dn::testing {
 namespace {
 
-using asio::ip::tcp;
-
-constexpr Duration kReadTimeout{5000};  // Fails a test whose server neither responds nor closes.
 constexpr const char* kRequest = "GET /work HTTP/1.1\r\nHost: desk\r\n\r\n";
 
 // A running server of one kind.
@@ -88,9 +84,7 @@
   }
 
   void Close() { server_->Close(); }
-  tcp::endpoint address() const {
-    return {asio::ip::make_address(server_->address().host), server_->address().port};
-  }
+  Endpoint address() const { return server_->address(); }
   // Returns once the thread is held.
   void HoldThread() {
     std::promise<void> held;
@@ -109,50 +103,6 @@
   std::thread thread_;
 };
 
-// Connection of a caller.
-class TestCaller {
- public:
-  void Connect(const tcp::endpoint& to) { socket_.connect(to); }
-  // Ignores errors: ReadUntil reports the end of the connection.
-  void Send(const std::string& bytes) {
-    boost::system::error_code ignored;
-    asio::write(socket_, asio::buffer(bytes), ignored);
-  }
-
-  // Reads until `end` has been received. Appends ", closed", ", reset" or ", silent" if the
-  // connection ends or the time limit is exceeded before that.
-  std::string ReadUntil(const std::string& end) {
-    std::string text;
-    std::array<char, 4096> buffer{};
-    while (end.empty() || !text.ends_with(end)) {
-      pollfd readable{.fd = socket_.native_handle(), .events = POLLIN, .revents = 0};
-      if (::poll(&readable, 1, static_cast<int>(kReadTimeout.count())) != 1) {
-        return text + ", silent";
-      }
-      boost::system::error_code error;
-      text.append(buffer.data(), socket_.read_some(asio::buffer(buffer), error));
-      if (error) return text + (error == asio::error::eof ? ", closed" : ", reset");
-    }
-    return text;
-  }
-
- private:
-  asio::io_context context_;
-  tcp::socket socket_{context_};
-};
-
-// Returns once the server has stopped to listen.
-void WaitUntilRefused(const tcp::endpoint& address) {
-  const Time deadline = Now() + kReadTimeout;
-  boost::system::error_code error;
-  while (error != asio::error::connection_refused && Now() < deadline) {
-    asio::io_context context;
-    tcp::socket socket(context);
-    socket.connect(address, error);
-  }
-  REQUIRE(error == asio::error::connection_refused);
-}
-
 // Sends a request on `caller` and reads its response.
 void ExchangeOne(TestCaller& caller) {
   caller.Send(kRequest);
@@ -205,7 +155,7 @@
   caller.Send(request.substr(c.bytes_read, c.bytes_unread));
   test.Close();
   test.ReleaseThread();
-  WaitUntilRefused(test.address());
+  REQUIRE(WaitUntilRefused(test.address()));
   caller.Send(request.substr(c.bytes_read + c.bytes_unread));
   CheckLastResponse(caller.ReadUntil(""));
 }
@@ -242,7 +192,7 @@
   if (!c.accepted) caller.Connect(test.address());
   test.Close();
   test.ReleaseThread();
-  WaitUntilRefused(test.address());
+  REQUIRE(WaitUntilRefused(test.address()));
   if (c.sends) {
     caller.Send(kRequest);
     CheckLastResponse(caller.ReadUntil(""));
@@ -252,4 +202,4 @@
 }
 
 }  // namespace
-}  // namespace dn
+}  // namespace dn::testing
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -50,6 +50,8 @@
   standins::TaskWorkerStandin& worker(int index) {
     return *workers_[static_cast<std::size_t>(index)];
   }
+  // Address on which `node` listens for callers.
+  Endpoint front(int node) const { return nodes_[static_cast<std::size_t>(node)].front; }
   int nodes() const { return static_cast<int>(nodes_.size()); }
   // Returns the violations in the runs of all workers: two concurrent runs of a task, or
   // a run of a task that was done before.
