--- a/standins/internal/store_standin.cc
+++ b/standins/internal/store_standin.cc
@@ -184,6 +184,7 @@
       if (endpoint_index < 0) return active;
       const StoreFault& endpoint_fault =
           state.endpoint_faults[static_cast<std::size_t>(endpoint_index)];
+      if (!topic.starts_with(endpoint_fault.only)) return active;
       active.busy = active.busy || endpoint_fault.busy;
       active.silent = active.silent || endpoint_fault.silent;
       active.delay = std::max(active.delay, endpoint_fault.delay);
--- a/standins/internal/store_standin.h
+++ b/standins/internal/store_standin.h
@@ -48,7 +48,7 @@
   // Replaces the fault of the store.
   void SetFault(const StoreFault& fault);
   // Replaces the fault of an additional address. Additional addresses are numbered from 0 in
-  // the order of their creation. Only `busy`, `silent` and `delay` have an effect.
+  // the order of their creation. Only `busy`, `silent`, `delay` and `only` have an effect.
   void SetEndpointFault(int endpoint_index, const StoreFault& fault);
   // Deletes all log records. The newest record of each key stays available by key.
   void DropHistory();
--- a/tests/support/node_fleet.cc
+++ b/tests/support/node_fleet.cc
@@ -137,6 +137,16 @@
   co_return std::move(reply).value();
 }
 
+Task<HttpReply> NodeFleet::CallInstance(int index, HttpMethod method, std::string path) {
+  const Node& node = nodes_[static_cast<std::size_t>(index)];
+  HttpCall call{.method = method, .path = std::move(path), .query = {}, .body = {}};
+  call.retry_on_broken_connection = false;
+  auto reply =
+      co_await http_.Call(node.instances, std::move(call), Duration(3'000), TrafficKind::kSibling);
+  if (!reply) co_return HttpReply{.status = 0};
+  co_return std::move(reply).value();
+}
+
 Task<bool> NodeFleet::WaitReady(Duration limit) {
   const Time deadline = Now() + limit;
   while (Now() < deadline) {
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -38,6 +38,8 @@
 
   // Sends a request of a caller to `node`. The status of the response is 0 if none came.
   Task<HttpReply> Call(int node, HttpMethod method, std::string path, std::string body = {});
+  // Sends a request of a sibling to `node`. The status of the response is 0 if none came.
+  Task<HttpReply> CallInstance(int node, HttpMethod method, std::string path);
   // Submits a job of `tasks` tasks to the nodes in turn until one accepts it. Returns
   // false after `limit`.
   Task<bool> Submit(JobId id, int tasks, Duration limit, const std::string& payload = "short");
