Owner: tell counts and open states only from a view of known age

Cause: WaitingOf and StateOf answered from memory as long as the take-over was complete. Neither the age of the ownership nor that of the reads was checked, and reads were dated by their response, which may have been held up.

Now the owner tells them only if the join that confirmed its ownership and the last read that reached the end of the submitted jobs were sent less than 1.8 s ago (OwnerView). If only the reads lag, one read to the current end is shared by all that ask. An unknown job is denied after a read that was sent after the question, by an owner that is still confirmed. States of jobs that have ended are final and told from any view. A refusal is immediate (kOutdated, marked on the link between instances), and CallOwner asks again only once, with a new list of owners. A list younger than 100 ms is not read again, so that many refused requests do not each read it.

Also: a follower counts a read as complete only at the end of the partition and advances its position after its handler, so that a concurrent empty read cannot pass over records in hand. A sibling is told of an own shard only while the ownership is confirmed. Lists of owners are dated by sending.

--- a/src/core/internal/error.cc
+++ b/src/core/internal/error.cc
@@ -6,10 +6,10 @@
 namespace dn {
 namespace {
 
-constexpr std::array<const char*, 13> kTexts = {
+constexpr std::array<const char*, 14> kTexts = {
     "success",   "timed out",   "unreachable", "connection broken", "malformed message",
     "too large", "unavailable", "conflict",    "refused",           "not found",
-    "invalid",   "expired",     "draining"};
+    "invalid",   "expired",     "outdated",    "draining"};
 
 class Category final : public std::error_category {
  public:
--- a/src/core/internal/error.h
+++ b/src/core/internal/error.h
@@ -20,6 +20,7 @@
   kNotFound,     // The requested object does not exist.
   kInvalid,      // Validation of the input produced findings.
   kExpired,      // Retention has removed the records, or a lease has expired.
+  kOutdated,     // What the peer holds may be too old to be told.
   kDraining,     // This process is shutting down.
 };
 
--- a/src/instance_link/internal/instance_link.cc
+++ b/src/instance_link/internal/instance_link.cc
@@ -11,6 +11,8 @@
 constexpr int kGone = 410;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
+// Body of a response with status 503 whose reason is kOutdated.
+constexpr const char* kOutdatedReason = "outdated";
 constexpr std::string_view kJobsPath = "/jobs";
 constexpr std::string_view kJobPrefix = "/jobs/";
 constexpr std::string_view kQueuePrefix = "/queues/";
@@ -43,6 +45,14 @@
   return number;
 }
 
+HttpReply RefusalReply(std::error_code error) {
+  return {.status = kUnavailable, .body = error == Errc::kOutdated ? kOutdatedReason : ""};
+}
+
+std::error_code RefusalOf(const HttpReply& reply) {
+  return reply.body == kOutdatedReason ? Errc::kOutdated : Errc::kUnavailable;
+}
+
 JobState ParseJobState(std::string_view name) {
   for (const auto& entry : EnumNames<JobState>::kNames) {
     if (entry.name == name) return entry.value;
@@ -67,16 +77,16 @@
     if (!id) co_return HttpReply{.status = kNotFound};
     if (call.method == HttpMethod::kDelete) {
       const auto cancelled = co_await local_.Cancel(id.value(), deadline);
-      if (!cancelled) co_return HttpReply{.status = kUnavailable};
+      if (!cancelled) co_return RefusalReply(cancelled.error());
       co_return HttpReply{.status = cancelled.value() ? kOk : kGone};
     }
     const auto state = co_await local_.StateOf(id.value(), deadline);
-    if (!state) co_return HttpReply{.status = kUnavailable};
+    if (!state) co_return RefusalReply(state.error());
     co_return HttpReply{.status = kOk, .body = std::string(NameOf(state.value()))};
   }
   if (const auto queue = RemovePrefix(kQueuePrefix, call.path)) {
     const auto waiting = co_await local_.WaitingOf(*queue, deadline);
-    if (!waiting) co_return HttpReply{.status = kUnavailable};
+    if (!waiting) co_return RefusalReply(waiting.error());
     co_return HttpReply{.status = kOk, .body = std::to_string(waiting.value())};
   }
   if (const auto shard = RemovePrefix(kOwnerPrefix, call.path)) {
@@ -126,7 +136,7 @@
   auto reply =
       co_await Call(HttpMethod::kGet, std::string(kJobPrefix) + FormatJobId(id), {}, deadline);
   if (!reply) co_return reply.error();
-  if (reply.value().status != kOk) co_return Errc::kUnavailable;
+  if (reply.value().status != kOk) co_return RefusalOf(reply.value());
   co_return ParseJobState(reply.value().body);
 }
 
@@ -136,14 +146,15 @@
   if (!reply) co_return reply.error();
   if (reply.value().status == kOk) co_return true;
   if (reply.value().status == kGone) co_return false;
-  co_return Errc::kUnavailable;
+  co_return RefusalOf(reply.value());
 }
 
 Task<Result<std::int64_t>> RemoteInstance::WaitingOf(std::string queue, Time deadline) {
   auto reply = co_await Call(HttpMethod::kGet, std::string(kQueuePrefix) + queue, {}, deadline);
   if (!reply) co_return reply.error();
+  if (reply.value().status != kOk) co_return RefusalOf(reply.value());
   const auto waiting = ParseNumber(reply.value().body);
-  if (reply.value().status != kOk || !waiting) co_return Errc::kUnavailable;
+  if (!waiting) co_return Errc::kMalformed;
   co_return *waiting;
 }
 
--- a/src/instance_link/internal/instance_link.h
+++ b/src/instance_link/internal/instance_link.h
@@ -7,7 +7,8 @@
 //   GET    /queues/<name>   200 with the number of waiting jobs, 503
 //   GET    /owners/<shard>  200 with the owner's address (host:port), 503
 // 503 means that the called instance does not own the shard or cannot determine the
-// result at present. 404: the request is malformed.
+// result at present; with the body "outdated", that it may have been replaced as the
+// owner or lags behind the store. 404: the request is malformed.
 #pragma once
 
 #include "job_client/job_client.h"
@@ -28,7 +29,8 @@
 };
 
 // Client of an InstanceServer. A call returns kUnavailable if the other instance
-// does not own the shard; after kTimeout and kBroken its effect is unknown.
+// does not own the shard, and kOutdated if what it knows is too old to be told; after kTimeout and
+// kBroken its effect is unknown.
 class RemoteInstance {
  public:
   RemoteInstance(Endpoint address, HttpClient& http) : address_(std::move(address)), http_(http) {}
--- a/src/job_client/internal/job_service.h
+++ b/src/job_client/internal/job_service.h
@@ -30,13 +30,13 @@
   virtual ~JobService() = default;
   virtual std::shared_ptr<const QueueConfigurationView> CurrentConfiguration() = 0;
   virtual Task<SubmitOutcome> Submit(AcceptedJob job, Time deadline) = 0;
-  // kUnavailable: the state cannot be determined at present.
+  // kUnavailable, kOutdated: the state cannot be determined at present.
   virtual Task<Result<JobState>> StateOf(JobId id, Time deadline) = 0;
   // Returns true once the cancellation is durable or the job has ended, and false
   // if there is no such job. kUnavailable: the job is not cancelled, or the outcome
   // is unknown.
   virtual Task<Result<bool>> Cancel(JobId id, Time deadline) = 0;
-  // Number of accepted jobs of `queue` of which no task has started.
+  // Number of accepted jobs of `queue` of which no task has started. Errors as for StateOf.
   virtual Task<Result<std::int64_t>> WaitingOf(std::string queue, Time deadline) = 0;
   // Whether this instance should receive new connections.
   virtual bool Ready() = 0;
--- a/src/node/internal/node_module.cc
+++ b/src/node/internal/node_module.cc
@@ -123,7 +123,7 @@
     constexpr Duration kRetryPause{100};
     while (!co_await configuration_.Load()) co_await SleepFor(kRetryPause);
     while (true) {
-      local_.SetConfigurationRead(configuration_.last_success());
+      local_.SetConfigurationRead(configuration_.last_complete());
       auto polled = co_await configuration_.Poll(kConfigurationWait);
       if (!polled) co_await SleepFor(kRetryPause);
     }
@@ -138,7 +138,9 @@
                             .log = log_,
                             .metrics = metrics_,
                             .policy = CurrentPolicy(),
-                            .on_fenced = [this](int) { membership_.Rejoin(); }},
+                            .on_fenced = [this](int) { membership_.Rejoin(); },
+                            .last_confirmed = [this] { return membership_.last_confirmed(); },
+                            .time_to_live = membership_.time_to_live()},
         shard, token);
     local_.SetOwner(shard, owner);
     pool_.Spawn(owner->Run());
--- a/src/node/internal/node_service.cc
+++ b/src/node/internal/node_service.cc
@@ -12,6 +12,10 @@
 // seconds; after that the caller should retry rather than wait longer.
 constexpr Duration kOwnerLookupTimeout{2'200};
 constexpr Duration kOwnerRetryPause{120};
+// An owner that refuses because its view is outdated is asked again once, with a new
+// list of owners. Until it is replaced the caller cannot be served, and holding the
+// request would not change that.
+constexpr int kMaxOutdatedResponses = 2;
 // Timeout of an owner query to one instance: several round trips between regions.
 constexpr Duration kOwnerQueryTimeout{250};
 // Time within which a job must be sent to the store: three responses of a slow
@@ -75,10 +79,10 @@
   co_return stored.error() == Errc::kTimeout ? SubmitOutcome::kUnknown : SubmitOutcome::kRefused;
 }
 
-Task<Result<JobState>> LocalService::StateOf(JobId id, Time /*deadline*/) {
+Task<Result<JobState>> LocalService::StateOf(JobId id, Time deadline) {
   const auto owner = OwnerOf(ShardOf(id));
   if (!owner) co_return Errc::kUnavailable;
-  co_return co_await owner->StateOf(id);
+  co_return co_await owner->StateOf(id, deadline);
 }
 
 Task<Result<bool>> LocalService::Cancel(JobId id, Time deadline) {
@@ -87,10 +91,10 @@
   co_return co_await owner->Cancel(id, deadline);
 }
 
-Task<Result<std::int64_t>> LocalService::WaitingOf(std::string queue, Time /*deadline*/) {
+Task<Result<std::int64_t>> LocalService::WaitingOf(std::string queue, Time deadline) {
   const auto owner = OwnerOf(0);
   if (!owner) co_return Errc::kUnavailable;
-  co_return owner->WaitingOf(queue);
+  co_return co_await owner->WaitingOf(std::move(queue), deadline);
 }
 
 Task<Result<Endpoint>> NodeService::FindOwner(int shard, Time deadline) {
@@ -108,6 +112,7 @@
 Task<Result<T>> NodeService::CallOwner(int shard, Time deadline, CallLocal local,
                                        CallRemote remote) {
   deadline = std::min(deadline, Now() + kOwnerLookupTimeout);
+  int outdated_responses = 0;
   while (true) {
     Result<T> response = co_await local();
     if (response) co_return response;
@@ -118,6 +123,9 @@
       if (response) co_return response;
     }
     membership_.InvalidateOwners();
+    if (response.error() == Errc::kOutdated && ++outdated_responses >= kMaxOutdatedResponses) {
+      co_return Errc::kOutdated;
+    }
     if (Now() + kOwnerRetryPause >= deadline) co_return Errc::kUnavailable;
     co_await SleepFor(kOwnerRetryPause);
   }
--- a/src/node/internal/node_service.h
+++ b/src/node/internal/node_service.h
@@ -23,8 +23,9 @@
   // Makes `configuration` the active configuration unless the active one has the same or
   // a later version. Returns whether it did.
   bool Activate(const QueueConfiguration& configuration);
-  // Records that the configuration was read up to its newest record at `at`.
-  void SetConfigurationRead(Time at) { configuration_read_ms_ = at.time_since_epoch().count(); }
+  // Records that a read of the configuration that was sent at `sent` returned its newest
+  // record.
+  void SetConfigurationRead(Time sent) { configuration_read_ms_ = sent.time_since_epoch().count(); }
   // Sets the owner of `shard` on this node; null if this node does not own it.
   void SetOwner(int shard, std::shared_ptr<ShardOwner> owner);
   // Owner of `shard` on this node; null if this node does not own it.
@@ -69,6 +70,7 @@
   Task<Result<Endpoint>> FindOwner(int shard, Time deadline);
   // Calls `local`, then `remote` with the shard's owner, and retries both until one
   // succeeds. kUnavailable: none did within kOwnerLookupTimeout or by `deadline`.
+  // kOutdated: the owner refused and the latest list of owners names no other.
   template <class T, class CallLocal, class CallRemote>
   Task<Result<T>> CallOwner(int shard, Time deadline, CallLocal local, CallRemote remote);
 
--- a/src/node/internal/shard_membership.cc
+++ b/src/node/internal/shard_membership.cc
@@ -14,6 +14,9 @@
 // Maximum age of the cached owner list. A stale entry is safe: an owner that
 // was replaced is fenced, and a failed call to it invalidates the list.
 constexpr Duration kMaxOwnersAge{3'500};
+// A list of owners that is younger than this is not read again, although a call to the
+// owner failed: many requests can fail at the same time.
+constexpr Duration kMinOwnersAge{100};
 // Maximum age of the list of members while this node is a member.
 constexpr Duration kMaxMembersAge{3'000};
 // Pause between reads of a node that has withdrawn its candidacy; it must notice
@@ -102,8 +105,9 @@
   const bool first_join =
       table_.With([](Table& table) { return !std::exchange(table.joined, true); });
   if (first_join) events_.candidacy(true);
+  const Time sent = Now();
   auto joined = co_await store_.JoinGroup(join);
-  if (joined) ApplyAssignment(joined.value());
+  if (joined) ApplyAssignment(joined.value(), sent);
   // OtherMembers needs a recent list when the store rejects this node, and the
   // candidacy needs one to withdraw in favour of a larger node.
   const bool stale =
@@ -112,7 +116,7 @@
 }
 
 Task<> ShardMembership::StepDown(Join join) {
-  ApplyAssignment(Membership({.generation = join->generation, .partitions = {}}));
+  ApplyAssignment(Membership({.generation = join->generation, .partitions = {}}), Time());
   co_await store_.LeaveGroup(join);
   table_.With([&](Table& table) {
     table.member = NewMemberName(own_address_, processor_share_);
@@ -121,7 +125,7 @@
   });
 }
 
-void ShardMembership::ApplyAssignment(const Membership& membership) {
+void ShardMembership::ApplyAssignment(const Membership& membership, Time sent) {
   std::vector<int> gained;
   std::vector<int> lost;
   table_.With([&](Table& table) {
@@ -138,6 +142,7 @@
       if (now_owned.count(shard) == 0) lost.push_back(shard);
     }
     table.owned = std::move(now_owned);
+    table.confirmed = sent;
   });
   for (const int shard : lost) events_.lost(shard);
   for (const int shard : gained) events_.gained(shard, membership->generation);
@@ -160,10 +165,15 @@
   table_.With([](Table& table) { table.owners_read = Time(); });
 }
 
+Time ShardMembership::last_confirmed() {
+  return table_.With([](Table& table) { return table.confirmed; });
+}
+
 Task<Result<Endpoint>> ShardMembership::OwnerOf(int shard) {
   const Time now = Now();
-  const bool stale =
-      table_.With([&](Table& table) { return now - table.owners_read > kMaxOwnersAge; });
+  const bool stale = table_.With([&](Table& table) {
+    return now - table.owners_read > kMaxOwnersAge && now - table.members_read > kMinOwnersAge;
+  });
   if (stale) {
     auto read = co_await ReadOwners();
     if (!read) co_return read.error();
@@ -172,13 +182,15 @@
 }
 
 Task<Result<>> ShardMembership::ReadOwners() {
+  const Time sent = Now();
   auto owners = co_await store_.Owners(kOwnerGroup, kJobsTopic);
   if (!owners) {
     table_.With([](Table& table) { table.candidacy.RecordReadFailure(); });
     co_return owners.error();
   }
-  const Time now = Now();
   table_.With([&](Table& table) {
+    // A response that arrives late is older than the list that is known.
+    if (sent < table.members_read) return;
     table.owners.clear();
     std::vector<double> shares;
     for (const PartitionOwner& owner : owners.value()) {
@@ -188,16 +200,18 @@
         shares.push_back(member.value().processor_share);
       }
     }
-    table.candidacy.RecordMembers(shares, now);
-    table.owners_read = now;
-    table.members_read = now;
+    table.candidacy.RecordMembers(shares, sent);
+    table.owners_read = sent;
+    table.members_read = sent;
   });
   co_return boost::outcome_v2::success();
 }
 
 Result<Endpoint> ShardMembership::CachedOwnerOf(int shard) {
   const Time now = Now();
-  const bool owned = table_.With([&](Table& table) { return table.owned.count(shard) > 0; });
+  const bool owned = table_.With([&](Table& table) {
+    return table.owned.count(shard) > 0 && now - table.confirmed < time_to_live_;
+  });
   if (owned) return own_address_;
   const bool stale =
       table_.With([&](Table& table) { return now - table.owners_read > kMaxOwnersAge; });
--- a/src/node/internal/shard_membership.h
+++ b/src/node/internal/shard_membership.h
@@ -39,6 +39,10 @@
   // store again when it is stale. kNotFound: the shard has no owner; other errors:
   // the store cannot be read.
   Task<Result<Endpoint>> OwnerOf(int shard);
+  // Send time of the latest join that the store answered with the shards of this node;
+  // Time() while this node is no member.
+  Time last_confirmed();
+  Duration time_to_live() const { return time_to_live_; }
   // Like OwnerOf, but never reads the store. kUnavailable: the cache is stale.
   Result<Endpoint> CachedOwnerOf(int shard);
   // Addresses of the members in the cached owner list, without this node.
@@ -51,9 +55,10 @@
     std::string member;                 // Member name of this node.
     std::int64_t generation = 0;        // Last generation received.
     std::set<int> owned;                // Shards assigned to this node.
+    Time confirmed{};                   // Send time of the join that returned `owned`.
     std::map<int, std::string> owners;  // Member name by partition.
-    Time owners_read{};                 // Time of the last read; Time() once `owners` is stale.
-    Time members_read{};                // Time of the last read.
+    Time owners_read{};   // Send time of the last read; Time() once `owners` is stale.
+    Time members_read{};  // Send time of the last read.
     Candidacy candidacy;
     bool joined = false;   // The store may list this node as a member.
     bool leaving = false;  // Leave has been called.
@@ -65,8 +70,9 @@
   Task<> RenewMembership(Join join);
   // Releases all shards and leaves the group; the next join uses a new member name.
   Task<> StepDown(Join join);
-  // Updates the owned shards and reports the differences as events.
-  void ApplyAssignment(const Membership& membership);
+  // Updates the owned shards and reports the differences as events. `sent`: send time of
+  // the join.
+  void ApplyAssignment(const Membership& membership, Time sent);
   // Reads the owners from the store and updates the candidacy.
   Task<Result<>> ReadOwners();
   // Looks the owner up in the cached list, however old the list is.
--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -14,8 +14,13 @@
 // Pause between reads of worker registrations, which are renewed every 1.5 s; one
 // read returns the registrations of many workers.
 constexpr Duration kWorkerPause{350};
-// Wait time of a long poll.
+// Wait time of a long poll for worker registrations.
 constexpr Duration kFollowWait{1'000};
+// Wait time of a long poll for submitted jobs. Just before a poll ends, the latest
+// complete read is two polls old, which must be below kMaxViewAge.
+constexpr Duration kJobsWait{700};
+// Time limit of a read before a response to a caller: two responses of a slow store.
+constexpr Duration kViewReadTimeout{500};
 // Interval of records of the learned interference, which are one or two kilobytes.
 constexpr Duration kInterferencePeriod{2'000};
 // Interval of log lines of the shard's load.
@@ -39,8 +44,8 @@
       progress_(std::make_shared<RecordWriter>(context_.store, ProgressOf(shard), "owner", token)),
       job_cleaner_(std::make_shared<RecordWriter>(context_.store, JobsOf(shard),
                                                   "cleaner-" + std::to_string(token), 0)),
-      jobs_(context_.store, JobsOf(shard), {.wait = kFollowWait, .pause = Duration(0)},
-            context_.log, [this](const auto& records, bool) { HandleJobs(records); }),
+      jobs_(context_.store, JobsOf(shard), {.wait = kJobsWait, .pause = Duration(0)}, context_.log,
+            [this](const auto& records, bool) { HandleJobs(records); }),
       workers_(context_.store, context_.adapter.registry.records,
                {.wait = kFollowWait, .pause = kWorkerPause}, context_.log,
                [this](const auto& records, bool complete) { HandleWorkers(records, complete); }) {}
@@ -52,6 +57,7 @@
                      "token=" + std::to_string(token_) + " cause=" + cause);
   changed_.NotifyAll();
   recorded_.NotifyAll();
+  jobs_read_ended_.NotifyAll();
 }
 
 Task<> ShardOwner::Run() {
@@ -333,42 +339,96 @@
   }
 }
 
-Task<Result<JobState>> ShardOwner::StateOf(JobId id) {
+OwnerView ShardOwner::View() const {
+  return OwnerView({.confirmed = context_.last_confirmed(),
+                    .jobs_read = jobs_.last_complete(),
+                    .time_to_live = context_.time_to_live});
+}
+
+Task<Result<>> ShardOwner::EnsureCurrentView(Time deadline) {
+  if (!open_) co_return Errc::kUnavailable;
+  ViewStatus status = StatusOf(View(), Now());
+  if (status == ViewStatus::kLagging) {
+    co_await ReadSubmittedJobs(deadline);
+    if (!open_) co_return Errc::kUnavailable;
+    status = StatusOf(View(), Now());
+  }
+  if (status != ViewStatus::kCurrent) co_return Errc::kOutdated;
+  co_return boost::outcome_v2::success();
+}
+
+Task<bool> ShardOwner::ReadSubmittedJobs(Time deadline) {
+  const auto self = shared_from_this();
+  deadline = std::min(deadline, Now() + kViewReadTimeout);
+  const std::uint64_t wanted = jobs_reads_started_ + 1;
+  while (true) {
+    const std::uint64_t ticket = jobs_read_ended_.Ticket();
+    if (jobs_read_completed_ >= wanted) co_return true;
+    // While the store does not respond, FollowJobs tries again.
+    if (!active_ || !jobs_.reachable() || Now() >= deadline) co_return false;
+    if (!reading_jobs_.exchange(true)) context_.pool.Spawn(RunJobsRead(++jobs_reads_started_));
+    co_await jobs_read_ended_.Wait(ticket, deadline);
+  }
+}
+
+Task<> ShardOwner::RunJobsRead(std::uint64_t number) {
+  const auto self = shared_from_this();
+  while (active_) {
+    auto complete = co_await jobs_.Poll(Duration(0));
+    if (!complete) break;
+    if (!complete.value()) continue;
+    jobs_read_completed_ = number;
+    break;
+  }
+  reading_jobs_ = false;
+  jobs_read_ended_.NotifyAll();
+}
+
+Task<Result<JobState>> ShardOwner::StateOf(JobId id, Time deadline) {
   if (!open_) co_return Errc::kUnavailable;
   const auto read_state = [&] {
     return table_.With([&](Table& table) { return table.shard.StateOf(id); });
   };
-  JobState state = read_state();
-  if (state == JobState::kUnknown) {
-    // The job may have been accepted since the last read: reads up to the current
-    // end of the partition.
-    auto polled = co_await jobs_.Poll(Duration(0));
-    if (!polled || !open_) co_return Errc::kUnavailable;
-    state = read_state();
+  const JobState state = read_state();
+  if (HasEnded(state)) co_return state;
+  // An unknown job may have been accepted since the last read.
+  if (state == JobState::kUnknown && !co_await ReadSubmittedJobs(deadline)) {
+    co_return Errc::kOutdated;
   }
-  co_return state;
+  auto current = co_await EnsureCurrentView(deadline);
+  if (!current) co_return current.error();
+  co_return read_state();
 }
 
 Task<Result<bool>> ShardOwner::Cancel(JobId id, Time deadline) {
-  auto state = co_await StateOf(id);
-  if (!state) co_return state.error();
-  if (state.value() == JobState::kUnknown) co_return false;
+  if (!open_) co_return Errc::kUnavailable;
+  const auto read_state = [&] {
+    return table_.With([&](Table& table) { return table.shard.StateOf(id); });
+  };
+  // A known job is cancelled however old the view is: the store rejects the record if a
+  // later owner exists.
+  if (read_state() == JobState::kUnknown) {
+    auto state = co_await StateOf(id, deadline);
+    if (!state) co_return state.error();
+    if (state.value() == JobState::kUnknown) co_return false;
+  }
   table_.With([&](Table& table) { table.shard.Cancel(id, Now()); });
   changed_.NotifyAll();
   recorded_.NotifyAll();
   while (open_) {
     const std::uint64_t ticket = recorded_.Ticket();
-    const JobState job_state = table_.With([&](Table& table) { return table.shard.StateOf(id); });
-    if (job_state != JobState::kPending && job_state != JobState::kRunning) co_return true;
+    const JobState state = read_state();
+    if (HasEnded(state) || state == JobState::kUnknown) co_return true;
     if (Now() >= deadline) break;
     co_await recorded_.Wait(ticket, deadline);
   }
   co_return Errc::kUnavailable;
 }
 
-Result<std::int64_t> ShardOwner::WaitingOf(const std::string& queue) {
-  if (!open_) return Errc::kUnavailable;
-  return table_.With([&](Table& table) { return table.shard.WaitingOf(queue); });
+Task<Result<std::int64_t>> ShardOwner::WaitingOf(std::string queue, Time deadline) {
+  auto current = co_await EnsureCurrentView(deadline);
+  if (!current) co_return current.error();
+  co_return table_.With([&](Table& table) { return table.shard.WaitingOf(queue); });
 }
 
 }  // namespace dn
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -21,6 +21,9 @@
     Metrics& metrics;
     Policy policy;
     std::function<void(int shard)> on_fenced;  // A later owner has fenced this one.
+    // Send time of the latest join by which the store confirmed the ownership.
+    std::function<Time()> last_confirmed;
+    Duration time_to_live;  // The ownership may expire this long after a join.
   };
 
   ShardOwner(Context context, int shard, FencingToken token);
@@ -31,15 +34,16 @@
   void Drop(const char* cause);
 
   // The following functions return kUnavailable before the take-over is complete and
-  // after Drop.
+  // after Drop, and kOutdated if what this owner knows is too old to be told.
 
-  // State of the job; reads the latest submissions from the store if it is unknown.
-  Task<Result<JobState>> StateOf(JobId id);
+  // State of the job; reads the latest submissions from the store if it is unknown. The
+  // state of a job that has ended is final and is returned however old it is.
+  Task<Result<JobState>> StateOf(JobId id, Time deadline);
   // Cancels the job and waits until that is durable. False: there is no such job.
   // kUnavailable: also if the job has not ended by `deadline`.
   Task<Result<bool>> Cancel(JobId id, Time deadline);
   // Number of accepted jobs of `queue` of which no task has started.
-  Result<std::int64_t> WaitingOf(const std::string& queue);
+  Task<Result<std::int64_t>> WaitingOf(std::string queue, Time deadline);
 
   // WorkerLinkDelegate:
   std::optional<WorkerEntry> EntryOf(const WorkerId& worker) override;
@@ -61,6 +65,14 @@
   // Fences earlier owners and restores the shard from the store. Returns false if
   // the shard was dropped meanwhile.
   Task<bool> TakeOver();
+  OwnerView View() const;
+  // Returns an error if the view is too old to be told, even after another read of the
+  // submitted jobs.
+  Task<Result<>> EnsureCurrentView(Time deadline);
+  // Reads the submitted jobs up to the current end of the partition. Concurrent callers
+  // share a read that was sent after each of them called. Returns false if that fails.
+  Task<bool> ReadSubmittedJobs(Time deadline);
+  Task<> RunJobsRead(std::uint64_t number);
   Task<> FollowJobs();
   Task<> FollowWorkers();
   // Plans and sends orders.
@@ -83,6 +95,11 @@
   Shared<Table, LockRank::kShard> table_;
   Notifier changed_;   // The shard needs a new plan.
   Notifier recorded_;  // There may be something to record, or a batch is durable.
+  // Reads that ReadSubmittedJobs starts are numbered from 1; one runs at a time.
+  std::atomic<bool> reading_jobs_{false};
+  std::atomic<std::uint64_t> jobs_reads_started_{0};
+  std::atomic<std::uint64_t> jobs_read_completed_{0};  // Latest read that reached the end.
+  Notifier jobs_read_ended_;
   const std::shared_ptr<RecordWriter> progress_;
   const std::shared_ptr<RecordWriter> job_cleaner_;  // Deletes expired jobs.
   KeyedFollower jobs_;                               // Submitted jobs.
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -65,6 +65,11 @@
        {JobState::kFailed, "failed"},
        {JobState::kCancelled, "cancelled"}}};
 };
+// Whether `state` is final.
+constexpr bool HasEnded(JobState state) {
+  return state == JobState::kCompleted || state == JobState::kFailed ||
+         state == JobState::kCancelled;
+}
 
 class Shard {
  public:
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -8,6 +8,7 @@
 #include "scheduling/internal/job_spec.h"
 #include "scheduling/internal/job_table.h"
 #include "scheduling/internal/orders.h"
+#include "scheduling/internal/owner_view.h"
 #include "scheduling/internal/pace_control.h"
 #include "scheduling/internal/placement_policy.h"
 #include "scheduling/internal/policy.h"
--- a/src/store/internal/keyed_follower.h
+++ b/src/store/internal/keyed_follower.h
@@ -29,15 +29,23 @@
   // Reads the newest record of every key. Must succeed once before Follow.
   Task<Result<>> Load();
   // Reads the records after the current position once. Calls Load if the store no
-  // longer retains that position.
-  Task<Result<>> Poll(Duration wait);
+  // longer retains that position. Returns whether the read reached the end of the
+  // partition.
+  Task<Result<bool>> Poll(Duration wait);
   // Polls until `active` returns false.
   Task<> Follow(std::function<bool()> active);
 
-  // Time of the last successful read; Time() if there was none.
-  Time last_success() const { return Time(Duration(last_success_ms_.load())); }
+  // Send time of the last read that reached the end of the partition; Time() if there
+  // was none. All records that were stored until then have been handled.
+  Time last_complete() const { return Time(Duration(last_complete_ms_.load())); }
+  // Whether the last read succeeded.
+  bool reachable() const { return reachable_; }
 
  private:
+  void RecordComplete(Time sent);
+  // Records whether a read succeeded; logs each change.
+  void RecordRead(std::error_code error);
+
   StoreClient& store_;
   DecisionLog& log_;
   const Partition partition_;
@@ -46,8 +54,8 @@
   // Offset of the next read. Follow and single polls may overlap: a read that
   // returns late only sets the position back, and records are handled twice.
   std::atomic<std::int64_t> position_{0};
-  std::atomic<std::int64_t> last_success_ms_{0};
-  bool reachable_ = true;  // The last read of Follow succeeded.
+  std::atomic<std::int64_t> last_complete_ms_{0};  // Never decreases.
+  std::atomic<bool> reachable_{true};
 };
 
 }  // namespace dn
