--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -65,6 +65,7 @@
   context_.log.Write("shard-take-over", std::to_string(shard_), "token=" + std::to_string(token_));
   const Time started = Now();
   if (!co_await TakeOver()) co_return;
+  opened_ms_ = Now().time_since_epoch().count();
   open_ = true;
   const auto [jobs, workers] = table_.With(
       [](Table& table) { return std::make_pair(table.shard.jobs(), table.shard.workers()); });
@@ -353,7 +354,11 @@
     if (!open_) co_return Errc::kUnavailable;
     status = StatusOf(View(), Now());
   }
-  if (status != ViewStatus::kCurrent) co_return Errc::kOutdated;
+  if (status != ViewStatus::kCurrent) {
+    context_.log.Write("view-outdated", std::to_string(shard_),
+                       ToText(View(), Now()) + " token=" + std::to_string(token_));
+    co_return Errc::kOutdated;
+  }
   co_return boost::outcome_v2::success();
 }
 
@@ -428,7 +433,16 @@
 Task<Result<std::int64_t>> ShardOwner::WaitingOf(std::string queue, Time deadline) {
   auto current = co_await EnsureCurrentView(deadline);
   if (!current) co_return current.error();
-  co_return table_.With([&](Table& table) { return table.shard.WaitingOf(queue); });
+  const auto [waiting, starts] = table_.With([&](Table& table) {
+    return std::make_pair(table.shard.WaitingOf(queue), table.shard.CountStarts(queue));
+  });
+  const Time now = Now();
+  const Duration open_for = now - Time(Duration(opened_ms_.load()));
+  context_.log.Write("waiting-counted", queue,
+                     "count=" + std::to_string(waiting) + " " + ToText(starts) + " " +
+                         ToText(View(), now) + " open_for_ms=" + std::to_string(open_for.count()) +
+                         " token=" + std::to_string(token_));
+  co_return waiting;
 }
 
 }  // namespace dn
--- a/src/scheduling/internal/owner_view.h
+++ b/src/scheduling/internal/owner_view.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <string>
 
 #include "core/core.h"
 
@@ -36,9 +37,10 @@
   return now - view->jobs_read >= kMaxViewAge ? ViewStatus::kLagging : ViewStatus::kCurrent;
 }
 
-// Returns the age of the oldest part of `view`.
-inline Duration AgeOf(const OwnerView& view, Time now) {
-  return now - std::min(view->confirmed, view->jobs_read);
+// Returns the ages of the parts of `view` as a list of name=value, separated by spaces.
+inline std::string ToText(const OwnerView& view, Time now) {
+  return "view_age_ms=" + std::to_string((now - view->jobs_read).count()) +
+         " confirmed_age_ms=" + std::to_string((now - view->confirmed).count());
 }
 
 }  // namespace dn
