Store: date contacts by sending; bounds of configuration and readiness

An instance that was paused or whose responses were held up reported "no such queue" and readiness from an old view: both ages were counted from the response, so that a held-up response made its content look new for another 2.2 s.

Both bounds become 2.4 s since sending: a configuration that was accepted 2.5 s ago is then always in the read.

--- a/src/node/internal/node_service.cc
+++ b/src/node/internal/node_service.cc
@@ -6,8 +6,9 @@
 
 // Maximum age of the last complete read of the configuration for a node to report
 // that a queue does not exist, and of the last store contact for it to accept new
-// connections. A long poll takes up to 1 s.
-constexpr Duration kMaxContactAge{2'200};
+// connections. A configuration must be in force after 2.5 s. Just before a long poll of
+// 0.9 s ends, the one before it is 1.8 s old.
+constexpr Duration kMaxContactAge{2'400};
 // Time limit for finding an owner that responds. A take-over takes about two
 // seconds; after that the caller should retry rather than wait longer.
 constexpr Duration kOwnerLookupTimeout{2'200};
--- a/src/store/internal/store_client.cc
+++ b/src/store/internal/store_client.cc
@@ -4,9 +4,12 @@
 namespace dn {
 
 Task<Result<HttpReply>> StoreClient::Call(HttpCall call, Duration timeout) {
+  const std::int64_t sent_ms = Now().time_since_epoch().count();
   auto reply = co_await http_.Call(store_, std::move(call), timeout, TrafficKind::kStore);
   if (reply && reply.value().status < 500 && reply.value().status != 429) {
-    last_contact_ms_ = Now().time_since_epoch().count();
+    std::int64_t known_ms = last_contact_ms_;
+    while (known_ms < sent_ms && !last_contact_ms_.compare_exchange_weak(known_ms, sent_ms)) {
+    }
   }
   co_return reply;
 }
--- a/src/store/internal/store_client.h
+++ b/src/store/internal/store_client.h
@@ -30,8 +30,8 @@
   // Returns the members of `group` that the partitions of `topic` are assigned to.
   Task<Result<std::vector<PartitionOwner>>> Owners(std::string group, std::string topic);
 
-  // Time of the last response other than an overload or server error (status 429
-  // or 5xx); Time() if there was none.
+  // Send time of the latest call whose response was no overload or server error (status
+  // 429 or 5xx); Time() if there was none.
   Time last_contact() const { return Time(Duration(last_contact_ms_.load())); }
 
  private:
