--- a/src/node/internal/node_service.cc
+++ b/src/node/internal/node_service.cc
@@ -6,12 +6,17 @@
 
 // Maximum age of the last complete read of the configuration for a node to report
 // that a queue does not exist, and of the last store contact for it to accept new
-// connections. A long poll takes up to 1 s.
-constexpr Duration kMaxContactAge{2'200};
+// connections. A configuration must be in force after 2.5 s. Just before a long poll of
+// 0.9 s ends, the one before it is 1.8 s old.
+constexpr Duration kMaxContactAge{2'400};
 // Time limit for finding an owner that responds. A take-over takes about two
 // seconds; after that the caller should retry rather than wait longer.
 constexpr Duration kOwnerLookupTimeout{2'200};
 constexpr Duration kOwnerRetryPause{120};
+// An owner that refuses because its view is outdated is asked again once, with a new
+// list of owners. Until it is replaced the caller cannot be served, and holding the
+// request would not change that.
+constexpr int kMaxOutdatedResponses = 2;
 // Timeout of an owner query to one instance: several round trips between regions.
 constexpr Duration kOwnerQueryTimeout{250};
 // Time within which a job must be sent to the store: three responses of a slow
@@ -75,10 +80,10 @@
   co_return stored.error() == Errc::kTimeout ? SubmitOutcome::kUnknown : SubmitOutcome::kRefused;
 }
 
-Task<Result<JobState>> LocalService::StateOf(JobId id, Time /*deadline*/) {
+Task<Result<JobState>> LocalService::StateOf(JobId id, Time deadline) {
   const auto owner = OwnerOf(ShardOf(id));
   if (!owner) co_return Errc::kUnavailable;
-  co_return co_await owner->StateOf(id);
+  co_return co_await owner->StateOf(id, deadline);
 }
 
 Task<Result<bool>> LocalService::Cancel(JobId id, Time deadline) {
@@ -87,10 +92,10 @@
   co_return co_await owner->Cancel(id, deadline);
 }
 
-Task<Result<std::int64_t>> LocalService::WaitingOf(std::string queue, Time /*deadline*/) {
+Task<Result<std::int64_t>> LocalService::WaitingOf(std::string queue, Time deadline) {
   const auto owner = OwnerOf(0);
   if (!owner) co_return Errc::kUnavailable;
-  co_return owner->WaitingOf(queue);
+  co_return co_await owner->WaitingOf(std::move(queue), deadline);
 }
 
 Task<Result<Endpoint>> NodeService::FindOwner(int shard, Time deadline) {
@@ -110,6 +115,7 @@
   const Time started = Now();
   deadline = std::min(deadline, started + kOwnerLookupTimeout);
   OwnerCall call;
+  int outdated_responses = 0;
   while (true) {
     const Time called_locally = Now();
     Result<T> response = co_await local();
@@ -142,9 +148,11 @@
       co_return response;
     }
     membership_.InvalidateOwners();
-    if (Now() + kOwnerRetryPause >= deadline) {
+    if (response.error() == Errc::kOutdated) ++outdated_responses;
+    const bool outdated = outdated_responses >= kMaxOutdatedResponses;
+    if (outdated || Now() + kOwnerRetryPause >= deadline) {
       LogOwnerCall(shard, call, Now() - started);
-      co_return Errc::kUnavailable;
+      co_return outdated ? Errc::kOutdated : Errc::kUnavailable;
     }
     co_await SleepFor(kOwnerRetryPause);
   }
