Tests: dn-node exits beside open connections (known red)

Callers whose request is on its way when the drain of dn-node ends get no response.

Cause: Node::Drain never closes its servers. It ends when the notice period is over and no handler runs; requests that are read in part, or whose response is being written, are not counted.

--- a/tests/node_process_test.cc
+++ b/tests/node_process_test.cc
@@ -6,6 +6,7 @@
 
 #include "tests/support/node_fleet.h"
 #include "tests/support/runner.h"
+#include "tests/support/test_caller.h"
 
 namespace dn::testing {
 namespace {
@@ -232,5 +233,35 @@
   for (const std::string& violation : fleet.Violations()) FAIL_CHECK(violation);
 }
 
+// Guards against a node that exits while a request is on its way on an open connection.
+TEST_CASE("a node that drains responds on each open connection", "[node][processes]") {
+  const std::string request = "GET /queue/ HTTP/1.1\r\nHost: jobs.example\r\n\r\n";
+  struct Case {
+    std::string name;
+    std::size_t bytes_before;  // Bytes of the request that are sent before the drain.
+  };
+  const std::vector<Case> cases = {{"connection without a request", 0},
+                                   {"request line in part", 5},
+                                   {"all but the last byte", request.size() - 1}};
+  Runner runner;
+  NodeFleet fleet(runner.pool(), DN_BIN, 1, 1);
+  REQUIRE(runner.Wait(fleet.WaitReady(Duration(15'000))));
+  std::vector<TestCaller> callers(cases.size());
+  for (std::size_t i = 0; i < cases.size(); ++i) {
+    callers[i].Connect(fleet.front(0));
+    callers[i].Send(request.substr(0, cases[i].bytes_before));
+  }
+  fleet.Signal(0, SIGTERM);
+  REQUIRE(WaitUntilRefused(fleet.front(0)));
+  for (std::size_t i = 0; i < cases.size(); ++i) {
+    CAPTURE(cases[i].name);
+    callers[i].Send(request.substr(cases[i].bytes_before));
+    const std::string response = callers[i].ReadUntil("");
+    CHECK_THAT(response, Catch::StartsWith("HTTP/1.1 "));
+    CHECK_THAT(response, Catch::EndsWith("}, closed"));
+  }
+  CHECK(fleet.WaitExit(0, Duration(6'000)) == 0);
+}
+
 }  // namespace
 }  // namespace dn::testing
