Clock: count the time during which the machine is suspended

After a suspension of some seconds an instance could tell a count or a state, deny a queue or report readiness from before the suspension: Now() read the steady clock, which stands still on Linux while the machine is suspended, so that everything that was read before seemed as young as it was then.

Time is now a type of its own (BootClock, CLOCK_BOOTTIME), so that the compiler finds every place where a Time was handed to a timer. Timers stay on the steady clock and get TimerExpiry(time).

--- a/src/caller/internal/slot_pool.cc
+++ b/src/caller/internal/slot_pool.cc
@@ -44,8 +44,8 @@
   waiter->service = std::move(service);
   waiter->excluded = std::move(excluded);
   waiter->deadline = deadline;
-  waiter->timer =
-      std::make_shared<asio::steady_timer>(co_await asio::this_coro::executor, deadline);
+  waiter->timer = std::make_shared<asio::steady_timer>(co_await asio::this_coro::executor,
+                                                       TimerExpiry(deadline));
   const bool granted = state_.With([&](PoolState& state) {
     waiter->granted =
         state.slots.Acquire(waiter->service, waiter->excluded, *routing_, state.random);
--- a/src/runtime/internal/notifier.cc
+++ b/src/runtime/internal/notifier.cc
@@ -14,7 +14,7 @@
 
 Task<> Notifier::Wait(std::uint64_t ticket, Time deadline) {
   const auto executor = co_await asio::this_coro::executor;
-  const auto timer = std::make_shared<asio::steady_timer>(executor, deadline);
+  const auto timer = std::make_shared<asio::steady_timer>(executor, TimerExpiry(deadline));
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (count_ != ticket) co_return;
--- a/src/runtime/internal/upstream_connection.cc
+++ b/src/runtime/internal/upstream_connection.cc
@@ -36,7 +36,7 @@
     boost::system::error_code error;
     const auto host = asio::ip::make_address(to.host, error);
     if (error) co_return Errc::kUnreachable;
-    stream_.expires_at(deadline);
+    stream_.expires_at(TimerExpiry(deadline));
     co_await stream_.async_connect(tcp::endpoint(host, to.port),
                                    asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return Errc::kUnreachable;
@@ -64,7 +64,7 @@
     request_->body().more = head.framing != BodyFraming::kNone;
     serializer_.emplace(*request_);
     parser_.reset();
-    stream_.expires_at(deadline);
+    stream_.expires_at(TimerExpiry(deadline));
     boost::system::error_code error;
     bytes_ += co_await http::async_write_header(stream_, *serializer_,
                                                 asio::redirect_error(asio::use_awaitable, error));
@@ -78,7 +78,7 @@
     body.data = piece.empty() ? nullptr : const_cast<char*>(piece.data());
     body.size = piece.size();
     body.more = !last;
-    stream_.expires_at(deadline);
+    stream_.expires_at(TimerExpiry(deadline));
     boost::system::error_code error;
     bytes_ += co_await http::async_write(stream_, *serializer_,
                                          asio::redirect_error(asio::use_awaitable, error));
@@ -89,7 +89,7 @@
   Task<bool> WaitForResponse(Time deadline) override {
     if (buffer_.size() > 0) co_return true;
     stream_.expires_never();
-    asio::steady_timer timer(stream_.get_executor(), deadline);
+    asio::steady_timer timer(stream_.get_executor(), TimerExpiry(deadline));
     auto first = co_await asio::experimental::make_parallel_group(
                      stream_.socket().async_wait(tcp::socket::wait_read, asio::deferred),
                      timer.async_wait(asio::deferred))
@@ -102,7 +102,7 @@
     parser_->header_limit(kMaxResponseHeader);
     parser_->body_limit(boost::none);
     if (head_request) parser_->skip(true);
-    stream_.expires_at(deadline);
+    stream_.expires_at(TimerExpiry(deadline));
     boost::system::error_code error;
     bytes_ += co_await http::async_read_header(stream_, buffer_, *parser_,
                                                asio::redirect_error(asio::use_awaitable, error));
@@ -120,7 +120,7 @@
       auto& body = parser_->get().body();
       body.data = buffer.data();
       body.size = buffer.size();
-      stream_.expires_at(deadline);
+      stream_.expires_at(TimerExpiry(deadline));
       boost::system::error_code error;
       bytes_ += co_await http::async_read_some(stream_, buffer_, *parser_,
                                                asio::redirect_error(asio::use_awaitable, error));
