Store stand-in: reassign partitions whoever notices that a member has expired

Seen twice: no node took the shard over after its owner was paused, rejected by the store or killed.

Cause: a read of the owners removed an expired member without assigning its partitions again, and the next join compared the numbers of members after that. The partitions stayed with the removed member. Nodes read the owners more often since counts and states are refused while the owner is not confirmed.

Now the removal itself assigns the partitions.

--- a/standins/internal/store_standin.cc
+++ b/standins/internal/store_standin.cc
@@ -307,16 +307,6 @@
       {{"items", std::move(items)}, {"HasMore", next != log.newest.end()}, {"End", log.end()}});
 }
 
-void StoreStandin::ExpireMembers(Group& group) {
-  const Time now = Now();
-  std::erase_if(group.members, [&](const auto& entry) {
-    return now - entry.second.last_join > entry.second.time_to_live;
-  });
-  for (auto& [partition, owner] : group.owners) {
-    if (group.members.count(owner) == 0) owner.clear();
-  }
-}
-
 void StoreStandin::AssignPartitions(Group& group) {
   std::map<std::string, int> partition_counts;
   for (const auto& [name, member] : group.members) partition_counts[name] = 0;
@@ -344,19 +334,31 @@
   }
 }
 
+void StoreStandin::ExpireMembers(Group& group) {
+  const Time now = Now();
+  const std::size_t expired = std::erase_if(group.members, [&](const auto& entry) {
+    return now - entry.second.last_join > entry.second.time_to_live;
+  });
+  for (auto& [partition, owner] : group.owners) {
+    if (group.members.count(owner) == 0) owner.clear();
+  }
+  if (expired == 0) return;
+  ++group.generation;
+  AssignPartitions(group);
+}
+
 HttpReply StoreStandin::Join(State& state, const HttpCall& call) {
   const json::object body = json::parse(call.body).as_object();
   Group& group = state.groups[std::string(body.at("group").as_string())];
   group.topic = std::string(body.at("Topics").as_array()[0].as_string());
   const std::string name(body.at("Member").as_string());
-  const std::size_t members_before = group.members.size();
-  const bool known = group.members.count(name) > 0;
   ExpireMembers(group);
+  const bool known = group.members.count(name) > 0;
   Member& member = group.members[name];
   member.last_join = Now();
   member.time_to_live = Duration(body.at("TtlMs").to_number<std::int64_t>());
   member.generation = body.at("Generation").to_number<std::int64_t>();
-  if (!known || group.members.size() != members_before) {
+  if (!known) {
     ++group.generation;
     AssignPartitions(group);
   }
