Tests: stop the stand-ins' coroutines before a node fleet is destroyed

Cause, by reading: ~NodeFleet destroyed the stand-ins while the runner's threads still ran their coroutines. The heartbeat loop touches its worker every 0.5 s, and each call to a dead worker every 20 ms; only that scenario ends with a dead worker. The time until the runner stops is short, and longer on a busy machine. Not reproduced under a sanitizer.

The fleet now stops the runner before the stand-ins go.

--- a/bench/demo.cc
+++ b/bench/demo.cc
@@ -166,8 +166,8 @@
     return 0;
   }
   dn::StartLogging(argv[0]);
-  dn::WorkerPool pool(3);
-  std::thread runner([&] { pool.Run(); });
+  dn::testing::Runner runner;
+  dn::WorkerPool& pool = runner.pool();
   std::vector<Outcome> outcomes;
   std::vector<std::unique_ptr<Fleet>> fleets;
   std::vector<std::unique_ptr<NodeFleet>> nodes;
@@ -188,7 +188,7 @@
                                                  Duration(parsed["seconds"].as<int>() * 1000),
                                                  parsed["rate"].as<double>(), outcomes[i]),
                                       dn::asio::use_future));
-    nodes.push_back(std::make_unique<NodeFleet>(pool, DN_BIN, kNodes, kJobWorkers));
+    nodes.push_back(std::make_unique<NodeFleet>(runner, DN_BIN, kNodes, kJobWorkers));
     done.push_back(dn::asio::co_spawn(pool.context(), RunJobs(*nodes.back(), outcomes[i]),
                                       dn::asio::use_future));
   }
@@ -198,7 +198,6 @@
   std::cout << (passed ? "demo passed\n" : "demo FAILED\n");
   fleets.clear();
   nodes.clear();
-  pool.Stop();
-  runner.join();
+  runner.Stop();
   return passed ? 0 : 1;
 }
--- a/tests/node_process_test.cc
+++ b/tests/node_process_test.cc
@@ -88,7 +88,7 @@
   }
 
   Runner runner;
-  NodeFleet fleet{runner.pool(), DN_BIN, kNodes, kWorkers};
+  NodeFleet fleet{runner, DN_BIN, kNodes, kWorkers};
 };
 
 // Generates each way in which the store can be unavailable.
@@ -140,7 +140,7 @@
   }));
   CAPTURE(scenario.name);
   Runner runner;
-  NodeFleet fleet(runner.pool(), DN_BIN, kNodes, kWorkers);
+  NodeFleet fleet(runner, DN_BIN, kNodes, kWorkers);
   CHECK(runner.Wait(SubmitDuringFault(fleet, scenario)));
   for (const std::string& violation : fleet.Violations()) FAIL_CHECK(violation);
 }
@@ -217,7 +217,7 @@
 
 TEST_CASE("each node drains and exits on SIGTERM without losing jobs", "[node][processes]") {
   Runner runner;
-  NodeFleet fleet(runner.pool(), DN_BIN, kNodes, kWorkers);
+  NodeFleet fleet(runner, DN_BIN, kNodes, kWorkers);
   REQUIRE(runner.Wait(fleet.WaitReady(Duration(15'000))));
   JobId next = 1;
   for (int node = 0; node < kNodes; ++node) {
@@ -244,7 +244,7 @@
                                    {"request line in part", 5},
                                    {"all but the last byte", request.size() - 1}};
   Runner runner;
-  NodeFleet fleet(runner.pool(), DN_BIN, 1, 1);
+  NodeFleet fleet(runner, DN_BIN, 1, 1);
   REQUIRE(runner.Wait(fleet.WaitReady(Duration(15'000))));
   std::vector<TestCaller> callers(cases.size());
   for (std::size_t i = 0; i < cases.size(); ++i) {
--- a/tests/node_view_test.cc
+++ b/tests/node_view_test.cc
@@ -181,7 +181,7 @@
   }));
   CAPTURE(scenario.name);
   Runner runner;
-  NodeFleet fleet(runner.pool(), DN_BIN, kNodes, kWorkers);
+  NodeFleet fleet(runner, DN_BIN, kNodes, kWorkers);
   REQUIRE(runner.Wait(fleet.WaitReady(Duration(15'000))));
   REQUIRE(runner.Wait(SubmitWaitingJobs(fleet, 1, kEarlyJobs, -1)));
   // Every node learns of every other within 3 s.
--- a/tests/registrations_process_test.cc
+++ b/tests/registrations_process_test.cc
@@ -75,7 +75,7 @@
 // that register later, because of registrations that it cannot use.
 TEST_CASE("odd registrations neither end a node nor hide the other workers", "[node][processes]") {
   Runner runner;
-  NodeFleet fleet(runner.pool(), DN_BIN, 2, 2);
+  NodeFleet fleet(runner, DN_BIN, 2, 2);
   REQUIRE(runner.Wait(fleet.WaitReady(kReadyLimit)));
   const auto odd = OddRegistrations("service", fleet.worker(0).address().ToString());
   const int owner = fleet.Owner();
@@ -109,7 +109,7 @@
 TEST_CASE("a worker with an odd registration keeps its tasks and is used again once it is valid",
           "[node][processes]") {
   Runner runner;
-  NodeFleet fleet(runner.pool(), DN_BIN, 1, 1);
+  NodeFleet fleet(runner, DN_BIN, 1, 1);
   REQUIRE(runner.Wait(fleet.WaitReady(kReadyLimit)));
   const std::string payload = "long";
   REQUIRE(runner.Wait(fleet.Submit(1, 2, kSubmitLimit, payload)));
--- a/tests/support/node_fleet.cc
+++ b/tests/support/node_fleet.cc
@@ -34,8 +34,8 @@
 
 }  // namespace
 
-NodeFleet::NodeFleet(WorkerPool& pool, std::string bin, int nodes, int workers)
-    : pool_(pool), bin_(std::move(bin)), folder_(MakeFolder()), store_(pool) {
+NodeFleet::NodeFleet(Runner& runner, std::string bin, int nodes, int workers)
+    : runner_(runner), bin_(std::move(bin)), folder_(MakeFolder()), store_(runner.pool()) {
   static_cast<void>(store_.Start());
   PutConfiguration(3);
   for (int i = 0; i < workers; ++i) AddWorker();
@@ -69,6 +69,8 @@
     ::kill(node.pid, SIGKILL);
     ::waitpid(node.pid, nullptr, 0);
   }
+  // The coroutines of the stand-ins must not outlive them.
+  runner_.Stop();
   std::filesystem::remove_all(folder_);
 }
 
@@ -83,7 +85,7 @@
 
 void NodeFleet::AddWorker() {
   workers_.push_back(std::make_unique<standins::TaskWorkerStandin>(
-      pool_, store_, "worker-" + std::to_string(workers_.size()), "service", kTaskTime));
+      runner_.pool(), store_, "worker-" + std::to_string(workers_.size()), "service", kTaskTime));
   static_cast<void>(workers_.back()->Start());
 }
 
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -12,15 +12,16 @@
 #include "runtime/runtime.h"
 #include "scheduling/scheduling.h"
 #include "standins/standins.h"
+#include "tests/support/runner.h"
 
 namespace dn::testing {
 
-// Owns the nodes and stand-ins of one test. The destructor kills the nodes.
+// Owns the nodes and stand-ins of one test. The destructor kills the nodes and stops the runner.
 class NodeFleet {
  public:
-  // Starts `nodes` nodes and `workers` workers. Other threads must be running `pool`.
+  // Starts `nodes` nodes and `workers` workers. The stand-ins run on `runner`.
   // `bin` is the folder that contains the programs.
-  NodeFleet(WorkerPool& pool, std::string bin, int nodes, int workers);
+  NodeFleet(Runner& runner, std::string bin, int nodes, int workers);
   ~NodeFleet();
   NodeFleet(const NodeFleet&) = delete;
   NodeFleet& operator=(const NodeFleet&) = delete;
@@ -78,7 +79,7 @@
 
   void PutConfiguration(int version);
 
-  WorkerPool& pool_;
+  Runner& runner_;
   const std::string bin_;
   const std::string folder_;
   HttpClient http_;
--- a/tests/support/runner.h
+++ b/tests/support/runner.h
@@ -11,14 +11,16 @@
 class Runner {
  public:
   Runner() : thread_([this] { pool_.Run(); }) {}
-  ~Runner() {
-    pool_.Stop();
-    thread_.join();
-  }
+  ~Runner() { Stop(); }
   Runner(const Runner&) = delete;
   Runner& operator=(const Runner&) = delete;
 
   WorkerPool& pool() { return pool_; }
+  // Stops the pool and waits until no coroutine runs any more.
+  void Stop() {
+    pool_.Stop();
+    if (thread_.joinable()) thread_.join();
+  }
   // Starts `task` and returns a future of its result.
   template <class T>
   std::future<T> Begin(Task<T> task) {
