--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -277,11 +277,6 @@
   const JobRow& job = *jobs_.Find(running->task.job);
   const std::size_t position = job.PositionOf(running->task);
   const StepSpec& step = job.StepOf(position);
-  // An earlier owner may have changed the speed of the run; the record does not contain it.
-  if (task->inherited && step->best_effort) {
-    task->speed_orders.acknowledged = false;
-    throttling_.insert({.job = running->task.job, .position = position});
-  }
   task->stage = StartStage::kConfirmed;
   task->inherited = false;
   task->worker_start_time_ms = worker.start_time_ms;
