Log and count the tasks that are due and have no live run

A job was left with a task that could run and did not, and neither log nor metrics told whether the task was placed or refused by the workers.

Once a second the shard's owner looks for tasks whose turn came 3 s ago or more and of which no report has shown a run since. It writes a line task-without-run for each (every 5 s a task, at most 10 tasks a second, placed ones first) with the workers by their reason to refuse the task, or with the state of its start and of its worker; a line tasks-without-run with the totals and the number left out; and three gauges.

The placement conditions return their reason (PlacementRefusal) instead of false, and CostOf joins them with the rule of the step's kind, so that the plan and the log use the same conditions. Decisions are unchanged.

--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -26,6 +26,8 @@
 constexpr Duration kInterferencePeriod{2'000};
 // Interval of log lines of the shard's load.
 constexpr Duration kLoadPeriod{2'000};
+// Interval of the search for tasks without a live run, which takes seconds to become notable.
+constexpr Duration kRunGapPeriod{1'000};
 // Used where no time limit is wanted: progress must be recorded however long the store
 // is unavailable, or it would be lost. No process runs unattended for that long.
 constexpr Duration kUnlimited{24 * 3'600'000};
@@ -255,6 +257,18 @@
   }
 }
 
+void ShardOwner::ShowRunGaps(const RunGaps& gaps) {
+  context_.metrics.Set(Gauge::kTasksWithoutRunWaiting, gaps->waiting);
+  context_.metrics.Set(Gauge::kTasksWithoutRunPlaced, gaps->placed);
+  context_.metrics.Set(Gauge::kLongestWithoutRunMs, gaps->longest.count());
+  for (const RunGap& gap : gaps->due) {
+    context_.log.Write("task-without-run", FormatTaskKey(gap->task), ToText(gap));
+  }
+  if (!gaps->due.empty()) {
+    context_.log.Write("tasks-without-run", std::to_string(shard_), ToText(gaps));
+  }
+}
+
 void ShardOwner::SendOrders(const Orders& orders) {
   const Links links = table_.With([](Table& table) { return table.links; });
   const auto send = [&](const auto& list, auto on_response) {
@@ -274,6 +288,7 @@
 
 Task<> ShardOwner::PlanLoop() {
   Time load_logged = Now();
+  Time run_gaps_checked = Now();
   while (active_) {
     const std::uint64_t ticket = changed_.Ticket();
     const Time now = Now();
@@ -288,11 +303,17 @@
       const ShardLoad load = table_.With([&](Table& table) { return table.shard.Load(now); });
       context_.log.Write("load", std::to_string(shard_), ToText(load));
     }
+    if (now - run_gaps_checked >= kRunGapPeriod) {
+      run_gaps_checked = now;
+      ShowRunGaps(table_.With([&](Table& table) { return table.shard.CheckRunGaps(now, wall); }));
+    }
     if (!orders.empty()) SendOrders(orders);
     recorded_.NotifyAll();
     co_await SleepFor(kMinPlanPause);
     co_await changed_.Wait(ticket, now + kMaxPlanInterval);
   }
+  // The gauges tell about owned shards only.
+  ShowRunGaps(RunGaps());
 }
 
 Task<> ShardOwner::RecordLoop() {
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -89,6 +89,8 @@
   void SendOrders(const Orders& orders);
   void HandleJobs(const std::vector<StoreRecord>& records);
   void HandleWorkers(const std::vector<StoreRecord>& records, bool complete);
+  // Writes the tasks without a live run to the log and the metrics.
+  void ShowRunGaps(const RunGaps& gaps);
   void LogDecisions(const std::vector<Decision>& decisions);
 
   Context context_;
--- a/src/runtime/internal/metrics.cc
+++ b/src/runtime/internal/metrics.cc
@@ -38,6 +38,7 @@
                                                                    "heartbeats_received",
                                                                    "configurations_in_force"};
 
+constexpr std::size_t kGauges = EnumNames<Gauge>::kNames.size();
 constexpr std::size_t kLatencies = EnumNames<Latency>::kNames.size();
 // Upper bounds of the histogram buckets, in ms: from the duration of a call within
 // one availability zone to the longest time that a caller waits.
@@ -57,6 +58,7 @@
   std::array<std::atomic<std::uint64_t>, kLatencies> sums_ms{};
   std::array<std::atomic<std::uint64_t>, kCounters> counters{};
   std::array<std::atomic<std::uint64_t>, kTrafficKinds> bytes{};
+  std::array<std::atomic<std::int64_t>, kGauges> gauges{};
   Shared<Accumulator, LockRank::kMetrics> request_times{
       Accumulator(acc::extended_p_square_probabilities = kProbabilities)};
 };
@@ -95,6 +97,10 @@
       std::memory_order_relaxed);
 }
 
+void Metrics::Set(Gauge gauge, std::int64_t value) {
+  impl_->gauges.at(static_cast<std::size_t>(gauge)).store(value, std::memory_order_relaxed);
+}
+
 Distribution Metrics::RequestTimes() const {
   return impl_->request_times.With([](Accumulator& times) {
     const auto quantile = [&](double probability) {
@@ -125,6 +131,11 @@
   for (const auto& entry : EnumNames<TrafficKind>::kNames) {
     out << "dn_bytes_total{kind=\"" << entry.name << "\"} " << Bytes(entry.value) << '\n';
   }
+  for (const auto& entry : EnumNames<Gauge>::kNames) {
+    out << "# TYPE dn_" << entry.name << " gauge\n"
+        << "dn_" << entry.name << ' '
+        << impl_->gauges.at(static_cast<std::size_t>(entry.value)).load() << '\n';
+  }
   const Distribution times = RequestTimes();
   out << "# TYPE dn_request_time_us summary\n"
       << "dn_request_time_us{quantile=\"0.5\"} " << times.p50 << '\n'
--- a/src/runtime/internal/metrics.h
+++ b/src/runtime/internal/metrics.h
@@ -69,6 +69,20 @@
        {Latency::kFirstStart, "first_start"}}};
 };
 
+// Current values.
+enum class Gauge {
+  kTasksWithoutRunWaiting,  // Tasks that are due, have had no live run for seconds, and wait.
+  kTasksWithoutRunPlaced,   // The same, for tasks that are placed on a worker.
+  kLongestWithoutRunMs,     // Longest time without a live run among these tasks, in ms.
+};
+template <>
+struct EnumNames<Gauge> {
+  static constexpr std::array<EnumName<Gauge>, 3> kNames = {
+      {{Gauge::kTasksWithoutRunWaiting, "tasks_without_run_waiting"},
+       {Gauge::kTasksWithoutRunPlaced, "tasks_without_run_placed"},
+       {Gauge::kLongestWithoutRunMs, "longest_without_run_ms"}}};
+};
+
 class Metrics {
  public:
   Metrics();
@@ -84,6 +98,7 @@
   Distribution RequestTimes() const;
   // Adds a sample to the histogram of `latency`.
   void RecordLatency(Latency latency, Duration time);
+  void Set(Gauge gauge, std::int64_t value);
   // All metrics in Prometheus text format.
   std::string Prometheus() const;
   // Name of the counter in Prometheus text format, without prefix and suffix.
--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -19,6 +19,13 @@
   kSent,        // A start was or may have been sent; no response has arrived.
   kConfirmed,   // The worker has acknowledged or reported the run.
 };
+template <>
+struct EnumNames<StartStage> {
+  static constexpr std::array<EnumName<StartStage>, 3> kNames = {
+      {{StartStage::kUnrecorded, "unrecorded"},
+       {StartStage::kSent, "sent"},
+       {StartStage::kConfirmed, "confirmed"}}};
+};
 
 // Progress of the orders that set the speed of a run.
 struct SpeedOrders {
@@ -50,6 +57,7 @@
   // When a stop was acknowledged for a run that had not been confirmed. The run cannot start after
   // that.
   std::optional<Time> revoked_at;
+  Time reported_at{};  // When a report last showed a run of the task or its end; Time() if never.
   int missed_reports = 0;      // Consecutive reports that did not list this confirmed run.
   int last_failed_run = 0;     // A gang counts one failure per run.
   Time phase_since{};          // When the task entered its phase.
--- a/src/scheduling/internal/placement_policy.cc
+++ b/src/scheduling/internal/placement_policy.cc
@@ -24,8 +24,8 @@
 // fewer best-effort images interfere with them.
 class PackingRule final : public PlacementRule {
  public:
-  std::optional<double> Cost(const WorkerRow& worker, const StepSpec& step, ImageId image,
-                             const PlacementView& /*view*/) const override {
+  PlacementCost Cost(const WorkerRow& worker, const StepSpec& step, ImageId image,
+                     const PlacementView& /*view*/) const override {
     const Resources free = worker.Free();
     const Resources& capacity = worker.entry->capacity;
     double cost =
@@ -100,17 +100,20 @@
 // Best-effort tasks use idle cores on the workers where they interfere least.
 class BestEffortRule final : public PlacementRule {
  public:
-  std::optional<double> Cost(const WorkerRow& worker, const StepSpec& step, ImageId image,
-                             const PlacementView& view) const override {
+  PlacementCost Cost(const WorkerRow& worker, const StepSpec& step, ImageId image,
+                     const PlacementView& view) const override {
     if (!worker.headroom) worker.headroom = HeadroomOf(worker, view);
     const BestEffortHeadroom& headroom = *worker.headroom;
     const double use = static_cast<double>(step->demand.millicores) * view.policy->initial_use;
-    if (static_cast<double>(headroom.idle_millicores) < use) return std::nullopt;
+    if (static_cast<double>(headroom.idle_millicores) < use) {
+      return PlacementRefusal::kFewIdleCores;
+    }
     double worst = 0;
     for (const auto& [latency_critical_image, load] : headroom.loads) {
       const double added = InterferenceOf(latency_critical_image, step, image, view);
-      if (added > kNegligibleLoad && load + added > view.policy->max_expected_load)
-        return std::nullopt;
+      if (added > kNegligibleLoad && load + added > view.policy->max_expected_load) {
+        return PlacementRefusal::kLoad;
+      }
       worst = std::max(worst, added);
     }
     // Among workers with equal interference, the one with the most idle cores has the lowest cost.
@@ -139,26 +142,41 @@
   return *kRules.at(static_cast<std::size_t>(kind));
 }
 
-bool CanPlace(const WorkerRow& worker, const JobRow& job, std::size_t position, Time now) {
+std::optional<PlacementRefusal> RefusalOf(const WorkerRow& worker, const JobRow& job,
+                                          std::size_t position, Time now) {
   const StepSpec& step = job.StepOf(position);
   const WorkerEntry& entry = worker.entry;
-  if (!worker.listed || entry->draining || !worker.confirmed) return false;
-  if (entry->service != job.accepted->queue->service) return false;
-  if (worker.start_time_ms != entry->start_time_ms || now < worker.avoid_until) return false;
+  if (!worker.listed) return PlacementRefusal::kUnlisted;
+  if (entry->draining) return PlacementRefusal::kDraining;
+  if (!worker.confirmed) return PlacementRefusal::kUnconfirmed;
+  if (entry->service != job.accepted->queue->service) return PlacementRefusal::kOtherService;
+  if (worker.start_time_ms != entry->start_time_ms) return PlacementRefusal::kOtherIncarnation;
+  if (now < worker.avoid_until) return PlacementRefusal::kAvoided;
   const Resources free = worker.Free();
-  if (free.memory_mb < step->demand.memory_mb) return false;
-  if (free.accelerators < step->demand.accelerators) return false;
-  if (!step->best_effort && free.millicores < step->demand.millicores) return false;
-  if (!step->required_label.empty() && !worker.HasLabel(step->required_label)) return false;
+  if (free.memory_mb < step->demand.memory_mb) return PlacementRefusal::kNoMemory;
+  if (free.accelerators < step->demand.accelerators) return PlacementRefusal::kNoAccelerator;
+  if (!step->best_effort && free.millicores < step->demand.millicores) {
+    return PlacementRefusal::kNoCores;
+  }
+  if (!step->required_label.empty() && !worker.HasLabel(step->required_label)) {
+    return PlacementRefusal::kLabel;
+  }
   if (step->max_per_worker > 0) {
     const TaskKey key = job.KeyOf(position);
     const auto [first, last] =
         job.RangeOf(static_cast<std::size_t>(key.occurrence), static_cast<std::size_t>(key.step));
     const auto from = worker.tasks.lower_bound({.job = key.job, .position = first});
     const auto to = worker.tasks.lower_bound({.job = key.job, .position = last});
-    if (std::distance(from, to) >= step->max_per_worker) return false;
+    if (std::distance(from, to) >= step->max_per_worker) return PlacementRefusal::kSpread;
   }
-  return true;
+  return std::nullopt;
+}
+
+PlacementCost CostOf(const WorkerRow& worker, const JobRow& job, std::size_t position,
+                     const PlacementView& view) {
+  if (const auto refusal = RefusalOf(worker, job, position, view.now)) return *refusal;
+  const StepSpec& step = job.StepOf(position);
+  return PlacementRuleFor(KindOf(step)).Cost(worker, step, job.ImageOf(position), view);
 }
 
 }  // namespace dn
--- a/src/scheduling/internal/placement_policy.h
+++ b/src/scheduling/internal/placement_policy.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <optional>
+#include <variant>
 
 #include "scheduling/internal/interference.h"
 #include "scheduling/internal/worker_table.h"
@@ -17,24 +18,73 @@
 
 // Kinds of step; each kind has its own placement rule.
 enum class StepKind { kLatencyCritical, kBatch, kBestEffort };
+// Names in logs.
+template <>
+struct EnumNames<StepKind> {
+  static constexpr std::array<EnumName<StepKind>, 3> kNames = {
+      {{StepKind::kLatencyCritical, "serving"},
+       {StepKind::kBatch, "batch"},
+       {StepKind::kBestEffort, "fills"}}};
+};
 StepKind KindOf(const StepSpec& step);
 
+// Why a task must not be placed on a worker now.
+enum class PlacementRefusal {
+  kUnlisted,
+  kDraining,
+  kUnconfirmed,  // No report has arrived since the owner took the shard over.
+  kOtherService,
+  kOtherIncarnation,  // The registration and the last report are of different incarnations.
+  kAvoided,
+  kNoMemory,
+  kNoAccelerator,
+  kNoCores,
+  kLabel,
+  kSpread,        // The worker has `max_per_worker` tasks of the step.
+  kFewIdleCores,  // Best-effort tasks only.
+  kLoad,          // The expected load of a latency-critical task would be too high.
+};
+template <>
+struct EnumNames<PlacementRefusal> {
+  static constexpr std::array<EnumName<PlacementRefusal>, 13> kNames = {
+      {{PlacementRefusal::kUnlisted, "unlisted"},
+       {PlacementRefusal::kDraining, "draining"},
+       {PlacementRefusal::kUnconfirmed, "unconfirmed"},
+       {PlacementRefusal::kOtherService, "other_service"},
+       {PlacementRefusal::kOtherIncarnation, "other_incarnation"},
+       {PlacementRefusal::kAvoided, "avoided"},
+       {PlacementRefusal::kNoMemory, "memory"},
+       {PlacementRefusal::kNoAccelerator, "accelerators"},
+       {PlacementRefusal::kNoCores, "cores"},
+       {PlacementRefusal::kLabel, "label"},
+       {PlacementRefusal::kSpread, "spread"},
+       {PlacementRefusal::kFewIdleCores, "idle_cores"},
+       {PlacementRefusal::kLoad, "load"}}};
+};
+
+// Cost of placing a task on a worker, or why it must not be placed there now.
+using PlacementCost = std::variant<double, PlacementRefusal>;
+
 class PlacementRule {
  public:
   virtual ~PlacementRule() = default;
   // Returns the cost of placing one more task of `step`, which runs `image`, on `worker`; the
-  // worker with the lowest cost is selected. Returns nothing if the task must not be placed there
-  // now. The caller has checked resources, labels and spread. A rule must not accept a task on a
-  // worker where it refuses one with a smaller demand.
-  virtual std::optional<double> Cost(const WorkerRow& worker, const StepSpec& step, ImageId image,
-                                     const PlacementView& view) const = 0;
+  // worker with the lowest cost is selected. The caller has checked resources, labels and spread. A
+  // rule must not accept a task on a worker where it refuses one with a smaller demand.
+  virtual PlacementCost Cost(const WorkerRow& worker, const StepSpec& step, ImageId image,
+                             const PlacementView& view) const = 0;
 };
 
 // Returns the placement rule for steps of `kind`.
 const PlacementRule& PlacementRuleFor(StepKind kind);
 
-// Returns whether `worker` satisfies the conditions that apply to every kind of step: service,
-// incarnation, drain, quarantine, free resources, label and `max_per_worker`.
-bool CanPlace(const WorkerRow& worker, const JobRow& job, std::size_t position, Time now);
+// Returns the first condition for every kind of step that `worker` does not satisfy: registration,
+// service, incarnation, drain, quarantine, free resources, label and `max_per_worker`.
+std::optional<PlacementRefusal> RefusalOf(const WorkerRow& worker, const JobRow& job,
+                                          std::size_t position, Time now);
+
+// Returns the cost of placing a task on `worker`: all conditions and the rule for its kind of step.
+PlacementCost CostOf(const WorkerRow& worker, const JobRow& job, std::size_t position,
+                     const PlacementView& view);
 
 }  // namespace dn
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -155,6 +155,7 @@
     if (task != nullptr) task->run = std::max(task->run, end->run);
     return;
   }
+  task->reported_at = now;
   JobRow& job = *jobs_.Find(end->task.job);
   const std::size_t position = job.PositionOf(end->task);
   const StepSpec& step = job.StepOf(position);
@@ -278,6 +279,7 @@
   const std::size_t position = job.PositionOf(running->task);
   const StepSpec& step = job.StepOf(position);
   task->stage = StartStage::kConfirmed;
+  task->reported_at = now;
   task->inherited = false;
   task->worker_start_time_ms = worker.start_time_ms;
   task->missed_reports = 0;
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -13,6 +13,7 @@
 #include "scheduling/internal/interference.h"
 #include "scheduling/internal/pace_control.h"
 #include "scheduling/internal/placement_policy.h"
+#include "scheduling/internal/run_gaps.h"
 #include "scheduling/internal/search_memo.h"
 #include "scheduling/internal/shard_load.h"
 #include "scheduling/internal/start_counts.h"
@@ -138,6 +139,11 @@
   std::size_t jobs() const { return jobs_.jobs().size(); }
   std::size_t workers() const { return workers_.workers().size(); }
   ShardLoad Load(Time now) const;
+  // Returns the tasks that are due and have no live run. Call it after Plan(), with the same times.
+  RunGaps CheckRunGaps(Time now, std::int64_t wall_ms) {
+    return run_gaps_.Check(jobs_, workers_,
+                           {.interference = interference_, .policy = policy_, .now = now}, wall_ms);
+  }
   std::vector<Decision> TakeDecisions();
   // Number of workers that were evaluated for a task so far: a measure of the cost of planning.
   std::int64_t workers_evaluated() const { return workers_evaluated_; }
@@ -195,6 +201,7 @@
   std::vector<StopOrder> orphaned_run_stops_;  // Stops of orphaned runs.
   std::map<WorkerId, std::pair<std::int64_t, std::int64_t>> ends_taken_;
   std::set<JobId> expired_;
+  RunGapMonitor run_gaps_;
   bool advice_reported_ = false;  // Whether the log already contains advice-not-supported.
   std::vector<Decision> decisions_;
 };
--- a/src/scheduling/internal/shard_load.cc
+++ b/src/scheduling/internal/shard_load.cc
@@ -21,14 +21,14 @@
      {"cores", &ShardLoadFields::capacity},
      {"cores_reserved", &ShardLoadFields::reserved},
      {"cores_of_fills", &ShardLoadFields::used_by_best_effort}}};
-constexpr std::array<std::string_view, 3> kKinds = {"serving", "batch", "fills"};
 
 }  // namespace
 
 std::string ToText(const ShardLoad& load) {
   std::string text;
-  for (std::size_t kind = 0; kind < kKinds.size(); ++kind) {
-    const std::string name(kKinds.at(kind));
+  for (const auto& kind_name : EnumNames<StepKind>::kNames) {
+    const auto kind = static_cast<std::size_t>(kind_name.value);
+    const std::string name(kind_name.name);
     text += "waiting_" + name + "=" + std::to_string(load->waiting.at(kind)) + " placed_" + name +
             "=" + std::to_string(load->placed.at(kind)) + " ";
   }
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -135,9 +135,7 @@
   // Added cost of a worker on another rack than the data or the step's other tasks.
   constexpr double kOffRackCost = 10;
   const StepSpec& step = job.StepOf(position);
-  const PlacementRule& rule = PlacementRuleFor(KindOf(step));
   const PlacementView view{.interference = interference_, .policy = policy_, .now = now};
-  const ImageId image = job.ImageOf(position);
   std::string rack = step->data_rack;
   if (step->same_rack) {
     const TaskKey key = job.KeyOf(position);
@@ -152,13 +150,14 @@
   double best_cost = 0;
   for (auto& [id, worker] : workers_.workers()) {
     ++workers_evaluated_;
-    if (!CanPlace(worker, job, position, now)) continue;
-    std::optional<double> cost = rule.Cost(worker, step, image, view);
-    if (!cost) continue;
-    if (!rack.empty() && worker.entry->rack != rack) *cost += kOffRackCost;
-    if (best == nullptr || *cost < best_cost) {
+    const PlacementCost offered = CostOf(worker, job, position, view);
+    const double* const base_cost = std::get_if<double>(&offered);
+    if (base_cost == nullptr) continue;
+    const bool off_rack = !rack.empty() && worker.entry->rack != rack;
+    const double cost = *base_cost + (off_rack ? kOffRackCost : 0);
+    if (best == nullptr || cost < best_cost) {
       best = &worker;
-      best_cost = *cost;
+      best_cost = cost;
     }
   }
   return best;
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -13,6 +13,7 @@
 #include "scheduling/internal/placement_policy.h"
 #include "scheduling/internal/policy.h"
 #include "scheduling/internal/record_codec.h"
+#include "scheduling/internal/run_gaps.h"
 #include "scheduling/internal/shard.h"
 #include "scheduling/internal/start_counts.h"
 #include "scheduling/internal/urgency.h"
