--- a/bench/load_model/load_model.cc
+++ b/bench/load_model/load_model.cc
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 
 namespace dn::bench {
 namespace {
@@ -35,12 +36,13 @@
 constexpr int kRackSize = 8;
 constexpr std::int64_t kCores = 64;
 constexpr std::int64_t kMemoryMb = 256'000;
-constexpr Duration kDrainTime{20'000};                  // Simulated time after the last arrival.
 constexpr std::uint64_t kSeedMultiplier = 100'000'007;  // Larger than all identifiers of jobs.
 // Added to a job's identifier to seed the gap before its arrival.
 constexpr JobId kArrivalIdOffset = 10'000'000;
+constexpr JobId kFirstLaterLatencyCriticalId = 500'000;
 constexpr JobId kFirstBestEffortId = 1'000'000;
 constexpr JobId kFirstUrgentId = 2'000'000;
+constexpr Duration kProgressCheckPeriod{100};  // Time between two searches for jobs without a run.
 
 // A simulated run of a task.
 struct SimRun {
@@ -75,6 +77,8 @@
   std::optional<Time> cancelled;
   std::optional<Time> first_start;
   std::optional<Time> finished_at;
+  std::set<TaskKey> done;                 // Tasks of which a run has ended as done.
+  std::optional<Time> without_run_since;  // See LoadResultFields::longest_without_run_ms.
 };
 
 // One simulation: the shard under test, its workers, jobs and pending events.
@@ -95,15 +99,20 @@
     ScheduleArrivals(kFirstBestEffortId,
                      [this] { return pattern_->best_effort_jobs_per_second * BurstFactor(); });
     ScheduleArrivals(kFirstUrgentId, [this] { return pattern_->urgent_jobs_per_second; });
+    if (pattern_->latency_critical_jobs_per_second > 0) {
+      ScheduleArrivals(kFirstLaterLatencyCriticalId,
+                       [this] { return pattern_->latency_critical_jobs_per_second; });
+    }
     const Time third{pattern_->length / 3};
     ScheduleAt(third, [this] { SetWorkerFaults(true); });
     ScheduleAt(2 * third.time_since_epoch() + Time(), [this] { SetWorkerFaults(false); });
     ScheduleAt(Time(), [this] { Plan(); });
     ScheduleAt(Time(), [this] { RunAllWorkers(); });
+    ScheduleAt(Time(), [this] { CheckProgress(); });
   }
 
   LoadResult Simulate(double* shard_seconds) {
-    const Time end{pattern_->length + kDrainTime};
+    const Time end{pattern_->length + pattern_->drain};
     while (!events_.empty() && events_.begin()->first <= end) {
       auto event = events_.extract(events_.begin());
       now_ = event.key();
@@ -168,11 +177,22 @@
     const Time at = now_ + Duration(static_cast<std::int64_t>(gap * 1'000));
     if (at.time_since_epoch() > pattern_->length) return;
     ScheduleAt(at, [this, next, rate] {
-      next >= kFirstUrgentId ? SubmitUrgent(next) : SubmitBestEffort(next);
+      SubmitNext(next);
       ScheduleArrivals(next + 1, rate);
     });
   }
 
+  // Submits a job of the kind that the range of its identifier stands for.
+  void SubmitNext(JobId id) {
+    if (id >= kFirstUrgentId) {
+      SubmitUrgent(id);
+    } else if (id >= kFirstBestEffortId) {
+      SubmitBestEffort(id);
+    } else {
+      SubmitLatencyCritical(id);
+    }
+  }
+
   void Submit(JobId id, const QueueFields& queue, const std::vector<StepFields>& steps,
               double task_ms) {
     std::vector<StepSpec> specs(steps.begin(), steps.end());
@@ -212,6 +232,17 @@
     step.target_latency_ms = kTargetMs;
     if (Bernoulli(random, 0.5)) step.max_per_worker = 2;
     Submit(id, {.name = "serving", .service = "s", .max_attempts = 2}, {step}, 0);
+    if (pattern_->latency_critical_stay <= Duration(0)) return;
+    const double per_ms = 1.0 / static_cast<double>(pattern_->latency_critical_stay.count());
+    const double stay_ms = std::exponential_distribution<double>(per_ms)(random);
+    CancelAfter(Duration(static_cast<std::int64_t>(stay_ms)), id);
+  }
+
+  void CancelAfter(Duration delay, JobId id) {
+    ScheduleAfter(delay, [this, id] {
+      jobs_[id].cancelled = now_;
+      CallShard([&] { shard_.Cancel(id, now_); });
+    });
   }
 
   // Returns one step, or two of which the second depends on the first.
@@ -242,10 +273,7 @@
            Chain(random, step), task_ms);
     jobs_[id].always_fails = Bernoulli(random, pattern_->always_failing_share);
     if (Bernoulli(random, pattern_->cancelled_share)) {
-      ScheduleAfter(Duration(1'000), [this, id] {
-        jobs_[id].cancelled = now_;
-        CallShard([&] { shard_.Cancel(id, now_); });
-      });
+      CancelAfter(Duration(1'000), id);
     }
   }
 
@@ -424,6 +452,7 @@
 
   void End(SimWorker& worker, const TaskKey& task, const SimRun& run, EndKind kind) {
     const StepSpec& step = StepOf(task);
+    if (kind == EndKind::kDone) jobs_.at(task.job).done.insert(task);
     if (kind != EndKind::kDone && !step->long_running) {
       wasted_core_seconds_ += (run.total_ms - run.remaining_ms - run.checkpointed_ms) / 1'000 *
                               static_cast<double>(step->demand.millicores) / 1'000;
@@ -444,6 +473,55 @@
     }
   }
 
+  // Measures how long open jobs have had no run although there is room.
+  void CheckProgress() {
+    ScheduleAfter(kProgressCheckPeriod, [this] { CheckProgress(); });
+    std::set<JobId> with_run;
+    std::vector<Resources> free;
+    std::int64_t capacity = 0;
+    std::int64_t demanded = 0;
+    for (const auto& [id, worker] : workers_) {
+      if (worker.lost) continue;
+      Resources& left = free.emplace_back(worker.entry->capacity);
+      capacity += left.millicores;
+      for (const auto& [task, run] : worker.running) {
+        with_run.insert(task.job);
+        const Resources& demand = StepOf(task)->demand;
+        left.millicores -= demand.millicores;
+        left.memory_mb -= demand.memory_mb;
+        demanded += demand.millicores;
+      }
+    }
+    const bool most_is_free = demanded < capacity / 2;
+    for (auto& [id, job] : jobs_) {
+      const bool open = !job.cancelled && !job.finished_at && with_run.count(id) == 0;
+      if (!open || !most_is_free || !FitsTwice(job, free)) {
+        job.without_run_since.reset();
+        continue;
+      }
+      if (!job.without_run_since) job.without_run_since = now_;
+      longest_without_run_ms_ = std::max(
+          longest_without_run_ms_, static_cast<double>((now_ - *job.without_run_since).count()));
+    }
+  }
+
+  // Returns whether a task of the job is ready and has room twice in what is free by worker.
+  static bool FitsTwice(const SimJob& job, const std::vector<Resources>& free) {
+    const std::vector<StepSpec>& steps = job.accepted->spec->steps;
+    std::size_t before = 0;  // Number of tasks of the earlier steps, which form a chain.
+    for (const StepSpec& step : steps) {
+      before += static_cast<std::size_t>(step->count);
+      if (job.done.size() >= before) continue;
+      std::int64_t fitting = 0;
+      for (const Resources& left : free) {
+        fitting += std::max<std::int64_t>(0, std::min(left.millicores / step->demand.millicores,
+                                                      left.memory_mb / step->demand.memory_mb));
+      }
+      return fitting >= 2;
+    }
+    return false;
+  }
+
   void RunAllWorkers() {
     for (auto& [id, worker] : workers_) {
       if (!worker.lost) RunWorker(worker);
@@ -527,15 +605,19 @@
     LoadResultFields out{.wasted_core_seconds = wasted_core_seconds_,
                          .over_target_seconds = total_over_target_ms_ / 1'000,
                          .longest_over_target_ms = longest_over_target_ms_,
-                         .starts = starts_};
+                         .starts = starts_,
+                         .longest_without_run_ms = longest_without_run_ms_};
     std::vector<double> waits;
     std::array<double, 2> earned_value{};
     std::array<double, 2> total_value{};
-    double latency_critical_tasks = 0;
+    double latency_critical_ms = 0;  // Time that latency-critical tasks should have been at work.
+    const Time end{pattern_->length + pattern_->drain};
     for (const auto& [id, job] : jobs_) {
       const StepSpec& step = job.accepted->spec->steps[0];
       if (step->long_running) {
-        latency_critical_tasks += step->count;
+        const Duration stay =
+            job.cancelled.value_or(end).time_since_epoch() - Duration(job.accepted->accepted_ms);
+        latency_critical_ms += step->count * static_cast<double>(stay.count());
         continue;
       }
       if (job.cancelled) continue;
@@ -562,10 +644,9 @@
     }
     if (total_value[0] > 0) out.best_effort_score = earned_value[0] / total_value[0];
     if (total_value[1] > 0) out.urgent_score = earned_value[1] / total_value[1];
-    const double total_ms = static_cast<double>((pattern_->length + kDrainTime).count());
-    if (latency_critical_tasks > 0) {
-      out.latency_critical_score = (working_ms_ - kOverTargetWeight * total_over_target_ms_) /
-                                   (latency_critical_tasks * total_ms);
+    if (latency_critical_ms > 0) {
+      out.latency_critical_score =
+          (working_ms_ - kOverTargetWeight * total_over_target_ms_) / latency_critical_ms;
     }
     std::sort(waits.begin(), waits.end());
     if (!waits.empty()) {
@@ -596,6 +677,7 @@
   double working_ms_ = 0;
   double total_over_target_ms_ = 0;
   double longest_over_target_ms_ = 0;
+  double longest_without_run_ms_ = 0;
 };
 
 }  // namespace
@@ -619,6 +701,11 @@
                    .urgent_jobs_per_second = 26,
                    .best_effort_jobs_per_second = 36,
                    .latency_critical_jobs = 260}),
+      LoadPattern({.name = "long day",
+                   .length = Duration(110'000),
+                   .latency_critical_jobs_per_second = 0.2,
+                   .latency_critical_stay = Duration(70'000),
+                   .drain = Duration(14'000)}),
   };
   return kPatterns;
 }
--- a/bench/load_model/load_model.h
+++ b/bench/load_model/load_model.h
@@ -17,7 +17,7 @@
   Duration length{30'000};                 // Time of arrivals; accepted jobs continue after it.
   double urgent_jobs_per_second = 4;       // Short jobs on reserved cores, priority 0.
   double best_effort_jobs_per_second = 5;  // Jobs that use idle cores, priority 2.
-  int latency_critical_jobs = 37;          // Run from the start to the end.
+  int latency_critical_jobs = 37;          // Run from the start on.
   double burst_factor = 1;                 // Multiplies the best-effort rate in the middle third.
   double estimate_error = 0.2;             // Largest relative error of estimated run times.
   double always_failing_share = 0;         // Of best-effort jobs: every run fails.
@@ -26,6 +26,11 @@
   double failing_worker_share = 0;         // Workers whose tasks all fail in the middle third.
   double stalled_worker_share = 0;         // Workers without progress in the middle third.
   double slow_worker_share = 0;            // Workers at a quarter of the speed in the middle third.
+  // Latency-critical jobs that arrive later. All of them are cancelled after a stay with an
+  // exponential distribution of this mean; 0: they run to the end.
+  double latency_critical_jobs_per_second = 0;
+  Duration latency_critical_stay{0};
+  Duration drain{20'000};  // Simulated time after the last arrival.
 
   friend auto operator<=>(const LoadPatternFields&, const LoadPatternFields&) = default;
 };
@@ -49,6 +54,9 @@
   int unfinished_jobs = 0;  // Neither completed, failed nor cancelled at the end.
   double first_start_p50_ms = 0;
   double first_start_p95_ms = 0;
+  // Longest continuous time for which an open job had no run although a task of it was ready, two
+  // such tasks had room and the demand of all runs was below half of the cores.
+  double longest_without_run_ms = 0;
 
   friend auto operator<=>(const LoadResultFields&, const LoadResultFields&) = default;
 };
