Start a best-effort task at reduced speed for a job that is refused everywhere

What callers may see: an accepted job has nothing running although most of the room is free.

Cause: BestEffortRule refuses a worker where the expected load of a latency-critical task, with the interference of the new task at full speed, passes max_expected_load, however long the job has waited. Where every worker runs such tasks, the largest tasks of an image that interferes with them wait for ever.

Change: a job that has had no confirmed run for reduced_start_after (1.5 s) although a best-effort task is ready starts one at the speed at which the expected load stays within max_expected_load, but at least 10%, on the worker that allows the highest speed. The speed is ordered as every change of speed, once the run is confirmed, and the throttling takes over from there. At most one such task runs for a job and on a worker; the worker must have half of its cores idle, as long as less than half of all cores are in demand, some worker has that, though it may lack memory. The job without a run for longest comes first. Searches that fail are remembered within a plan. MoveIfSlow is unchanged and asks the strict rule.

Not covered: gangs of best-effort tasks, and jobs for which no worker has half of its cores idle.

--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -61,6 +61,7 @@
   int speed_percent = 100;     // Intended speed, in percent.
   Time speed_changed_at{};     // When the intended speed last changed or took effect.
   SpeedOrders speed_orders;
+  bool reduced_start = false;  // The run was started at reduced speed; see reduced_start.h.
   std::optional<Time> over_target_since;  // Latency-critical tasks only.
 };
 
@@ -97,6 +98,8 @@
   // Whether an earlier owner recorded an intent to start a task. If so, the time of the first run
   // is not known.
   bool has_earlier_intent = false;
+  // Since when no run of the job has been confirmed although a task is ready.
+  std::optional<Time> without_run_since;
   // Latency-critical jobs: normalised load from the job's own requests, without interference.
   std::optional<double> own_load;
 
--- a/src/scheduling/internal/placement_policy.cc
+++ b/src/scheduling/internal/placement_policy.cc
@@ -68,13 +68,17 @@
   return static_cast<std::int64_t>(idle_millicores);
 }
 
+}  // namespace
+
 double InterferenceOf(ImageId latency_critical_image, const StepSpec& best_effort,
                       ImageId best_effort_image, const PlacementView& view) {
   return view.interference.InterferencePerCore(latency_critical_image, best_effort_image) *
          static_cast<double>(best_effort->demand.millicores) / kMillicores;
 }
 
-BestEffortHeadroom HeadroomOf(const WorkerRow& worker, const PlacementView& view) {
+namespace {
+
+BestEffortHeadroom ComputeHeadroom(const WorkerRow& worker, const PlacementView& view) {
   BestEffortHeadroom headroom{.idle_millicores = IdleMillicores(worker, view), .loads = {}};
   for (const auto& [ref, job] : worker.tasks) {
     const StepSpec& step = job->StepOf(ref.position);
@@ -102,8 +106,7 @@
  public:
   std::optional<double> Cost(const WorkerRow& worker, const StepSpec& step, ImageId image,
                              const PlacementView& view) const override {
-    if (!worker.headroom) worker.headroom = HeadroomOf(worker, view);
-    const BestEffortHeadroom& headroom = *worker.headroom;
+    const BestEffortHeadroom& headroom = HeadroomOf(worker, view);
     const double use = static_cast<double>(step->demand.millicores) * view.policy->initial_use;
     if (static_cast<double>(headroom.idle_millicores) < use) return std::nullopt;
     double worst = 0;
@@ -126,6 +129,11 @@
 
 }  // namespace
 
+const BestEffortHeadroom& HeadroomOf(const WorkerRow& worker, const PlacementView& view) {
+  if (!worker.headroom) worker.headroom = ComputeHeadroom(worker, view);
+  return *worker.headroom;
+}
+
 StepKind KindOf(const StepSpec& step) {
   if (step->best_effort) return StepKind::kBestEffort;
   return step->long_running ? StepKind::kLatencyCritical : StepKind::kBatch;
--- a/src/scheduling/internal/placement_policy.h
+++ b/src/scheduling/internal/placement_policy.h
@@ -33,6 +33,14 @@
 // Returns the placement rule for steps of `kind`.
 const PlacementRule& PlacementRuleFor(StepKind kind);
 
+// Returns the normalised load that a task of the best-effort step adds at full speed to a
+// latency-critical task.
+double InterferenceOf(ImageId latency_critical_image, const StepSpec& best_effort,
+                      ImageId best_effort_image, const PlacementView& view);
+
+// Returns the headroom of `worker`, which is cached in it.
+const BestEffortHeadroom& HeadroomOf(const WorkerRow& worker, const PlacementView& view);
+
 // Returns whether `worker` satisfies the conditions that apply to every kind of step: service,
 // incarnation, drain, quarantine, free resources, label and `max_per_worker`.
 bool CanPlace(const WorkerRow& worker, const JobRow& job, std::size_t position, Time now);
--- a/src/scheduling/internal/policy.h
+++ b/src/scheduling/internal/policy.h
@@ -55,6 +55,9 @@
   // that interferes with it is placed. It lies below 1 (the target) because loads rise by up to 0.1
   // per second while the best-effort task runs.
   double max_expected_load = 0.85;
+  // A job without a run for this long starts a best-effort task that every worker refuses at full
+  // speed, at reduced speed: half of the time without a run that the platform tolerates.
+  Duration reduced_start_after{1'500};
 
   friend auto operator<=>(const PolicyFields&, const PolicyFields&) = default;
 };
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -258,6 +258,7 @@
   task.start_attempts = 0;
   task.speed_percent = kFullPercent;
   task.speed_orders = {};
+  task.reduced_start = false;
   task.stage = StartStage::kUnrecorded;
   jobs_.SetPhase(job, position, phase, now);
 }
@@ -552,7 +553,9 @@
     TaskRow& task = job->tasks[entry->position];
     SpeedOrders& orders = task.speed_orders;
     const bool repeated = orders.sent_percent == task.speed_percent;
-    if (!orders.in_flight && (!repeated || now - orders.sent_at >= kThrottleRepeat)) {
+    // A worker refuses the speed of a run that it does not have yet.
+    const bool confirmed = task.stage == StartStage::kConfirmed;
+    if (confirmed && !orders.in_flight && (!repeated || now - orders.sent_at >= kThrottleRepeat)) {
       orders.in_flight = true;
       orders.sent_percent = task.speed_percent;
       orders.sent_at = now;
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -171,6 +171,12 @@
   std::vector<Waiting> CollectWaiting(Time now, std::int64_t wall_ms);
   void PlaceStep(const Waiting& waiting, SearchMemo& memo, Time now);
   bool PlaceGang(const Waiting& waiting, Time now);
+  // Updates the time since when the job has had no run; `ready`: a task of it is ready.
+  static void UpdateIdleTime(JobRow& job, bool ready, Time now);
+  // Starts a task at reduced speed for each job that has had no run for too long. At most one such
+  // task runs for a job and on a worker, so that late jobs do not slow down a full fleet.
+  void PlaceReduced(const std::vector<Waiting>& waiting, Time now);
+  bool PlaceOneReduced(const Waiting& waiting, Time now);
   WorkerRow* BestWorker(const JobRow& job, std::size_t position, Time now);
   void Place(JobRow& job, std::size_t position, WorkerRow& worker, Time now);
   void ReleaseLostWorkers(Time now);
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -31,7 +31,8 @@
     MoveStalled(now);
   }
   SearchMemo memo;
-  for (const Waiting& waiting : CollectWaiting(now, wall_ms)) {
+  const std::vector<Waiting> all_waiting = CollectWaiting(now, wall_ms);
+  for (const Waiting& waiting : all_waiting) {
     const StepSpec& step = waiting.job->accepted->spec->steps[waiting.step];
     if (step->gang) {
       PlaceGang(waiting, now);
@@ -39,6 +40,7 @@
       PlaceStep(waiting, memo, now);
     }
   }
+  PlaceReduced(all_waiting, now);
   ControlThrottling(now);
 }
 
@@ -104,13 +106,17 @@
       continue;
     }
     if (job.accepted->spec->occurrences > 0) jobs_.AddDueOccurrences(job, wall_ms);
-    if (job.waiting == 0) continue;
+    if (job.waiting == 0) {
+      if (job.without_run_since) UpdateIdleTime(job, true, now);
+      continue;
+    }
     if (job.accepted->queue->needs_advice) {
       if (!advice_reported_) Decide("advice-not-supported", FormatJobId(id), "waits");
       advice_reported_ = true;
       continue;
     }
     const std::int64_t age = wall_ms - job.accepted->accepted_ms;
+    const std::size_t steps_before = out.size();
     for (std::size_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
       for (std::size_t step = 0; step < job.step_offset.size(); ++step) {
         const auto [first, last] = job.RangeOf(occurrence, step);
@@ -126,6 +132,7 @@
                        .urgency = UrgencyOf(job, step, age)});
       }
     }
+    UpdateIdleTime(job, out.size() > steps_before, now);
   }
   std::sort(out.begin(), out.end());
   return out;
--- /dev/null
+++ b/src/scheduling/internal/shard_progress.cc
@@ -0,0 +1,85 @@
+// Keeps every job progressing: starts a task at reduced speed for a job whose tasks no worker
+// accepts at full speed.
+#include <algorithm>
+
+#include "scheduling/internal/reduced_start.h"
+#include "scheduling/internal/shard.h"
+
+namespace dn {
+
+void Shard::UpdateIdleTime(JobRow& job, bool ready, Time now) {
+  const bool has_run = std::any_of(job.tasks.begin(), job.tasks.end(), [](const TaskRow& task) {
+    return task.phase == TaskPhase::kPlaced && task.stage == StartStage::kConfirmed;
+  });
+  if (has_run || !ready) {
+    job.without_run_since.reset();
+  } else if (!job.without_run_since) {
+    job.without_run_since = now;
+  }
+}
+
+void Shard::PlaceReduced(const std::vector<Waiting>& waiting, Time now) {
+  std::vector<const Waiting*> overdue;
+  for (const Waiting& entry : waiting) {
+    const JobRow& job = *entry.job;
+    const StepSpec& step = job.accepted->spec->steps[entry.step];
+    if (!step->best_effort || step->gang || !job.without_run_since) continue;
+    if (now - *job.without_run_since >= policy_->reduced_start_after) overdue.push_back(&entry);
+  }
+  // The job that has been without a run for longest comes first, whatever its urgency, so that none
+  // starves.
+  std::stable_sort(overdue.begin(), overdue.end(), [](const Waiting* a, const Waiting* b) {
+    return *a->job->without_run_since < *b->job->without_run_since;
+  });
+  SearchMemo memo;
+  for (const Waiting* entry : overdue) {
+    JobRow& job = *entry->job;
+    const StepSpec& step = job.accepted->spec->steps[entry->step];
+    const std::string& service = job.accepted->queue->service;
+    const bool placed = job.waiting + job.done < job.tasks.size();
+    if (placed || memo.WillFail(service, step, job.images[entry->step])) continue;
+    if (!PlaceOneReduced(*entry, now)) {
+      memo.RecordFailure(service, step, job.images[entry->step]);
+    }
+  }
+}
+
+bool Shard::PlaceOneReduced(const Waiting& waiting, Time now) {
+  JobRow& job = *waiting.job;
+  const auto [first, last] = job.RangeOf(waiting.occurrence, waiting.step);
+  std::size_t position = first;
+  while (position < last && (job.tasks[position].phase != TaskPhase::kWaiting ||
+                             job.tasks[position].not_before > now)) {
+    ++position;
+  }
+  if (position == last) return false;
+  const PlacementView view{.interference = interference_, .policy = policy_, .now = now};
+  WorkerRow* best = nullptr;
+  ReducedStart best_start;
+  for (auto& [id, worker] : workers_.workers()) {
+    ++workers_evaluated_;
+    if (!CanPlace(worker, job, position, now)) continue;
+    const auto start = ReducedStartOn(worker, job.StepOf(position), job.ImageOf(position), view);
+    if (!start) continue;
+    const bool better = best == nullptr || start->speed_percent > best_start.speed_percent ||
+                        (start->speed_percent == best_start.speed_percent &&
+                         start->expected_load < best_start.expected_load);
+    if (!better) continue;
+    best = &worker;
+    best_start = *start;
+  }
+  if (best == nullptr) return false;
+  Place(job, position, *best, now);
+  TaskRow& task = job.tasks[position];
+  task.reduced_start = true;
+  task.speed_percent = best_start.speed_percent;
+  task.speed_changed_at = now;
+  task.speed_orders.acknowledged = false;
+  throttling_.insert({.job = job.accepted->id, .position = position});
+  Decide("reduced-start", FormatTaskKey(job.KeyOf(position)),
+         "worker=" + best->entry->id.value + " to=" + std::to_string(best_start.speed_percent) +
+             " waited_ms=" + std::to_string((now - *job.without_run_since).count()));
+  return true;
+}
+
+}  // namespace dn
