--- a/src/scheduling/internal/placement_policy.h
+++ b/src/scheduling/internal/placement_policy.h
@@ -78,6 +78,14 @@
 // Returns the placement rule for steps of `kind`.
 const PlacementRule& PlacementRuleFor(StepKind kind);
 
+// Returns the normalised load that a task of the best-effort step adds at full speed to a
+// latency-critical task.
+double InterferenceOf(ImageId latency_critical_image, const StepSpec& best_effort,
+                      ImageId best_effort_image, const PlacementView& view);
+
+// Returns the headroom of `worker`, which is cached in it.
+const BestEffortHeadroom& HeadroomOf(const WorkerRow& worker, const PlacementView& view);
+
 // Returns the first condition for every kind of step that `worker` does not satisfy: registration,
 // service, incarnation, drain, quarantine, free resources, label and `max_per_worker`.
 std::optional<PlacementRefusal> RefusalOf(const WorkerRow& worker, const JobRow& job,
