Test that a placed task always gets a run or is released

An accepted job was seen with a task that could run and did not, with most of the room free. A task that is placed has no bound on its time without a run.

The simulated interleavings gain faults of workers that stay listed: a worker that cannot be reached, is mute, or refuses every call (for 5 s, or to the end for one worker), quick restarts under the same identifier, and lost reports; and a check that some time after the last fault each task that can run has a run. Single decisions are tested in tables.

--- a/src/scheduling/tests/shard_interleavings_test.cc
+++ b/src/scheduling/tests/shard_interleavings_test.cc
@@ -20,6 +20,29 @@
 constexpr int kMaxAttempts = 3;
 constexpr Duration kEnd{60'000};
 constexpr Duration kFaultsEnd{20'000};
+// How long a fault of a worker lasts: long enough for all leases on it to expire.
+constexpr Duration kWorkerFault{5'000};
+// When the fault of a worker that lasts to the end begins.
+constexpr Duration kLastingFaultBegins{8'000};
+// Time after the last fault by which each task that can run has a run: the longest lease by the
+// slowest clock and its margin (5.3 s) have passed within the time limit of a late order (8 s);
+// then a renewal without a response (1 s) and its retry (0.2 s), and the repetition of a stop (1
+// s).
+constexpr Duration kRecoveryBound{10'200};
+// Longest time that a task that can run may be without a run after that. The platform allows 3 s.
+constexpr Duration kStartBound{3'000};
+// Jobs that are submitted after all faults, and when.
+constexpr int kLateJobs = 10;
+constexpr std::pair<int, int> kLateJobsAt{36'000, 50'000};
+
+// What is wrong with a worker that stays listed.
+enum class WorkerFault {
+  kNone,
+  kUnreachable,       // No call reaches it.
+  kMute,              // It carries out calls, but its responses are lost.
+  kUnhealthy,         // It refuses all calls as unhealthy.
+  kOtherIncarnation,  // It refuses all calls as meant for another incarnation.
+};
 
 // Probability of each fault, in thousandths.
 struct Faults {
@@ -34,6 +57,33 @@
   int worker_crashes = 0;      // Per 100 ms.
   int worker_disconnects = 0;  // Per 100 ms; unreachable and unlisted for 5 s, but still running.
   int slow_store = 0;          // Per append; delays it by 2 s.
+  // Per 100 ms; the worker stays listed and its runs go on. Each lasts kWorkerFault.
+  int worker_unreachable = 0;
+  int worker_mute = 0;
+  int worker_unhealthy = 0;
+  int worker_misdirected = 0;
+  int worker_restarts = 0;  // Per 100 ms; restarts at once under the same identifier, listed.
+  int lost_reports = 0;     // Per renewal; its response is lost.
+  // Fault of one worker from kLastingFaultBegins to the end.
+  WorkerFault lasting = WorkerFault::kNone;
+};
+
+// Faults of a worker that have a probability.
+struct WorkerFaultChance {
+  WorkerFault fault;
+  int Faults::*chance;
+};
+constexpr std::array<WorkerFaultChance, 4> kWorkerFaultChances = {
+    {{WorkerFault::kUnreachable, &Faults::worker_unreachable},
+     {WorkerFault::kMute, &Faults::worker_mute},
+     {WorkerFault::kUnhealthy, &Faults::worker_unhealthy},
+     {WorkerFault::kOtherIncarnation, &Faults::worker_misdirected}}};
+
+// How a world is played.
+struct Play {
+  // Until when single calls and appends fail.
+  Duration call_faults_end = kEnd;
+  int late_jobs = 0;
 };
 
 struct RunLog {
@@ -53,6 +103,7 @@
 struct SimWorker {
   bool up = true;
   bool disconnected = false;
+  WorkerFault fault = WorkerFault::kNone;
   std::int64_t incarnation = 1;
   double rate = 1.0;  // Rate of the worker's clock relative to the owner's.
   FencingToken token = 0;
@@ -77,7 +128,8 @@
 
 class World {
  public:
-  World(const Faults& faults, std::uint64_t seed) : faults_(faults), random_(seed) {
+  World(const Faults& faults, std::uint64_t seed, const Play& play = {})
+      : faults_(faults), play_(play), random_(seed) {
     for (SimWorker& worker : workers_) {
       worker.rate = 1.0 - 0.02 * static_cast<double>(Pick(0, 100)) / 100;
     }
@@ -88,6 +140,14 @@
     Every(Duration(100), [this] { InjectFaults(); });
     Every(Duration(10), [this] { AdvanceWorkers(); });
     Every(Duration(10), [this] { CheckBegun(); });
+    if (faults_.lasting != WorkerFault::kNone) {
+      At(Time(kLastingFaultBegins), [this] { workers_[0].fault = faults_.lasting; });
+    }
+    for (int i = 0; i < play_.late_jobs; ++i) {
+      At(Time(Duration(Pick(kLateJobsAt.first, kLateJobsAt.second))),
+         [this, i] { SubmitJob(static_cast<JobId>(kJobs + i) + 1); });
+    }
+    if (play_.late_jobs > 0) Every(Duration(50), [this] { CheckProgress(); });
   }
 
   void Run() {
@@ -101,6 +161,8 @@
   std::vector<std::string> Check() const;
   // Jobs that an owner showed as begun without a run or as waiting although it knew of a run.
   const std::set<std::string>& begun_findings() const { return begun_findings_; }
+  // Tasks that could run and had no run, long after the last fault.
+  const std::set<std::string>& progress_findings() const { return progress_findings_; }
 
  private:
   using Event = std::function<void()>;
@@ -109,6 +171,10 @@
     return std::uniform_int_distribution<std::int64_t>(from, to)(random_);
   }
   bool Chance(int per_thousand) { return Pick(0, 999) < per_thousand; }
+  // Like Chance, for faults of single calls.
+  bool CallFails(int per_thousand) {
+    return Chance(per_thousand) && now_ < Time(play_.call_faults_end);
+  }
   void At(Time time, Event event) { events_.emplace(time, std::move(event)); }
   void After(Duration delay, Event event) { At(now_ + delay, std::move(event)); }
   void Every(Duration period, const Event& event) {
@@ -208,7 +274,7 @@
     const auto batch = std::make_shared<RecordBatch>(owner->shard.TakeBatch());
     if (batch->empty()) return;
     owner->appending = true;
-    const Duration delay(Chance(faults_.slow_store) ? 2'000 : Pick(3, 40));
+    const Duration delay(CallFails(faults_.slow_store) ? 2'000 : Pick(3, 40));
     // The append takes effect at the store even if the owner dies meanwhile.
     After(delay, [this, owner, batch] {
       if (owner->shard.token() < fence_) {
@@ -268,30 +334,36 @@
           if (response) owner->shard.Reported(IdOf(index), *response, sent, now_);
           RunInOwner(owner, now_ + Duration(response ? 50 : 200),
                      [this, owner, index] { Renew(owner, index); });
-        });
+        },
+        faults_.lost_reports);
   }
 
   // Simulates one call over the network. The response is empty after a timeout.
   void Call(const std::shared_ptr<Owner>& owner, int index,
             const std::function<OrderResponse()>& effect,
-            const std::function<void(const std::optional<OrderResponse>&)>& on_response) {
+            const std::function<void(const std::optional<OrderResponse>&)>& on_response,
+            int more_lost_responses = 0) {
     static constexpr Duration kTimeout{1'000};
     const auto time_out = [this, owner, on_response] {
       RunInOwner(owner, now_ + kTimeout, [on_response] { on_response(std::nullopt); });
     };
-    if (Chance(faults_.lost_requests)) return time_out();
-    if (Chance(faults_.late_orders)) {
+    if (CallFails(faults_.lost_requests)) return time_out();
+    if (CallFails(faults_.late_orders)) {
       After(Duration(Pick(2'000, 8'000)), [this, index, effect] {
-        if (workers_[index].up) effect();
+        if (workers_[index].up && CanHear(workers_[index])) effect();
       });
       return time_out();
     }
-    const bool lose_response = Chance(faults_.lost_responses);
+    const bool lose_response = CallFails(faults_.lost_responses) ||
+                               (more_lost_responses > 0 && CallFails(more_lost_responses));
     After(Duration(Pick(1, 20)),
           [this, owner, index, effect, on_response, lose_response, time_out] {
-            if (!workers_[index].up || workers_[index].disconnected) return time_out();
-            const OrderResponse response = effect();
-            if (lose_response) return time_out();
+            const SimWorker& worker = workers_[index];
+            if (!worker.up || worker.disconnected || worker.fault == WorkerFault::kUnreachable) {
+              return time_out();
+            }
+            const OrderResponse response = CanHear(worker) ? effect() : RefuseAll(worker);
+            if (lose_response || worker.fault == WorkerFault::kMute) return time_out();
             RunInOwner(owner, now_ + Duration(Pick(1, 20)),
                        [on_response, response] { on_response(response); });
           });
@@ -307,6 +379,16 @@
   OrderResponse Refuse(const SimWorker& worker, OrderRefusal refusal) const {
     return OrderResponse({.refusal = refusal, .clock = ClockOf(worker)});
   }
+  // Returns whether an order that reaches the worker takes effect.
+  static bool CanHear(const SimWorker& worker) {
+    return worker.fault == WorkerFault::kNone || worker.fault == WorkerFault::kMute;
+  }
+  // The response of a worker that refuses all calls.
+  OrderResponse RefuseAll(const SimWorker& worker) const {
+    return Refuse(worker, worker.fault == WorkerFault::kUnhealthy
+                              ? OrderRefusal::kUnhealthy
+                              : OrderRefusal::kOtherIncarnation);
+  }
   void Extend(SimWorker& worker, std::int64_t until) const {
     worker.lease_until = std::max(worker.lease_until, std::min(until, ClockOf(worker) + 6'000));
   }
@@ -388,7 +470,7 @@
         if (now_ >= run.second) finished.push_back(task);
       }
       for (const TaskKey& task : finished) {
-        EndRun(worker, task, Chance(faults_.failing_tasks) ? "failed" : "done");
+        EndRun(worker, task, CallFails(faults_.failing_tasks) ? "failed" : "done");
       }
       if (ClockOf(worker) <= worker.lease_until) continue;
       for (const auto& [number, entry] : worker.ends) log_[entry].lease_expired = true;
@@ -413,7 +495,78 @@
         worker.disconnected = true;
         After(Duration(5'000), [&worker] { worker.disconnected = false; });
       }
+      InjectWorkerFaults(worker);
+    }
+  }
+
+  void InjectWorkerFaults(SimWorker& worker) {
+    for (const WorkerFaultChance& entry : kWorkerFaultChances) {
+      const int chance = faults_.*entry.chance;
+      if (chance == 0 || !Chance(chance) || worker.fault != WorkerFault::kNone) continue;
+      worker.fault = entry.fault;
+      After(kWorkerFault, [this, &worker] {
+        const bool lasts = &worker == &workers_[0] && now_ >= Time(kLastingFaultBegins);
+        worker.fault = lasts ? faults_.lasting : WorkerFault::kNone;
+      });
+    }
+    if (faults_.worker_restarts > 0 && worker.up && Chance(faults_.worker_restarts)) {
+      Restart(worker);
+    }
+  }
+
+  // Finds tasks that could run and have had no run for kStartBound. A task can run if the durable
+  // record of its job shows that its turn has come and there is room for it on a worker without a
+  // fault, and a task more beside it.
+  void CheckProgress() {
+    const Time settled = Time(kFaultsEnd + kWorkerFault + kRecoveryBound);
+    const bool room = std::any_of(workers_.begin(), workers_.end(), [](const SimWorker& worker) {
+      return worker.up && !worker.disconnected && worker.fault == WorkerFault::kNone &&
+             worker.running.size() + 2 <= kSlots;
+    });
+    std::set<TaskKey> running;
+    for (const SimWorker& worker : workers_) {
+      for (const auto& [task, run] : worker.running) running.insert(task);
+    }
+    for (const AcceptedJob& job : accepted_) {
+      for (const TaskKey& task : WaitingTasks(job)) {
+        if (!room || running.count(task) > 0) {
+          without_run_since_.erase(task);
+          continue;
+        }
+        const Time since = without_run_since_.emplace(task, now_).first->second;
+        if (now_ >= settled && now_ - since >= kStartBound) {
+          progress_findings_.insert(FormatTaskKey(task) + " has had no run since " +
+                                    std::to_string(since.time_since_epoch().count()));
+        }
+      }
+    }
+  }
+
+  // Returns the tasks of the job whose turn has come by its durable record, and forgets since when
+  // its other tasks have had no run.
+  std::vector<TaskKey> WaitingTasks(const AcceptedJob& job) {
+    constexpr int kTasksPerStep = 2;
+    std::vector<TaskKey> waiting;
+    const auto record = progress_.find(job->id);
+    std::optional<JobProgress> progress;
+    if (record != progress_.end()) progress = DecodeJobProgress(record->second).value();
+    const auto done = [&](int step, int index) {
+      const auto position = static_cast<std::size_t>(step * kTasksPerStep + index);
+      return progress && (*progress)->tasks.at(position)->phase == TaskPhase::kDone;
+    };
+    for (int step = 0; step < 2; ++step) {
+      for (int index = 0; index < kTasksPerStep; ++index) {
+        const TaskKey task{.job = job->id, .occurrence = 0, .step = step, .index = index};
+        const bool open = !progress || (*progress)->phase == JobPhase::kOpen;
+        const bool ready = step == 0 || (done(0, 0) && done(0, 1));
+        if (open && ready && !done(step, index)) {
+          waiting.push_back(task);
+        } else {
+          without_run_since_.erase(task);
+        }
+      }
     }
+    return waiting;
   }
 
   // Compares what each owner shows of each job with the log of the workers.
@@ -440,14 +593,18 @@
 
   // The worker restarts under the same identifier without any state.
   void Crash(SimWorker& worker) {
-    while (!worker.running.empty()) EndRun(worker, worker.running.begin()->first, "lost");
-    const std::int64_t incarnation = worker.incarnation + 1;
-    const double rate = worker.rate;
-    worker = SimWorker{.up = false, .incarnation = incarnation, .rate = rate};
+    Restart(worker);
+    worker.up = false;
     After(Duration(Pick(100, 4'000)), [&worker] { worker.up = true; });
   }
+  void Restart(SimWorker& worker) {
+    while (!worker.running.empty()) EndRun(worker, worker.running.begin()->first, "lost");
+    worker = SimWorker{
+        .fault = worker.fault, .incarnation = worker.incarnation + 1, .rate = worker.rate};
+  }
 
   const Faults faults_;
+  const Play play_;
   std::mt19937_64 random_;
   Time now_{};
   std::multimap<Time, Event> events_;
@@ -460,6 +617,9 @@
   std::shared_ptr<Owner> owner_;
   std::vector<std::shared_ptr<Owner>> former_owners_;
   std::set<std::string> begun_findings_;
+  // Tasks that can run and have no run, and since when.
+  std::map<TaskKey, Time> without_run_since_;
+  std::set<std::string> progress_findings_;
 };
 
 std::vector<std::string> World::Check() const {
@@ -547,6 +707,38 @@
      .slow_store = 30},
 };
 
+// Faults of workers that stay listed.
+const std::vector<Faults> kListedFaults = {
+    {.name = "listed but unreachable", .worker_unreachable = 4},
+    {.name = "listed but unreachable to the end", .lasting = WorkerFault::kUnreachable},
+    {.name = "mute", .worker_mute = 4},
+    {.name = "mute to the end", .lasting = WorkerFault::kMute},
+    {.name = "unhealthy", .worker_unhealthy = 4},
+    {.name = "unhealthy to the end", .lasting = WorkerFault::kUnhealthy},
+    {.name = "other incarnation", .worker_misdirected = 4},
+    {.name = "other incarnation to the end", .lasting = WorkerFault::kOtherIncarnation},
+    {.name = "quick restarts", .worker_restarts = 10},
+    {.name = "lost reports", .lost_reports = 200},
+    {.name = "lost responses, quick restarts", .lost_responses = 100, .worker_restarts = 10},
+    {.name = "late orders, listed but unreachable", .late_orders = 60, .worker_unreachable = 4},
+    {.name = "owner frozen, mute, lost reports",
+     .owner_freezes = 15,
+     .worker_mute = 3,
+     .lost_reports = 100},
+    {.name = "shard reassigned, listed but unreachable to the end",
+     .reassignments = 30,
+     .lasting = WorkerFault::kUnreachable},
+    {.name = "late orders, owner killed, unhealthy, other incarnation",
+     .late_orders = 30,
+     .owner_kills = 8,
+     .worker_unhealthy = 3,
+     .worker_misdirected = 3},
+    {.name = "slow store, listed but unreachable, mute",
+     .slow_store = 200,
+     .worker_unreachable = 3,
+     .worker_mute = 3},
+};
+
 TEST_CASE("every task is done once under all faults and interleavings",
           "[scheduling][interleavings]") {
   const auto faults = GENERATE(from_range(kFaults));
@@ -574,5 +766,37 @@
   }
 }
 
+// Guards against runs that overlap or jobs that never end when a worker stays listed but cannot be
+// reached, does not respond, refuses orders or restarts quickly.
+TEST_CASE("every task is done once while workers stay listed under faults",
+          "[scheduling][interleavings]") {
+  const auto faults = GENERATE(from_range(kListedFaults));
+  for (const std::uint64_t seed : testing::Seeds(12)) {
+    CAPTURE(faults.name, seed);
+    World world(faults, seed);
+    world.Run();
+    const std::vector<std::string> findings = world.Check();
+    CAPTURE(findings);
+    CHECK(findings.empty());
+  }
+}
+
+// Guards against a placed task without a run that no event releases, and against workers that stay
+// excluded from placement after a fault.
+TEST_CASE("each task that can run has a run some time after the last fault",
+          "[scheduling][interleavings]") {
+  const bool listed = GENERATE(false, true);
+  const auto faults = GENERATE_COPY(from_range(listed ? kListedFaults : kFaults));
+  for (const std::uint64_t seed : testing::Seeds(12)) {
+    CAPTURE(faults.name, seed);
+    World world(faults, seed, {.call_faults_end = kFaultsEnd, .late_jobs = kLateJobs});
+    world.Run();
+    const std::vector<std::string> findings = world.Check();
+    CAPTURE(findings, world.progress_findings());
+    CHECK(findings.empty());
+    CHECK(world.progress_findings().empty());
+  }
+}
+
 }  // namespace
 }  // namespace dn
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -1015,5 +1015,293 @@
   CHECK(harness.shard.workers_evaluated() - before <= kWorkers);
 }
 
+// How a worker that stays listed responds to renewals.
+struct Renewals {
+  std::string name;
+  std::optional<OrderRefusal> refusal;  // Empty: no response arrives.
+};
+const std::vector<Renewals> kFailedRenewals = {
+    {"no response", std::nullopt},
+    {"unhealthy", OrderRefusal::kUnhealthy},
+    {"other incarnation", OrderRefusal::kOtherIncarnation},
+    {"invalid", OrderRefusal::kInvalid}};
+
+// Lets time pass in which the first worker's renewals fail and the second worker reports. Returns
+// the starts that were planned.
+std::vector<StartOrder> PassTime(ShardHarness& harness, const Renewals& renewals, Duration time) {
+  constexpr Duration kStep{100};
+  std::vector<StartOrder> starts;
+  for (const Time end = harness.now + time; harness.now + kStep <= end;) {
+    harness.now += kStep - Duration(12);  // Report() and PlanAndRecord() take 12 ms.
+    harness.shard.NextRenewal(kWorker, harness.now);
+    if (renewals.refusal) {
+      harness.shard.Reported(kWorker, OrderResponse({.refusal = *renewals.refusal}), harness.now,
+                             harness.now);
+    }
+    std::vector<ReportedRun> running;
+    for (const StartOrder& start : starts) {
+      if (start->worker == kOtherWorker) running.push_back(ShardHarness::Running(start));
+    }
+    harness.Report(kOtherWorker, running, {});
+    for (const StartOrder& start : harness.PlanAndRecord()) starts.push_back(start);
+  }
+  return starts;
+}
+
+// Guards against a task that stays placed for ever on a worker that is listed but does not report,
+// and against a second run before the leases of the first have expired.
+TEST_CASE("the tasks of a listed worker are released once it has been silent for long",
+          "[scheduling][shard]") {
+  struct Case {
+    std::string name;
+    std::optional<OrderRefusal> response;  // To the start; empty: the call is still open.
+    Duration silence;
+    bool released;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"accepted, 7.8 s", OrderRefusal::kNone, Duration(7'800), false},
+      {"accepted, 8.3 s", OrderRefusal::kNone, Duration(8'300), true},
+      {"no response yet, 7.8 s", std::nullopt, Duration(7'800), false},
+      {"no response yet, 8.3 s", std::nullopt, Duration(8'300), true},
+  }));
+  const auto renewals = GENERATE(from_range(kFailedRenewals));
+  CAPTURE(c.name, renewals.name);
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.Submit(kTask);
+  const StartOrder start = harness.PlanAndRecord().at(0);
+  if (c.response) harness.Respond(start, c.response);
+  harness.AddWorker(kOtherWorker);
+  const auto starts = PassTime(harness, renewals, c.silence);
+  REQUIRE(starts.size() == (c.released ? 1U : 0U));
+  if (!c.released) return;
+  CHECK(starts[0]->worker == kOtherWorker);
+  CHECK(starts[0]->run == start->run + 1);
+  const std::vector<Decision> decisions = harness.shard.TakeDecisions();
+  CHECK(std::any_of(decisions.begin(), decisions.end(), [](const Decision& decision) {
+    return decision->kind == "task-lost" &&
+           decision->detail.find("cause=silent") != std::string::npos;
+  }));
+}
+
+// Guards against tasks that an earlier owner placed and that stay placed for ever, because their
+// worker is listed but has never reported to this owner.
+TEST_CASE("inherited tasks of a listed worker are released if it never reports",
+          "[scheduling][shard]") {
+  const auto renewals = GENERATE(from_range(kFailedRenewals));
+  const bool long_enough = GENERATE(false, true);
+  CAPTURE(renewals.name, long_enough);
+  ShardHarness harness;
+  harness.Submit(kTask);
+  harness.shard.Restore(
+      JobProgress({.id = kJob,
+                   .phase = JobPhase::kOpen,
+                   .tasks = {TaskProgress(
+                       {.phase = TaskPhase::kPlaced, .run = 1, .worker = kWorker.value})}}),
+      harness.now);
+  harness.shard.WorkerListed(WorkerEntry({.id = kWorker,
+                                          .service = "s",
+                                          .address = {"127.0.0.1", 1},
+                                          .start_time_ms = 1,
+                                          .capacity = {.millicores = 4'000, .memory_mb = 64'000}}),
+                             harness.now);
+  harness.AddWorker(kOtherWorker);
+  const auto starts = PassTime(harness, renewals, Duration(long_enough ? 8'300 : 7'800));
+  REQUIRE(starts.size() == (long_enough ? 1U : 0U));
+  if (long_enough) CHECK(starts[0]->run == 2);
+}
+
+// Guards against tasks that are placed on a worker that does not report any more, and wait there
+// until they are released.
+TEST_CASE("a listed worker that has stopped reporting gets no task", "[scheduling][shard]") {
+  struct Case {
+    Duration age;  // Of the last report.
+    bool placed;
+  };
+  const auto c = GENERATE(
+      values<Case>({{Duration(2'400), true}, {Duration(2'600), false}, {Duration(60'000), false}}));
+  CAPTURE(c.age.count());
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.now += c.age;
+  harness.Submit(kTask);
+  CHECK(harness.PlanAndRecord().size() == (c.placed ? 1U : 0U));
+  // It gets tasks again once it reports.
+  harness.Report(kWorker, {}, {});
+  CHECK(harness.PlanAndRecord().size() == (c.placed ? 0U : 1U));
+}
+
+// Guards against a start without a response that is neither repeated nor stopped, because the
+// worker has stopped reporting and no lease can be offered.
+TEST_CASE("a start that cannot be repeated is stopped", "[scheduling][shard]") {
+  struct Case {
+    Duration age;  // Of the last report when the call ends.
+    bool repeated;
+  };
+  const auto c = GENERATE(values<Case>({{Duration(1'000), true}, {Duration(2'600), false}}));
+  CAPTURE(c.age.count());
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.Submit(kTask);
+  const StartOrder start = harness.PlanAndRecord().at(0);
+  harness.now += c.age;
+  harness.Respond(start, std::nullopt);
+  const Orders orders = harness.shard.TakeOrders(harness.now);
+  CHECK(orders.starts.size() == (c.repeated ? 1U : 0U));
+  CHECK(orders.stops.size() == (c.repeated ? 0U : 1U));
+}
+
+// Guards against a run that was only sent and is never given up, because its stops are refused or
+// get no response; and against a second run while the first can still begin.
+TEST_CASE("a run that was only sent is given up although no stop is acknowledged",
+          "[scheduling][shard]") {
+  const auto refusal = GENERATE(values<std::optional<OrderRefusal>>(
+      {std::nullopt, OrderRefusal::kOtherIncarnation, OrderRefusal::kUnhealthy,
+       OrderRefusal::kInvalid, OrderRefusal::kNoRoom, OrderRefusal::kLeaseExpired}));
+  const bool start_unanswered = GENERATE(false, true);  // The calls of the start never end.
+  CAPTURE(refusal ? NameOf(*refusal) : "no response", start_unanswered);
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.Submit(kTask);
+  const StartOrder start = harness.PlanAndRecord().at(0);
+  for (int attempt = 0; attempt < 3 && !start_unanswered; ++attempt) {
+    harness.Respond(start, std::nullopt);
+  }
+  const Time sent = harness.now;
+  bool stopped = false;
+  const auto pass_until = [&](Time end) {
+    std::vector<StartOrder> restarts;
+    while (harness.now < end && restarts.empty()) {
+      harness.now += Duration(50);
+      for (const StopOrder& stop : harness.orders.stops) {
+        stopped = true;
+        std::optional<OrderResponse> response;
+        if (refusal) response = OrderResponse({.refusal = *refusal});
+        harness.shard.StopAnswered(stop, response, harness.now);
+      }
+      harness.Report(kWorker, {}, {});
+      const auto starts = harness.PlanAndRecord();
+      // Repetitions of the first start get no response.
+      for (const StartOrder& next : starts) {
+        if (next->run > start->run) restarts.push_back(next);
+      }
+    }
+    return restarts;
+  };
+  CHECK(pass_until(sent + Duration(7'900)).empty());
+  CHECK(stopped == !start_unanswered);
+  const auto restarts = pass_until(sent + Duration(10'000));
+  REQUIRE(restarts.size() == 1);
+  CHECK(restarts[0]->run == start->run + 1);
+}
+
+// Guards against a worker that gets no task for ever because one start on it is never answered.
+TEST_CASE("one start without an answer does not exclude its worker for ever",
+          "[scheduling][shard]") {
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.Submit(kTask, 1);
+  REQUIRE(harness.PlanAndRecord().size() == 1);
+  const Time sent = harness.now;
+  harness.now += PolicyFields().slow_response;
+  harness.Report(kWorker, {}, {});
+  CHECK(harness.PlanAndRecord().empty());
+  harness.Submit(kTask, 2);
+  std::set<JobId> started;
+  while (harness.now < sent + Duration(10'000)) {
+    harness.now += Duration(50);
+    harness.Report(kWorker, {}, {});
+    for (const StartOrder& start : harness.PlanAndRecord()) {
+      started.insert(start->task.job);
+      harness.Respond(start, OrderRefusal::kNone);
+    }
+  }
+  CHECK(started == std::set<JobId>{1, 2});
+}
+
+// Guards against a placed task that nothing starts or releases, because its run number changed when
+// the end of a run with a higher number was reported.
+TEST_CASE("the end of another run does not lose a placed task", "[scheduling][shard]") {
+  enum class When { kUnrecorded, kSent, kConfirmed };
+  const auto when = GENERATE(When::kUnrecorded, When::kSent, When::kConfirmed);
+  constexpr int kOtherRun = 6;
+  CAPTURE(static_cast<int>(when));
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.AddWorker(kOtherWorker);
+  harness.Submit(kTask);
+  harness.now += Duration(10);
+  harness.shard.Plan(harness.now, 0);
+  const RecordBatch batch = harness.shard.TakeBatch();
+  const ReportedEnd other({.number = 1,
+                           .task = {.job = kJob, .occurrence = 0, .step = 0, .index = 0},
+                           .run = kOtherRun,
+                           .kind = EndKind::kLapsed});
+  if (when == When::kUnrecorded) harness.Report(kOtherWorker, {}, {other});
+  harness.shard.Recorded(batch, harness.now);
+  const auto starts = harness.shard.TakeOrders(harness.now).starts;
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0]->worker == kWorker);
+  if (when == When::kSent) harness.Report(kOtherWorker, {}, {other});
+  harness.Respond(starts[0], OrderRefusal::kNone);
+  if (when == When::kConfirmed) harness.Report(kOtherWorker, {}, {other});
+  harness.Report(kWorker, {ShardHarness::Running(starts[0])}, {});
+  CHECK(harness.PlanAndRecord().empty());
+  CHECK(harness.orders.stops.empty());
+  // The run still counts, and the next one has a number that no worker has seen.
+  harness.Report(kWorker, {}, {ShardHarness::End(starts[0], EndKind::kLapsed)});
+  const auto next = harness.PlanAndRecord();
+  REQUIRE(next.size() == 1);
+  CHECK(next[0]->run == kOtherRun + 1);
+}
+
+// Guards against a wait for the calls of a start whose worker has restarted meanwhile, and against
+// a second run while a late copy of the start may still reach the new incarnation.
+TEST_CASE("a run that was only sent is revoked when its worker has restarted",
+          "[scheduling][shard]") {
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.Submit(kTask);
+  const StartOrder start = harness.PlanAndRecord().at(0);
+  harness.Report(kWorker, {}, {}, 2);
+  CHECK(harness.PlanAndRecord().empty());
+  REQUIRE(harness.orders.stops.size() == 1);
+  CHECK(harness.orders.stops[0]->run == start->run);
+  harness.shard.StopAnswered(harness.orders.stops[0], OrderResponse(), harness.now);
+  harness.now += Duration(1);
+  harness.shard.WorkerListed(WorkerEntry({.id = kWorker,
+                                          .service = "s",
+                                          .address = {"127.0.0.1", 1},
+                                          .start_time_ms = 2,
+                                          .capacity = {.millicores = 4'000, .memory_mb = 64'000}}),
+                             harness.now);
+  harness.Report(kWorker, {}, {}, 2);
+  const auto restarts = harness.PlanAndRecord();
+  REQUIRE(restarts.size() == 1);
+  CHECK(restarts[0]->run == start->run + 1);
+}
+
+// Guards against two runs at the same time: a report that a new incarnation sent before it began a
+// run says nothing of that run, though it arrives after the response to the start.
+TEST_CASE("a run that a new incarnation accepted is not lost by an earlier report",
+          "[scheduling][shard]") {
+  const bool sent_before = GENERATE(true, false);
+  CAPTURE(sent_before);
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.AddWorker(kOtherWorker);
+  harness.Submit(kTask);
+  const StartOrder start = harness.PlanAndRecord().at(0);
+  const Time sent = harness.now;
+  harness.now += Duration(5);
+  harness.Respond(start, OrderRefusal::kNone);
+  harness.now += Duration(5);
+  harness.shard.Reported(
+      start->worker,
+      OrderResponse({.report = RunReport({.clock = 1, .start_time_ms = 2, .running = {}})}),
+      sent_before ? sent : harness.now, harness.now);
+  CHECK(harness.PlanAndRecord().size() == (sent_before ? 0U : 1U));
+}
+
 }  // namespace
 }  // namespace dn
