Place no task on a listed worker that has stopped reporting

A worker that stays registered, but cannot be reached by the owner, was still chosen for tasks. They got no run there until the worker was released.

CanPlace refuses a worker whose last report is older than kReportTimeout, the time after which it gets no lease either. The constants of late orders and reports move to worker_table.h, where both users see them.

--- a/src/scheduling/internal/placement_policy.cc
+++ b/src/scheduling/internal/placement_policy.cc
@@ -143,6 +143,7 @@
   const StepSpec& step = job.StepOf(position);
   const WorkerEntry& entry = worker.entry;
   if (!worker.listed || entry->draining || !worker.confirmed) return false;
+  if (now - worker.last_report >= kReportTimeout) return false;
   if (entry->service != job.accepted->queue->service) return false;
   if (worker.start_time_ms != entry->start_time_ms || now < worker.avoid_until) return false;
   const Resources free = worker.Free();
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -13,9 +13,6 @@
 constexpr std::int64_t kWaitMonitoredMs = 400;
 constexpr std::int64_t kWaitBusyMs = 1'000;
 constexpr std::int64_t kWaitIdleMs = 2'000;  // The platform's maximum.
-// Leases are renewed until a worker has not reported for this long: one renewal that got no
-// response after its full wait, and its retry.
-constexpr Duration kReportTimeout{2'500};
 // Number of starts without a response after which the run is revoked.
 constexpr int kMaxStartAttempts = 3;
 // Period at which a stop is repeated until a report shows its effect: the platform's time limit for
@@ -24,9 +21,6 @@
 // Period at which a change of speed is repeated until the worker has acknowledged it: the timeout
 // of a call.
 constexpr Duration kThrottleRepeat{1'000};
-// How long an order without a response may still take effect. The platform says "seconds"; the
-// simulated interleavings delay orders by up to this time.
-constexpr Duration kLateOrderLimit{8'000};
 // Refusals of a change of speed by a worker that does not have the run.
 constexpr std::array kRunIsGone = {OrderRefusal::kFenced, OrderRefusal::kObsolete,
                                    OrderRefusal::kOtherIncarnation};
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -12,6 +12,13 @@
 
 namespace dn {
 
+// Leases are renewed until a worker has not reported for this long: one renewal that got no
+// response after its full wait, and its retry.
+constexpr Duration kReportTimeout{2'500};
+// How long an order without a response may still take effect. The platform says "seconds"; the
+// simulated interleavings delay orders by up to this time.
+constexpr Duration kLateOrderLimit{8'000};
+
 // State of a worker that the placement of best-effort tasks depends on.
 struct BestEffortHeadroom {
   std::int64_t idle_millicores = 0;  // Idle cores, in millicores; may be negative.
