Release the tasks of a listed worker that stays silent

Jobs stayed open without a run: the tasks of a worker were released only once the worker was unlisted. A worker that stays registered, but does not report to the owner (unreachable, mute, or refusing every renewal), kept them for ever, although its leases had run out and its runs had ended.

They are released once the worker has not reported for 8 s and all leases have expired by the slowest clock; by then late orders are refused as well, and a crash is known from the registration or from a report. Leases are granted until 2.5 s after the last report, so the last one ends after 7.9 s at the latest.

--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -174,6 +174,7 @@
   WorkerRow* BestWorker(const JobRow& job, std::size_t position, Time now);
   void Place(JobRow& job, std::size_t position, WorkerRow& worker, Time now);
   void ReleaseLostWorkers(Time now);
+  void ReleaseSilentWorkers(Time now);
   void MoveStalled(Time now);
   void ControlThrottling(Time now);
   std::vector<ThrottleOrder> DueThrottles(Time now);
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -28,6 +28,7 @@
   if (now - last_sweep_ >= kSweepPeriod) {
     last_sweep_ = now;
     ReleaseLostWorkers(now);
+    ReleaseSilentWorkers(now);
     MoveStalled(now);
   }
   SearchMemo memo;
--- a/src/scheduling/internal/worker_table.cc
+++ b/src/scheduling/internal/worker_table.cc
@@ -53,6 +53,7 @@
   if (added) {
     entry->second.entry = WorkerEntry({.id = id});
     entry->second.unlisted_at = now;
+    entry->second.added_at = now;
     // An earlier owner may have granted a lease up to this moment.
     LeaseGranted(entry->second, now);
   }
@@ -86,4 +87,9 @@
   return !worker.listed && now >= worker.leases_expire_at;
 }
 
+bool WorkerTable::IsSilent(const WorkerRow& worker, Time now) const {
+  const Time last_heard = std::max(worker.last_report, worker.added_at);
+  return worker.listed && now - last_heard >= kLateOrderLimit && now >= worker.leases_expire_at;
+}
+
 }  // namespace dn
