Stop a start that cannot be repeated

A start without a response was repeated with a new lease though the worker had not reported for seconds, which put off the time from which its runs are known to have ended. Where no lease could be offered, the start was neither repeated nor stopped.

No start carries a lease to a worker whose last report is older than kReportTimeout, as no renewal does; a start that cannot be repeated is revoked by a stop.

--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -354,9 +354,11 @@
     if (worker != nullptr) AvoidUnresponsive(*worker, now);
     if (task->stage == StartStage::kConfirmed || task->stopping) return;
     if (++task->start_attempts < kMaxStartAttempts) {
-      task->start_sent_at = now;
-      if (auto retry = StartOf(job, position, now)) starts_.push_back(*std::move(retry));
-      return;
+      if (auto retry = StartOf(job, position, now)) {
+        task->start_sent_at = now;
+        starts_.push_back(*std::move(retry));
+        return;
+      }
     }
     Decide("start-revoked", FormatTaskKey(order->task),
            "run=" + std::to_string(order->run) + " worker=" + order->worker.value);
@@ -500,6 +502,8 @@
   const TaskRow& task = job.tasks[position];
   WorkerRow* worker = workers_.Find(task.worker);
   if (worker == nullptr) return std::nullopt;
+  // A worker that does not respond gets no further lease; see NextRenewal().
+  if (now - worker->last_report >= kReportTimeout) return std::nullopt;
   const auto until = workers_.LeaseExpiry(*worker, now);
   if (!until) return std::nullopt;
   workers_.LeaseGranted(*worker, now);
