Raise run numbers only with a placement

The end of another run raised the number of a placed run. The recorded intent was then skipped, a sent start had no answer that counted, and a confirmed run was stopped as one that no task accounts for: the task stayed placed.

The largest number of another run is kept beside the task's own, and the next placement goes above both.

--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -146,7 +146,7 @@
   if (task == nullptr || task->phase == TaskPhase::kDone || end->run != task->run) {
     Decide("end-ignored", FormatTaskKey(end->task),
            "run=" + std::to_string(end->run) + " how=" + std::string(NameOf(end->kind)));
-    if (task != nullptr) task->run = std::max(task->run, end->run);
+    if (task != nullptr) task->other_run = std::max(task->other_run, end->run);
     return;
   }
   JobRow& job = *jobs_.Find(end->task.job);
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -167,7 +167,7 @@
 
 void Shard::Place(JobRow& job, std::size_t position, WorkerRow& worker, Time now) {
   TaskRow& task = job.tasks[position];
-  ++task.run;
+  task.run = std::max(task.run, task.other_run) + 1;
   task.worker = worker.entry->id;
   task.worker_start_time_ms = worker.start_time_ms;
   task.stage = StartStage::kUnrecorded;
@@ -207,7 +207,7 @@
   for (std::size_t i = first; i < last; ++i) {
     const TaskRow& task = job.tasks[i];
     if (task.phase != TaskPhase::kWaiting || task.not_before > now) return false;
-    run = std::max(run, task.run);
+    run = std::max({run, task.run, task.other_run});
   }
   const std::size_t planned_before = planned_.size();
   for (std::size_t i = first; i < last; ++i) {
