--- a/src/scheduling/internal/placement_policy.h
+++ b/src/scheduling/internal/placement_policy.h
@@ -33,6 +33,7 @@
   kUnlisted,
   kDraining,
   kUnconfirmed,  // No report has arrived since the owner took the shard over.
+  kSilent,       // The last report is too old.
   kOtherService,
   kOtherIncarnation,  // The registration and the last report are of different incarnations.
   kAvoided,
@@ -46,10 +47,11 @@
 };
 template <>
 struct EnumNames<PlacementRefusal> {
-  static constexpr std::array<EnumName<PlacementRefusal>, 13> kNames = {
+  static constexpr std::array<EnumName<PlacementRefusal>, 14> kNames = {
       {{PlacementRefusal::kUnlisted, "unlisted"},
        {PlacementRefusal::kDraining, "draining"},
        {PlacementRefusal::kUnconfirmed, "unconfirmed"},
+       {PlacementRefusal::kSilent, "silent"},
        {PlacementRefusal::kOtherService, "other_service"},
        {PlacementRefusal::kOtherIncarnation, "other_incarnation"},
        {PlacementRefusal::kAvoided, "avoided"},
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -13,9 +13,6 @@
 constexpr std::int64_t kWaitMonitoredMs = 400;
 constexpr std::int64_t kWaitBusyMs = 1'000;
 constexpr std::int64_t kWaitIdleMs = 2'000;  // The platform's maximum.
-// Leases are renewed until a worker has not reported for this long: one renewal that got no
-// response after its full wait, and its retry.
-constexpr Duration kReportTimeout{2'500};
 // Number of starts without a response after which the run is revoked.
 constexpr int kMaxStartAttempts = 3;
 // Period at which a stop is repeated until a report shows its effect: the platform's time limit for
@@ -24,9 +21,6 @@
 // Period at which a change of speed is repeated until the worker has acknowledged it: the timeout
 // of a call.
 constexpr Duration kThrottleRepeat{1'000};
-// How long an order without a response may still take effect. The platform says "seconds"; the
-// simulated interleavings delay orders by up to this time.
-constexpr Duration kLateOrderLimit{8'000};
 // Refusals of a change of speed by a worker that does not have the run.
 constexpr std::array kRunIsGone = {OrderRefusal::kFenced, OrderRefusal::kObsolete,
                                    OrderRefusal::kOtherIncarnation};
@@ -152,7 +146,7 @@
   if (task == nullptr || task->phase == TaskPhase::kDone || end->run != task->run) {
     Decide("end-ignored", FormatTaskKey(end->task),
            "run=" + std::to_string(end->run) + " how=" + std::string(NameOf(end->kind)));
-    if (task != nullptr) task->run = std::max(task->run, end->run);
+    if (task != nullptr) task->other_run = std::max(task->other_run, end->run);
     return;
   }
   task->reported_at = now;
@@ -363,9 +357,11 @@
     if (worker != nullptr) AvoidUnresponsive(*worker, now);
     if (task->stage == StartStage::kConfirmed || task->stopping) return;
     if (++task->start_attempts < kMaxStartAttempts) {
-      task->start_sent_at = now;
-      if (auto retry = StartOf(job, position, now)) starts_.push_back(*std::move(retry));
-      return;
+      if (auto retry = StartOf(job, position, now)) {
+        task->start_sent_at = now;
+        starts_.push_back(*std::move(retry));
+        return;
+      }
     }
     Decide("start-revoked", FormatTaskKey(order->task),
            "run=" + std::to_string(order->run) + " worker=" + order->worker.value);
@@ -509,6 +505,8 @@
   const TaskRow& task = job.tasks[position];
   WorkerRow* worker = workers_.Find(task.worker);
   if (worker == nullptr) return std::nullopt;
+  // A worker that does not respond gets no further lease; see NextRenewal().
+  if (now - worker->last_report >= kReportTimeout) return std::nullopt;
   const auto until = workers_.LeaseExpiry(*worker, now);
   if (!until) return std::nullopt;
   workers_.LeaseGranted(*worker, now);
