--- a/src/scheduling/tests/run_gaps_test.cc
+++ b/src/scheduling/tests/run_gaps_test.cc
@@ -184,6 +184,8 @@
        PlacementRefusal::kDraining},
       {"unconfirmed", kNoEdit, [](Fixture& f) { f.worker().confirmed = false; },
        PlacementRefusal::kUnconfirmed},
+      {"silent", kNoEdit, [](Fixture& f) { f.worker().last_report = kAccepted; },
+       PlacementRefusal::kSilent},
       {"other service", [](auto&, WorkerEntryFields& entry) { entry.service = "other"; },
        kNoWorkerEdit, PlacementRefusal::kOtherService},
       {"other incarnation", [](auto&, WorkerEntryFields& entry) { entry.start_time_ms = 2; },
@@ -229,8 +231,9 @@
   c.edit(step, entry);
   Fixture fixture(step);
   fixture.workers.Listed(WorkerEntry(entry), kAccepted);
-  c.edit_worker(fixture);
   const Time now = kAccepted + Duration(5'000);
+  fixture.worker().last_report = now;
+  c.edit_worker(fixture);
 
   const PlacementCost cost = CostOf(fixture.worker(), fixture.job(), 0, fixture.ViewAt(now));
   const auto* refusal = std::get_if<PlacementRefusal>(&cost);
