Give up a run that was only sent once it cannot begin

A run that was only sent left its task when its stop was acknowledged, and in no other way. If every stop was refused, or the call of the start never ended, the task stayed placed, and its worker got no other start.

A report requested 8 s after the last copy of the start releases a run that it does not show: late copies are refused by then, and the lease that they carry has expired. If the report comes from another incarnation, the stop is ordered at once; the new incarnation refuses late copies after it has acknowledged the stop. That also bounds the exclusion of a worker by a start without an answer.

--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -309,6 +309,9 @@
     // The worker has responded to this owner's token and refuses orders of earlier owners from then
     // on, so a run that has not started yet cannot start any more.
     if (task.inherited) cause = "never-started";
+    if (cause == nullptr && task.stage == StartStage::kSent) {
+      cause = GiveUpStart(job, ref.position, worker, sent);
+    }
     if (cause == nullptr) continue;
     Decide("task-lost", FormatTaskKey(job.KeyOf(ref.position)),
            "run=" + std::to_string(task.run) + " worker=" + worker.entry->id.value +
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -175,6 +175,9 @@
   void Place(JobRow& job, std::size_t position, WorkerRow& worker, Time now);
   void ReleaseLostWorkers(Time now);
   void ReleaseSilentWorkers(Time now);
+  // Decides on a run that was sent and that a report, requested at `sent`, does not show. Returns
+  // why the run cannot begin any more, or nullptr if it may still begin.
+  const char* GiveUpStart(JobRow& job, std::size_t position, const WorkerRow& worker, Time sent);
   void MoveStalled(Time now);
   void ControlThrottling(Time now);
   std::vector<ThrottleOrder> DueThrottles(Time now);
--- a/src/scheduling/internal/shard_liveness.cc
+++ b/src/scheduling/internal/shard_liveness.cc
@@ -20,4 +20,21 @@
   }
 }
 
+const char* Shard::GiveUpStart(JobRow& job, std::size_t position, const WorkerRow& worker,
+                               Time sent) {
+  const TaskRow& task = job.tasks[position];
+  // By now each copy of the start has begun the run or is refused: the time limit of a late order
+  // is over, and the lease in the order has expired.
+  if (sent - task.start_sent_at >= kLateOrderLimit) return "start-expired";
+  if (task.worker_start_time_ms != worker.start_time_ms && !task.stopping) {
+    // The new incarnation knows nothing of the run, but a late copy of the start may still reach
+    // it. Once it has acknowledged the stop, it refuses such copies.
+    Decide("start-revoked", FormatTaskKey(job.KeyOf(position)),
+           "run=" + std::to_string(task.run) + " worker=" + worker.entry->id.value +
+               " cause=reborn");
+    Stop(job, position);
+  }
+  return nullptr;
+}
+
 }  // namespace dn
