Do not lose a run by a report that is older than its confirmation

A worker that restarts under its identifier may accept a start that was sent to its earlier incarnation. A report that it had sent before, and that arrived after the response, did not show the run, so that it counted as lost with the earlier incarnation and was started again beside itself.

A run counts as lost with its incarnation only by a report that was requested after the run was confirmed.

--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -46,6 +46,7 @@
   bool stopping = false;   // A stop was ordered; the capacity stays reserved until the run ends.
   bool inherited = false;  // Placed by an earlier owner and not reported yet.
   Time start_sent_at{};    // When this owner last sent a start of the task; Time() if never.
+  Time confirmed_at{};     // When the last response to a start of the task confirmed a run.
   int start_attempts = 0;  // Starts of this run without a response.
   Time stop_sent_at{};     // When the last stop was sent.
   // When a stop was acknowledged for a run that had not been confirmed. The run cannot start after
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -304,7 +304,10 @@
     if (task.revoked_at && sent > *task.revoked_at) cause = "revoked";
     if (task.stage == StartStage::kConfirmed && ++task.missed_reports >= kMaxMissedReports)
       cause = "missing";
-    if (task.stage == StartStage::kConfirmed && task.worker_start_time_ms != worker.start_time_ms)
+    // A report that was requested before the run was confirmed does not tell in which incarnation
+    // it began.
+    if (task.stage == StartStage::kConfirmed && sent > task.confirmed_at &&
+        task.worker_start_time_ms != worker.start_time_ms)
       cause = "reborn";
     // The worker has responded to this owner's token and refuses orders of earlier owners from then
     // on, so a run that has not started yet cannot start any more.
@@ -374,6 +377,7 @@
   const OrderRefusal refusal = (*response)->refusal;
   if (refusal == OrderRefusal::kNone || refusal == OrderRefusal::kObsolete) {
     task->stage = StartStage::kConfirmed;
+    task->confirmed_at = now;
     task->last_progress_at = now;
     return;
   }
