Acknowledge no ends to a worker that may have restarted

A task ran again after it was done. A restarted worker numbers its ends anew. After a renewal without a response the next one still carried the number that was recorded for the earlier incarnation; the new one took it for its own ends and forgot one that no report had shown.

A renewal that does not follow a report within half the timeout of a call acknowledges no ends. A restart while a renewal is on its way to the worker remains possible.

--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -36,8 +36,8 @@
 
 struct TaskRow {
   TaskPhase phase = TaskPhase::kWaiting;
-  int run = 0;             // Number of the last placed run; only a placement raises it.
-  int other_run = 0;       // Largest number of any other run whose end was reported.
+  int run = 0;        // Number of the last placed run; only a placement raises it.
+  int other_run = 0;  // Largest number of any other run whose end was reported.
   int failures = 0;
   WorkerId worker;                        // Set exactly while the phase is kPlaced.
   std::int64_t worker_start_time_ms = 0;  // Incarnation of `worker` in which the run was placed.
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -94,7 +94,7 @@
     wait = kWaitMonitoredMs;
   return Renewal({.worker = id,
                   .lease_until = until.value_or(0),
-                  .ends_seen = worker->ends_recorded,
+                  .ends_seen = EndsToAcknowledge(*worker, now),
                   .wait_ms = worker->confirmed ? wait : 0,
                   .token = token_});
 }
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -175,6 +175,8 @@
   void Place(JobRow& job, std::size_t position, WorkerRow& worker, Time now);
   void ReleaseLostWorkers(Time now);
   void ReleaseSilentWorkers(Time now);
+  // Returns the number up to which the worker may forget the ends of its runs.
+  std::int64_t EndsToAcknowledge(const WorkerRow& worker, Time now) const;
   // Decides on a run that was sent and that a report, requested at `sent`, does not show. Returns
   // why the run cannot begin any more, or nullptr if it may still begin.
   const char* GiveUpStart(JobRow& job, std::size_t position, const WorkerRow& worker, Time sent);
--- a/src/scheduling/internal/shard_liveness.cc
+++ b/src/scheduling/internal/shard_liveness.cc
@@ -29,12 +29,18 @@
   if (task.worker_start_time_ms != worker.start_time_ms && !task.stopping) {
     // The new incarnation knows nothing of the run, but a late copy of the start may still reach
     // it. Once it has acknowledged the stop, it refuses such copies.
-    Decide("start-revoked", FormatTaskKey(job.KeyOf(position)),
-           "run=" + std::to_string(task.run) + " worker=" + worker.entry->id.value +
-               " cause=reborn");
+    Decide(
+        "start-revoked", FormatTaskKey(job.KeyOf(position)),
+        "run=" + std::to_string(task.run) + " worker=" + worker.entry->id.value + " cause=reborn");
     Stop(job, position);
   }
   return nullptr;
 }
 
+std::int64_t Shard::EndsToAcknowledge(const WorkerRow& worker, Time now) const {
+  // A renewal follows a report at once. If the report is older, a renewal got no response: the
+  // worker may have restarted, and its numbers of ends may have started anew.
+  return now - worker.last_report < policy_->slow_response ? worker.ends_recorded : 0;
+}
+
 }  // namespace dn
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -49,7 +49,7 @@
   Time avoid_until{};
   int unanswered_starts = 0;    // Consecutive starts without a response.
   std::set<JobId> failed_jobs;  // Jobs that failed on this worker since its last success.
-  Time added_at{};  // When this owner first heard of the worker.
+  Time added_at{};              // When this owner first heard of the worker.
   Time last_report{};
   Time throttling_checked_at{};  // When the throttling of this worker was last evaluated.
   // Cached; computed on first use after a report or after a change of `tasks`.
@@ -90,8 +90,8 @@
   // leases have expired.
   bool IsLost(const WorkerRow& worker, Time now) const;
   // Returns whether none of the runs of a listed worker can still be active: it has not reported
-  // for kLateOrderLimit, so that no late order takes effect either, and all its leases have expired.
-  // A crash is known by then: from the end of the registration or from a report.
+  // for kLateOrderLimit, so that no late order takes effect either, and all its leases have
+  // expired. A crash is known by then: from the end of the registration or from a report.
   bool IsSilent(const WorkerRow& worker, Time now) const;
 
  private:
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -1303,5 +1303,27 @@
   CHECK(harness.PlanAndRecord().size() == (sent_before ? 0U : 1U));
 }
 
+// Guards against a done task that runs again: a restarted worker took the acknowledgement of its
+// earlier incarnation's ends for that of its own and forgot an end that no report had shown.
+TEST_CASE("ends are not acknowledged to a worker that may have restarted", "[scheduling][shard]") {
+  struct Case {
+    Duration age;  // Of the last report.
+    std::int64_t ends_seen;
+  };
+  const auto c = GENERATE(values<Case>({{Duration(100), 1}, {Duration(1'000), 0}}));
+  CAPTURE(c.age.count());
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.Submit(kTask);
+  const StartOrder start = harness.PlanAndRecord().at(0);
+  harness.Respond(start, OrderRefusal::kNone);
+  harness.Report(kWorker, {}, {ShardHarness::End(start, EndKind::kDone)});
+  harness.PlanAndRecord();
+  harness.now += c.age;
+  CHECK(harness.shard.NextRenewal(kWorker, harness.now)->ends_seen == c.ends_seen);
+  harness.Report(kWorker, {}, {});
+  CHECK(harness.shard.NextRenewal(kWorker, harness.now)->ends_seen == 1);
+}
+
 }  // namespace
 }  // namespace dn
