--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -94,7 +94,7 @@
     wait = kWaitMonitoredMs;
   return Renewal({.worker = id,
                   .lease_until = until.value_or(0),
-                  .ends_seen = worker->ends_recorded,
+                  .ends_seen = EndsToAcknowledge(*worker, now),
                   .wait_ms = worker->confirmed ? wait : 0,
                   .token = token_});
 }
@@ -307,11 +307,17 @@
     if (task.revoked_at && sent > *task.revoked_at) cause = "revoked";
     if (task.stage == StartStage::kConfirmed && ++task.missed_reports >= kMaxMissedReports)
       cause = "missing";
-    if (task.stage == StartStage::kConfirmed && task.worker_start_time_ms != worker.start_time_ms)
+    // A report that was requested before the run was confirmed does not tell in which incarnation
+    // it began.
+    if (task.stage == StartStage::kConfirmed && sent > task.confirmed_at &&
+        task.worker_start_time_ms != worker.start_time_ms)
       cause = "reborn";
     // The worker has responded to this owner's token and refuses orders of earlier owners from then
     // on, so a run that has not started yet cannot start any more.
     if (task.inherited) cause = "never-started";
+    if (cause == nullptr && task.stage == StartStage::kSent) {
+      cause = GiveUpStart(job, ref.position, worker, sent);
+    }
     if (cause == nullptr) continue;
     Decide("task-lost", FormatTaskKey(job.KeyOf(ref.position)),
            "run=" + std::to_string(task.run) + " worker=" + worker.entry->id.value +
@@ -374,6 +380,7 @@
   const OrderRefusal refusal = (*response)->refusal;
   if (refusal == OrderRefusal::kNone || refusal == OrderRefusal::kObsolete) {
     task->stage = StartStage::kConfirmed;
+    task->confirmed_at = now;
     task->last_progress_at = now;
     return;
   }
