Tests: starts on workers whose capacity shrinks and grows (red)

What callers see: a start that brings a worker over its capacity slows whatever runs there, and a worker that checks its capacity refuses it. Cause: the capacity is read when a task is placed and never again. A start that waits for its record, or that is repeated after a call without a response, is sent by the capacity of that moment. The idle cores for best-effort tasks are kept until the next report. Change: tests only. The interleavings get a fault "capacity changes", and a checker that compares each start with what its worker has had registered in the last 0.4 s: owners read registrations that are up to 0.35 s old. Starts that a worker carries out after their call has timed out are not counted.

--- a/src/scheduling/tests/shard_interleavings_test.cc
+++ b/src/scheduling/tests/shard_interleavings_test.cc
@@ -18,6 +18,13 @@
 constexpr int kSlots = 4;  // Number of one-core tasks that fit on a worker.
 constexpr int kJobs = 30;
 constexpr int kMaxAttempts = 3;
+constexpr Resources kCapacity{.millicores = kSlots * 1'000, .memory_mb = 1'000};
+// Age of the registrations that an owner plans with.
+constexpr Duration kListingDelay{350};
+// From the change of a registration until no start is sent that was planned for the one before: the
+// age of the registrations, the period of the plans, and the way of a start.
+constexpr Duration kCapacityDelay{400};
+constexpr Duration kFreeze{4'000};
 constexpr Duration kEnd{60'000};
 constexpr Duration kFaultsEnd{20'000};
 
@@ -34,6 +41,7 @@
   int worker_crashes = 0;      // Per 100 ms.
   int worker_disconnects = 0;  // Per 100 ms; unreachable and unlisted for 5 s, but still running.
   int slow_store = 0;          // Per append; delays it by 2 s.
+  int capacity_changes = 0;    // Per 100 ms and worker; the capacity shrinks or grows.
 };
 
 struct RunLog {
@@ -101,6 +109,8 @@
   std::vector<std::string> Check() const;
   // Jobs that an owner showed as begun without a run or as waiting although it knew of a run.
   const std::set<std::string>& begun_findings() const { return begun_findings_; }
+  // Starts that exceeded the capacity of their worker.
+  const std::set<std::string>& capacity_findings() const { return capacity_findings_; }
 
  private:
   using Event = std::function<void()>;
@@ -194,7 +204,7 @@
                                              .service = "s",
                                              .address = {"127.0.0.1", 1},
                                              .start_time_ms = worker.incarnation,
-                                             .capacity = {kSlots * 1'000, 1'000, 0}}),
+                                             .capacity = ListedCapacity(i, now_ - kListingDelay)}),
                                 now_);
     }
     owner->shard.Plan(now_, now_.time_since_epoch().count());
@@ -282,7 +292,9 @@
     if (Chance(faults_.lost_requests)) return time_out();
     if (Chance(faults_.late_orders)) {
       After(Duration(Pick(2'000, 8'000)), [this, index, effect] {
+        late_order_ = true;
         if (workers_[index].up) effect();
+        late_order_ = false;
       });
       return time_out();
     }
@@ -330,6 +342,7 @@
     if (worker.running.size() >= 2 * kSlots) return Refuse(worker, OrderRefusal::kNoRoom);
     worker.running[order->task] = {log_.size(), now_ + Duration(Pick(200, 900))};
     log_.push_back({.worker = index, .task = order->task, .run = order->run, .started = now_});
+    if (!late_order_) CheckCapacity(index, order);
     return Refuse(worker, OrderRefusal::kNone);
   }
 
@@ -397,13 +410,24 @@
   }
 
   void InjectFaults() {
-    if (now_ > Time(kFaultsEnd)) return;
+    if (now_ > Time(kFaultsEnd)) {
+      for (int i = 0; i < kWorkers; ++i) {
+        if (ListedCapacity(i, now_) != kCapacity) capacities_[i][now_] = kCapacity;
+      }
+      return;
+    }
+    for (auto& capacities : capacities_) {
+      if (faults_.capacity_changes == 0 || !Chance(faults_.capacity_changes)) continue;
+      const bool little_memory = Chance(500);
+      capacities[now_] = {.millicores = Pick(0, kSlots) * 1'000,
+                          .memory_mb = little_memory ? Pick(0, kSlots) : kCapacity.memory_mb};
+    }
     if (Chance(faults_.owner_kills)) {
       owner_->alive = false;
       After(Duration(1'800), [this] { TakeOver(); });
     }
     if (Chance(faults_.owner_freezes) && owner_->frozen_until <= now_) {
-      owner_->frozen_until = now_ + Duration(4'000);
+      owner_->frozen_until = now_ + kFreeze;
       After(Duration(1'800), [this] { TakeOver(); });
     }
     if (Chance(faults_.reassignments)) TakeOver();
@@ -416,6 +440,40 @@
     }
   }
 
+  // Capacity in the worker's registration at `time`.
+  Resources ListedCapacity(int index, Time time) const {
+    const auto& capacities = capacities_[index];
+    const auto next = capacities.upper_bound(time);
+    return next == capacities.begin() ? kCapacity : std::prev(next)->second;
+  }
+
+  // Checks that the runs of a worker, with the start that it has just carried out, need no more
+  // than it has had at some time since its owner could last know.
+  void CheckCapacity(int index, const StartOrder& start) {
+    const Duration delay = kCapacityDelay + (faults_.owner_freezes > 0 ? kFreeze : Duration(0));
+    Resources capacity = ListedCapacity(index, now_ - delay);
+    const auto& changes = capacities_[index];
+    for (auto change = changes.upper_bound(now_ - delay); change != changes.end(); ++change) {
+      capacity.millicores = std::max(capacity.millicores, change->second.millicores);
+      capacity.memory_mb = std::max(capacity.memory_mb, change->second.memory_mb);
+    }
+    const auto step_of = [](const TaskKey& task) {
+      return SpecOf(task.job)->steps[static_cast<std::size_t>(task.step)];
+    };
+    Resources used;
+    for (const auto& [task, run] : workers_[index].running) {
+      const StepSpec step = step_of(task);
+      if (!step->best_effort) used.millicores += step->demand.millicores;
+      used.memory_mb += step->demand.memory_mb;
+    }
+    const bool over_cores =
+        !step_of(start->task)->best_effort && used.millicores > capacity.millicores;
+    if (!over_cores && used.memory_mb <= capacity.memory_mb) return;
+    capacity_findings_.insert(FormatTaskKey(start->task) + " run " + std::to_string(start->run) +
+                              " on w" + std::to_string(index) + " at " +
+                              std::to_string(now_.time_since_epoch().count()));
+  }
+
   // Compares what each owner shows of each job with the log of the workers.
   void CheckBegun() {
     CheckBegun(*owner_);
@@ -460,6 +518,10 @@
   std::shared_ptr<Owner> owner_;
   std::vector<std::shared_ptr<Owner>> former_owners_;
   std::set<std::string> begun_findings_;
+  // By worker: its registered capacity from a time on; kCapacity before the first.
+  std::array<std::map<Time, Resources>, kWorkers> capacities_;
+  bool late_order_ = false;  // The order that takes effect now had timed out.
+  std::set<std::string> capacity_findings_;
 };
 
 std::vector<std::string> World::Check() const {
@@ -545,6 +607,18 @@
      .reassignments = 8,
      .worker_disconnects = 1,
      .slow_store = 30},
+    {.name = "capacity changes", .capacity_changes = 50},
+    {.name = "capacity changes, slow store", .slow_store = 200, .capacity_changes = 50},
+    {.name = "capacity changes, lost requests", .lost_requests = 200, .capacity_changes = 50},
+    {.name = "capacity changes, lost responses, owner killed",
+     .lost_responses = 100,
+     .owner_kills = 15,
+     .capacity_changes = 50},
+    {.name = "capacity changes, late orders, slow store, owner frozen",
+     .late_orders = 60,
+     .owner_freezes = 15,
+     .slow_store = 100,
+     .capacity_changes = 50},
 };
 
 TEST_CASE("every task is done once under all faults and interleavings",
@@ -574,5 +648,18 @@
   }
 }
 
+// Guards against starts that were planned, recorded or sent without a response before the capacity
+// of their worker shrank, and that bring it over its capacity.
+TEST_CASE("no start exceeds the capacity of its worker", "[scheduling][interleavings][capacity]") {
+  const auto faults = GENERATE(from_range(kFaults));
+  for (const std::uint64_t seed : testing::Seeds(12)) {
+    CAPTURE(faults.name, seed);
+    World world(faults, seed);
+    world.Run();
+    CAPTURE(world.capacity_findings());
+    CHECK(world.capacity_findings().empty());
+  }
+}
+
 }  // namespace
 }  // namespace dn
