Compute idle cores again when the capacity of a worker changes

What callers see: after a worker has grown, best-effort tasks wait although it has idle cores; after it has shrunk, they are placed on cores that are gone. Cause: the idle cores of a worker are kept until a report or a placement, for up to two seconds on an idle worker, and a registration with another capacity did not discard them. Change: WorkerTable::Listed discards them if the capacity differs.

--- a/src/scheduling/internal/worker_table.cc
+++ b/src/scheduling/internal/worker_table.cc
@@ -28,6 +28,7 @@
 
 void WorkerTable::Listed(const WorkerEntry& entry, Time now) {
   WorkerRow& worker = FindOrAdd(entry->id, now);
+  if (worker.entry->capacity != entry->capacity) worker.headroom.reset();
   worker.entry = entry;
   worker.listed = true;
   worker.leaves_at = entry->draining
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -44,7 +44,7 @@
   std::set<JobId> failed_jobs;  // Jobs that failed on this worker since its last success.
   Time last_report{};
   Time throttling_checked_at{};  // When the throttling of this worker was last evaluated.
-  // Cached; computed on first use after a report or after a change of `tasks`.
+  // Cached; computed on first use after a report or after a change of `tasks` or of the capacity.
   mutable std::optional<BestEffortHeadroom> headroom;
 
   Resources Free() const {
