Withdraw starts that exceed a capacity that has shrunk

What callers see: tasks are started on a worker that has no capacity for them any more, and slow what runs there, or are refused and lose time. Cause: the capacity was read when a task was placed and never again, neither when the start was sent after its record nor when it was repeated after a call without a response. Change: on each registration, and when a repetition is queued, the shard withdraws the starts that wait to be sent to a worker whose placed tasks exceed its memory, its accelerators or, for tasks that reserve cores, its cores. Those planned last go first, so that the others keep their place as far as they fit. Tasks of which no start was sent wait again; others are stopped and count until a report shows that they have ended. A gang is withdrawn as a whole.

--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -47,6 +47,8 @@
   Time start_sent_at{};    // When this owner last sent a start of the task; Time() if never.
   int start_attempts = 0;  // Starts of this run without a response.
   Time stop_sent_at{};     // When the last stop was sent.
+  // Order of the placements by this owner.
+  std::int64_t placement = 0;
   // When a stop was acknowledged for a run that had not been confirmed. The run cannot start after
   // that.
   std::optional<Time> revoked_at;
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -65,8 +65,6 @@
   }
 }
 
-void Shard::WorkerListed(const WorkerEntry& entry, Time now) { workers_.Listed(entry, now); }
-
 void Shard::WorkerUnlisted(const WorkerId& id, Time now) {
   if (workers_.Unlisted(id, now)) Decide("worker-unlisted", id.value, "");
 }
@@ -362,6 +360,7 @@
     if (++task->start_attempts < kMaxStartAttempts) {
       task->start_sent_at = now;
       if (auto retry = StartOf(job, position, now)) starts_.push_back(*std::move(retry));
+      if (worker != nullptr) WithdrawStarts(*worker, now);
       return;
     }
     Decide("start-revoked", FormatTaskKey(order->task),
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -160,6 +160,12 @@
   void Reconcile(WorkerRow& worker, const RunReport& report, Time sent, Time now);
   void ObserveInterference(const WorkerRow& worker);
   void Unplace(JobRow& job, std::size_t position, TaskPhase phase, Time now);
+  // Withdraws the starts that wait to be sent to `worker`, first ones and repetitions, as far as
+  // they exceed its capacity. Called whenever the capacity changes or a repetition is added.
+  void WithdrawStarts(WorkerRow& worker, Time now);
+  // Withdraws the start of a task, and with it those of its gang. Tasks of which no start was sent
+  // wait again; the others are stopped.
+  void WithdrawStart(JobRow& job, std::size_t position, Time now);
   void CountFailure(WorkerRow& worker, JobRow& job, std::size_t position, Time now);
   void FinishIfDone(JobRow& job, Time now);
   // Excludes a worker that did not respond to a start from placement. The time doubles with each
@@ -191,10 +197,13 @@
   std::int64_t workers_evaluated_ = 0;
   Time last_sweep_{};             // When Plan() last looked for stalled tasks and lost workers.
   std::vector<TaskKey> planned_;  // Planned starts that are not in a batch yet.
+  // Starts that were not taken yet. None exceeds the capacity in its worker's registration.
   std::vector<StartOrder> starts_;
   std::vector<StopOrder> orphaned_run_stops_;  // Stops of orphaned runs.
   std::map<WorkerId, std::pair<std::int64_t, std::int64_t>> ends_taken_;
   std::set<JobId> expired_;
+  // Number of placements so far.
+  std::int64_t placements_ = 0;
   bool advice_reported_ = false;  // Whether the log already contains advice-not-supported.
   std::vector<Decision> decisions_;
 };
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -167,6 +167,7 @@
 void Shard::Place(JobRow& job, std::size_t position, WorkerRow& worker, Time now) {
   TaskRow& task = job.tasks[position];
   ++task.run;
+  task.placement = ++placements_;
   task.worker = worker.entry->id;
   task.worker_start_time_ms = worker.start_time_ms;
   task.stage = StartStage::kUnrecorded;
