Withdraw starts that were planned for an earlier incarnation

What callers see: a worker that has restarted with less capacity under the same identifier is given what was planned for its earlier incarnation. Cause: a start names the worker, not its incarnation. Starts that were planned before the restart were sent to the new incarnation, also before its capacity was known. Change: the starts that wait to be sent to a worker are withdrawn as long as its registration and its reports name different incarnations. Tasks that were not sent wait again.

--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -116,6 +116,7 @@
     worker->ends_recorded = 0;
     worker->failed_jobs.clear();
     ends_taken_.erase(id);
+    WithdrawStarts(*worker, now);
   }
   worker->clock = {report->clock, now};
   worker->confirmed = true;
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -161,7 +161,8 @@
   void ObserveInterference(const WorkerRow& worker);
   void Unplace(JobRow& job, std::size_t position, TaskPhase phase, Time now);
   // Withdraws the starts that wait to be sent to `worker`, first ones and repetitions, as far as
-  // they exceed its capacity. Called whenever the capacity changes or a repetition is added.
+  // they exceed its capacity. Called whenever the capacity or the incarnation changes or a
+  // repetition is added.
   void WithdrawStarts(WorkerRow& worker, Time now);
   // Withdraws the start of a task, and with it those of its gang. Tasks of which no start was sent
   // wait again; the others are stopped.
--- a/src/scheduling/internal/shard_capacity.cc
+++ b/src/scheduling/internal/shard_capacity.cc
@@ -1,5 +1,5 @@
 // Reaction of a shard's owner to registrations of workers: a worker's capacity may shrink and grow
-// while it runs.
+// while it runs, and a new incarnation may be of another size.
 #include <algorithm>
 #include <tuple>
 
@@ -8,11 +8,17 @@
 namespace dn {
 namespace {
 
+// Returns whether the capacity in the worker's registration is that of the incarnation that
+// reports.
+bool IsOfRegisteredIncarnation(const WorkerRow& worker) {
+  return worker.start_time_ms == worker.entry->start_time_ms;
+}
+
 // Returns whether a start of `step` that is counted in the worker's reserved resources fits there.
 // Cores do not bound best-effort tasks, which reserve none.
 bool Fits(const WorkerRow& worker, const StepSpec& step) {
   const Resources free = worker.Free();
-  return free.memory_mb >= 0 && free.accelerators >= 0 &&
+  return IsOfRegisteredIncarnation(worker) && free.memory_mb >= 0 && free.accelerators >= 0 &&
          (step->best_effort || free.millicores >= 0);
 }
 
@@ -35,7 +41,8 @@
 
 void Shard::WithdrawStarts(WorkerRow& worker, Time now) {
   const Resources free = worker.Free();
-  if (free.millicores >= 0 && free.memory_mb >= 0 && free.accelerators >= 0) return;
+  const bool all_fit = free.millicores >= 0 && free.memory_mb >= 0 && free.accelerators >= 0;
+  if (worker.tasks.empty() || (all_fit && IsOfRegisteredIncarnation(worker))) return;
   std::set<TaskKey> queued;
   for (const StartOrder& start : starts_) queued.insert(start->task);
   std::vector<std::pair<std::int64_t, TaskRef>> unsent;
