--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -59,8 +59,6 @@
   }
 }
 
-void Shard::WorkerListed(const WorkerEntry& entry, Time now) { workers_.Listed(entry, now); }
-
 void Shard::WorkerUnlisted(const WorkerId& id, Time now) {
   if (workers_.Unlisted(id, now)) Decide("worker-unlisted", id.value, "");
 }
@@ -112,6 +110,7 @@
     worker->ends_recorded = 0;
     worker->failed_jobs.clear();
     ends_taken_.erase(id);
+    WithdrawStarts(*worker, now);
   }
   worker->clock = {report->clock, now};
   worker->confirmed = true;
@@ -366,6 +365,7 @@
       if (auto retry = StartOf(job, position, now)) {
         task->start_sent_at = now;
         starts_.push_back(*std::move(retry));
+        if (worker != nullptr) WithdrawStarts(*worker, now);
         return;
       }
     }
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -52,7 +52,7 @@
   Time added_at{};              // When this owner first heard of the worker.
   Time last_report{};
   Time throttling_checked_at{};  // When the throttling of this worker was last evaluated.
-  // Cached; computed on first use after a report or after a change of `tasks`.
+  // Cached; computed on first use after a report or after a change of `tasks` or of the capacity.
   mutable std::optional<BestEffortHeadroom> headroom;
 
   Resources Free() const {
