Test that a task that was throttled to nothing moves once another worker accepts it

MoveIfSlow runs only at the moment at which the speed of a task changes. If no worker accepts the task then, it stays at speed 0 for as long as the latency-critical tasks beside it are close to their target, whatever becomes free later.

Measured on this commit: on six workers whose latency-critical tasks rise to 0.95 of their target load, the best-effort task is set to speed 0; an empty worker is added; the task stays at speed 0 for the remaining 6 s and does not move.

--- a/src/scheduling/tests/progress_test.cc
+++ b/src/scheduling/tests/progress_test.cc
@@ -70,12 +70,19 @@
     step.count = count;
     step.demand = {.millicores = kTaskMillicores, .memory_mb = 13'376};
     step.best_effort = true;
+    step.checkpointing = true;
     step.image = "fill";
     step.estimate_ms = static_cast<std::int64_t>(kTaskMs);
     Submit(kBestEffortJob, step);
     idle_since_ = now_;
   }
 
+  // Measures the time without a run from now on.
+  void RestartMeasurement() {
+    idle_since_ = now_;
+    longest_idle_ = Duration(0);
+  }
+
   void SetOwnLoad(double own) { load_.own = own; }
 
   void Run(Duration duration) {
@@ -145,14 +152,17 @@
         ++entry;
         continue;
       }
-      End(worker, task, run.run, EndKind::kDone);
+      End(worker, task, run, EndKind::kDone);
       entry = worker.running.erase(entry);
     }
   }
 
-  static void End(Worker& worker, const TaskKey& task, int run, EndKind kind) {
-    worker.ends.push_back(
-        ReportedEnd({.number = worker.next_end++, .task = task, .run = run, .kind = kind}));
+  static void End(Worker& worker, const TaskKey& task, const SimulatedRun& run, EndKind kind) {
+    worker.ends.push_back(ReportedEnd({.number = worker.next_end++,
+                                       .task = task,
+                                       .run = run.run,
+                                       .kind = kind,
+                                       .checkpoint = std::to_string(run.done_ms)}));
   }
 
   void Report(const WorkerId& id, Worker& worker) {
@@ -176,13 +186,17 @@
 
   void Carry(const Orders& orders) {
     for (const StartOrder& order : orders.starts) {
-      workers_.at(order->worker).running[order->task] = {.run = order->run};
+      workers_.at(order->worker).running[order->task] = {
+          .run = order->run,
+          .done_ms = order->checkpoint.empty() ? 0 : std::stod(order->checkpoint)};
       shard_.StartAnswered(order, OrderResponse(), now_);
     }
     for (const StopOrder& order : orders.stops) {
       Worker& worker = workers_.at(order->worker);
-      if (worker.running.erase(order->task) > 0) {
-        End(worker, order->task, order->run, EndKind::kStopped);
+      const auto found = worker.running.find(order->task);
+      if (found != worker.running.end()) {
+        End(worker, order->task, found->second, EndKind::kStopped);
+        worker.running.erase(found);
       }
       shard_.StopAnswered(order, OrderResponse(), now_);
     }
@@ -246,5 +260,22 @@
   CHECK(fleet.longest_over_target() <= kOverTargetLimit);
 }
 
+// Guards against a task that is throttled to nothing and stays so for ever, because other workers
+// had no room at the moment at which it was throttled.
+TEST_CASE("a task that was throttled to nothing moves once another worker accepts it",
+          "[scheduling][progress]") {
+  Fleet fleet({.own = 0.5, .per_core = 0.02});
+  fleet.SubmitBestEffort(1);
+  fleet.Run(Duration(200));
+  fleet.SetOwnLoad(0.95);
+  fleet.Run(Duration(5'000));
+  CHECK_FALSE(fleet.done());
+  fleet.AddWorker(kWorkers, false);
+  fleet.RestartMeasurement();
+  fleet.Run(Duration(6'000));
+  CHECK(fleet.done());
+  CHECK(fleet.longest_idle() <= kIdleLimit);
+}
+
 }  // namespace
 }  // namespace dn
