Move a task that has been at speed 0 for long once another worker accepts it

What callers may see: a job makes no progress although other workers have room, because its task is throttled to nothing.

Cause: MoveIfSlow runs only when the speed of a task changes. If no worker accepts the task at that moment, nothing asks again, and the throttling does not speed it up as long as the latency-critical tasks beside it are close to their target.

The strict placement rule still decides.

Not covered: a task at speed 0 that writes no checkpoints and is more than 15% done stays, and so does one that no worker accepts.

--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -202,7 +202,11 @@
   void MoveStalled(Time now);
   void ControlThrottling(Time now);
   std::vector<ThrottleOrder> DueThrottles(Time now);
+  // Returns whether a throttled task should run on another worker that accepts it.
+  static bool WorthMoving(const JobRow& job, std::size_t position);
   void MoveIfSlow(JobRow& job, std::size_t position, Time now);
+  // Tries again to move tasks at speed 0: other workers may accept them by now.
+  void MoveThrottled(Time now);
   std::optional<StartOrder> StartOf(const JobRow& job, std::size_t position, Time now);
   void Decide(std::string kind, std::string subject, std::string detail);
 
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -30,6 +30,7 @@
     ReleaseLostWorkers(now);
     ReleaseSilentWorkers(now);
     MoveStalled(now);
+    MoveThrottled(now);
   }
   SearchMemo memo;
   const std::vector<Waiting> all_waiting = CollectWaiting(now, wall_ms);
@@ -253,12 +254,17 @@
   }
 }
 
-void Shard::MoveIfSlow(JobRow& job, std::size_t position, Time now) {
-  TaskRow& task = job.tasks[position];
+bool Shard::WorthMoving(const JobRow& job, std::size_t position) {
+  const TaskRow& task = job.tasks[position];
   const StepSpec& step = job.StepOf(position);
   const bool keeps_progress = step->checkpointing || task.progress <= kLittleProgress;
   const bool slow_and_unfinished = task.speed_percent < kSlowSpeed && task.progress < kNearlyDone;
-  if (!keeps_progress || !slow_and_unfinished || step->gang) return;
+  return keeps_progress && slow_and_unfinished && !step->gang;
+}
+
+void Shard::MoveIfSlow(JobRow& job, std::size_t position, Time now) {
+  const TaskRow& task = job.tasks[position];
+  if (!WorthMoving(job, position)) return;
   if (BestWorker(job, position, now) == nullptr) return;
   Stop(job, position);
   Decide("task-moved", FormatTaskKey(job.KeyOf(position)),
--- a/src/scheduling/internal/shard_progress.cc
+++ b/src/scheduling/internal/shard_progress.cc
@@ -1,11 +1,19 @@
 // Keeps every job progressing: starts a task at reduced speed for a job whose tasks no worker
-// accepts at full speed.
+// accepts at full speed, and moves tasks that have been at speed 0 for long.
 #include <algorithm>
 
 #include "scheduling/internal/reduced_start.h"
 #include "scheduling/internal/shard.h"
 
 namespace dn {
+namespace {
+
+// Time at speed 0 after which a task is moved: the throttling speeds it up within 0.9 s where the
+// load falls again, and half of the time without a run that the platform tolerates is left for the
+// move.
+constexpr Duration kMoveStoppedAfter{1'500};
+
+}  // namespace
 
 void Shard::UpdateIdleTime(JobRow& job, bool ready, Time now) {
   const bool has_run = std::any_of(job.tasks.begin(), job.tasks.end(), [](const TaskRow& task) {
@@ -44,6 +52,25 @@
   }
 }
 
+void Shard::MoveThrottled(Time now) {
+  SearchMemo memo;
+  for (auto& [id, worker] : workers_.workers()) {
+    if (worker.best_effort_millicores == 0) continue;
+    for (const auto& [ref, job] : worker.tasks) {
+      const StepSpec& step = job->StepOf(ref.position);
+      const TaskRow& task = job->tasks[ref.position];
+      if (!step->best_effort || task.stage != StartStage::kConfirmed || task.stopping) continue;
+      if (task.speed_percent > 0 || now - task.speed_changed_at < kMoveStoppedAfter) continue;
+      const std::string& service = job->accepted->queue->service;
+      const ImageId image = job->ImageOf(ref.position);
+      if (!WorthMoving(*job, ref.position) || memo.WillFail(service, step, image)) continue;
+      MoveIfSlow(*job, ref.position, now);
+      if (task.stopping) return;  // The next one must not rely on the same room.
+      memo.RecordFailure(service, step, image);
+    }
+  }
+}
+
 bool Shard::PlaceOneReduced(const Waiting& waiting, Time now) {
   JobRow& job = *waiting.job;
   const auto [first, last] = job.RangeOf(waiting.occurrence, waiting.step);
