Tests: tasks that crash the workers that start them

In the interleavings tasks are started up to 22 times after three workers have crashed under them, for all kinds of faults.

--- a/src/scheduling/tests/shard_interleavings_test.cc
+++ b/src/scheduling/tests/shard_interleavings_test.cc
@@ -34,6 +34,7 @@
   int worker_crashes = 0;      // Per 100 ms.
   int worker_disconnects = 0;  // Per 100 ms; unreachable and unlisted for 5 s, but still running.
   int slow_store = 0;          // Per append; delays it by 2 s.
+  int crashing_jobs = 0;  // Of the jobs; their first task crashes its worker soon after a start.
 };
 
 struct RunLog {
@@ -99,6 +100,8 @@
   }
 
   std::vector<std::string> Check() const;
+  // Checks what becomes of tasks that crash their workers, and of the jobs beside them.
+  std::vector<std::string> CheckCrashes() const;
   // Jobs that an owner showed as begun without a run or as waiting although it knew of a run.
   const std::set<std::string>& begun_findings() const { return begun_findings_; }
 
@@ -330,6 +333,7 @@
     if (worker.running.size() >= 2 * kSlots) return Refuse(worker, OrderRefusal::kNoRoom);
     worker.running[order->task] = {log_.size(), now_ + Duration(Pick(200, 900))};
     log_.push_back({.worker = index, .task = order->task, .run = order->run, .started = now_});
+    if (CrashesWorkers(order->task)) ScheduleCrash(index, log_.size() - 1);
     return Refuse(worker, OrderRefusal::kNone);
   }
 
@@ -438,6 +442,18 @@
     }
   }
 
+  bool CrashesWorkers(const TaskKey& task) const {
+    constexpr JobId kStride = 389;  // Spreads these jobs over the identifiers.
+    constexpr JobId kThousand = 1'000;
+    return task.step == 0 && task.index == 0 &&
+           task.job * kStride % kThousand < static_cast<JobId>(faults_.crashing_jobs);
+  }
+  void ScheduleCrash(int index, std::size_t entry) {
+    After(Duration(Pick(10, 150)), [this, index, entry] {
+      if (!log_[entry].ended) Crash(workers_[index]);
+    });
+  }
+
   // The worker restarts under the same identifier without any state.
   void Crash(SimWorker& worker) {
     while (!worker.running.empty()) EndRun(worker, worker.running.begin()->first, "lost");
@@ -517,6 +533,36 @@
   return findings;
 }
 
+std::vector<std::string> World::CheckCrashes() const {
+  constexpr int kCrashesBeforeLimit = 3;
+  constexpr int kMaxStartsAfterwards = 2;
+  std::vector<std::string> findings;
+  std::map<TaskKey, std::vector<const RunLog*>> by_task;
+  for (const RunLog& run : log_) by_task[run.task].push_back(&run);
+  for (const auto& [task, runs] : by_task) {
+    int starts_afterwards = 0;
+    for (const RunLog* run : runs) {
+      const auto crashes = std::count_if(runs.begin(), runs.end(), [&](const RunLog* before) {
+        return before->end_kind == "lost" && *before->ended <= run->started;
+      });
+      if (crashes >= kCrashesBeforeLimit) ++starts_afterwards;
+    }
+    if (starts_afterwards > kMaxStartsAfterwards) {
+      findings.push_back(FormatTaskKey(task) + " was started " + std::to_string(starts_afterwards) +
+                         " times after three crashes");
+    }
+  }
+  for (const AcceptedJob& job : accepted_) {
+    const JobState state = owner_->shard.StateOf(job->id);
+    const JobState expected =
+        CrashesWorkers({.job = job->id}) ? JobState::kFailed : JobState::kCompleted;
+    if (state != expected) {
+      findings.push_back("job " + FormatJobId(job->id) + " is " + std::string(NameOf(state)));
+    }
+  }
+  return findings;
+}
+
 const std::vector<Faults> kFaults = {
     {.name = "none"},
     {.name = "lost requests", .lost_requests = 100},
@@ -574,5 +620,38 @@
   }
 }
 
+const std::vector<Faults> kCrashFaults = {
+    {.name = "tasks that crash workers", .crashing_jobs = 100},
+    {.name = "many tasks that crash workers", .crashing_jobs = 300},
+    {.name = "tasks that crash workers, owner killed", .owner_kills = 15, .crashing_jobs = 100},
+    {.name = "tasks that crash workers, late orders", .late_orders = 60, .crashing_jobs = 100},
+    {.name = "tasks that crash workers, lost responses",
+     .lost_responses = 100,
+     .crashing_jobs = 100},
+    {.name = "tasks that crash workers, workers unreachable",
+     .worker_disconnects = 3,
+     .crashing_jobs = 100},
+    {.name = "tasks that crash workers, shard reassigned, slow store",
+     .reassignments = 20,
+     .slow_store = 100,
+     .crashing_jobs = 100},
+    {.name = "tasks that crash workers, other crashes", .worker_crashes = 2, .crashing_jobs = 100},
+};
+
+// Guards against tasks that are started again and again although each start crashes a worker, and
+// against jobs that fail because they ran beside.
+TEST_CASE("tasks that crash their workers are given up under all faults",
+          "[scheduling][interleavings]") {
+  const auto faults = GENERATE(from_range(kCrashFaults));
+  for (const std::uint64_t seed : testing::Seeds(12)) {
+    CAPTURE(faults.name, seed);
+    World world(faults, seed);
+    world.Run();
+    const std::vector<std::string> findings = world.CheckCrashes();
+    CAPTURE(findings);
+    CHECK(findings.empty());
+  }
+}
+
 }  // namespace
 }  // namespace dn
