Count crashes of workers by task, and give up tasks that cause them

Callers saw: a task that crashes the workers that start it was started as long as its job was open, and took the tasks beside it along each time.

Cause: a run that ended with its worker left no trace in the task's record.

Change: each task counts the workers that crashed while a run of it was, or may have been, there. The count is durable in a record of its own (format 2, key JOB.crashes), in the append of the next intent; the progress record keeps its format, so an earlier version skips only the counts. Evidence is a report of another incarnation, or an expired lease of an unlisted worker that was not draining. Tasks that started within 2 s of the crash, or have two crashes, are suspects: started on a held worker as the only possible cause. A third crash in such a run fails the job. Long-running tasks wait 1, 2, 4 s instead. An unanswered start of a task with a crash, or to a restarted worker, is not repeated; copies that may be late are stopped in the new incarnation at once.

--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -113,8 +113,13 @@
   while (active_ && !co_await workers_.Load()) co_await SleepFor(kRetryPause);
   if (!active_) co_return false;
   const Time now = Now();
+  std::vector<JobCrashes> crashes;
   for (const StoreRecord& record : progress) {
     if (!record->value) continue;
+    if (const auto decoded = DecodeJobCrashes(*record->value)) {
+      crashes.push_back(decoded.value());
+      continue;
+    }
     if (record->key == kInterferenceKey) {
       const auto interference = DecodeInterference(*record->value);
       if (interference)
@@ -129,6 +134,9 @@
     }
     table_.With([&](Table& table) { table.shard.Restore(decoded.value(), now); });
   }
+  for (const JobCrashes& job : crashes) {
+    table_.With([&](Table& table) { table.shard.RestoreCrashes(job, now); });
+  }
   co_return true;
 }
 
@@ -306,6 +314,10 @@
       continue;
     }
     std::vector<StoreRecord> records;
+    for (const JobCrashes& crashes : batch.crashes) {
+      records.emplace_back(StoreRecordFields{.key = CrashesKey(crashes->id),
+                                             .value = EncodeJobCrashes(crashes)});
+    }
     for (const JobProgress& progress : batch.records) {
       records.emplace_back(StoreRecordFields{.key = FormatJobId(progress->id),
                                              .value = EncodeJobProgress(progress)});
@@ -326,6 +338,9 @@
     if (!deletions.empty()) {
       auto cleaned = co_await job_cleaner_->Append(deletions, NoLimits());
       if (cleaned) records.insert(records.end(), deletions.begin(), deletions.end());
+      for (const JobId id : batch.expired_crashes) {
+        records.emplace_back(StoreRecordFields{.key = CrashesKey(id), .value = std::nullopt});
+      }
     }
     if (!records.empty()) {
       const Time started = Now();
--- /dev/null
+++ b/src/scheduling/internal/crash_blame.cc
@@ -0,0 +1,72 @@
+// Decides which tasks may be the cause of a crash, and which task is.
+#include "scheduling/internal/crash_blame.h"
+
+#include <algorithm>
+
+namespace dn {
+namespace {
+
+// Number of crashes from which a task is given up. The platform allows it after two and tolerates
+// two starts after three; one more than allowed, since a rack that loses power twice, or a lost
+// connection that looks like a crash, must not end jobs that could be done.
+constexpr int kCrashesOfCause = 3;
+// A latency-critical task is cleared after running for this long: twice the suspect period, since
+// it cannot be given up if it is cleared too soon.
+constexpr Duration kLongRunningPeriod{4'000};
+// Delays before the restart of a latency-critical task after its second crash, third and so on. The
+// platform expects the task back within 6 s of its last run; a report and a plan take up the rest.
+constexpr Duration kFirstRestartDelay{1'000};
+constexpr Duration kMaxRestartDelay{4'000};
+
+const TaskRow& Counted(const JobRow& job, std::size_t position) {
+  return job.tasks[job.CountedPosition(position)];
+}
+
+}  // namespace
+
+TaskRef CountedTask(const JobRow& job, std::size_t position) {
+  return {.job = job.accepted->id, .position = job.CountedPosition(position)};
+}
+
+bool IsSuspect(const JobRow& job, std::size_t position) { return Counted(job, position).suspect; }
+
+Time RunStart(const TaskRow& task) { return std::max(task.start_sent_at, task.phase_since); }
+
+bool MayStartBeside(const WorkerRow& worker, const JobRow& job, std::size_t position, Time now) {
+  const TaskRef group = CountedTask(job, position);
+  if (!IsSuspect(job, position)) return worker.suspects.empty();
+  return std::all_of(worker.tasks.begin(), worker.tasks.end(), [&](const auto& entry) {
+    const auto& [ref, other] = entry;
+    if (CountedTask(*other, ref.position) == group) return true;
+    const TaskRow& task = other->tasks[ref.position];
+    return task.stage == StartStage::kConfirmed && RunStart(task) + kSuspectPeriod <= now &&
+           Counted(*other, ref.position).crashes == 0;
+  });
+}
+
+Time QuietAt(const WorkerRow& worker) {
+  Time quiet{};
+  for (const auto& [ref, job] : worker.tasks) {
+    if (Counted(*job, ref.position).crashes > 0) return Time::max();
+    quiet = std::max(quiet, RunStart(job->tasks[ref.position]) + kSuspectPeriod);
+  }
+  return quiet;
+}
+
+bool IsCause(const TaskRow& counted, int run) {
+  return counted.isolated_run == run && counted.crashes >= kCrashesOfCause;
+}
+
+bool IsCleared(const StepSpec& step, const TaskRow& counted, Duration time) {
+  if (step->long_running) return time >= kLongRunningPeriod;
+  return counted.crashes < kRepeatedCrashes && time >= kSuspectPeriod;
+}
+
+Duration RestartDelay(const TaskRow& counted) {
+  if (counted.crashes < kRepeatedCrashes) return Duration::zero();
+  Duration delay = kFirstRestartDelay;
+  for (int i = kRepeatedCrashes; i < counted.crashes && delay < kMaxRestartDelay; ++i) delay *= 2;
+  return std::min(delay, kMaxRestartDelay);
+}
+
+}  // namespace dn
--- /dev/null
+++ b/src/scheduling/internal/crash_blame.h
@@ -0,0 +1,55 @@
+// Rules on tasks under which workers have crashed: which of them may be the cause, what may run
+// beside them, and when the cause is known.
+//
+// Workers do not report why they crashed. The tasks that started shortly before a crash, and those
+// under which several workers have crashed, are suspects. A suspect is started as the only possible
+// cause of another crash: the tasks beside it have been running for a while, and no task is started
+// beside it. If the worker crashes again, the suspect is the cause.
+#pragma once
+
+#include "scheduling/internal/worker_table.h"
+
+namespace dn {
+
+// How a crash was noticed.
+enum class CrashEvidence {
+  kRestarted,     // The worker reports another incarnation.
+  kLeaseExpired,  // The worker is not listed and its leases have expired. It may still be alive.
+};
+template <>
+struct EnumNames<CrashEvidence> {
+  static constexpr std::array<EnumName<CrashEvidence>, 2> kNames = {
+      {{CrashEvidence::kRestarted, "restarted"}, {CrashEvidence::kLeaseExpired, "lease-expired"}}};
+};
+
+// Time from its start during which a task may be the cause of a crash. Two periods of the reports
+// of a busy worker, the last of which may be missing.
+inline constexpr Duration kSuspectPeriod{2'000};
+// Number of crashes from which a task stays a suspect for its whole run, however long ago it
+// started: it crashes its workers late.
+inline constexpr int kRepeatedCrashes = 2;
+
+// Returns the task that counts for the task at `position`: the first task of a gang, since the
+// cause may be any of its tasks, else the task itself.
+TaskRef CountedTask(const JobRow& job, std::size_t position);
+// Returns whether the task may be the cause of a crash.
+bool IsSuspect(const JobRow& job, std::size_t position);
+// Returns the earliest time at which the run of a placed task may have started.
+Time RunStart(const TaskRow& task);
+
+// Returns whether the task may start on `worker` beside the tasks there without hiding the cause of
+// a crash.
+bool MayStartBeside(const WorkerRow& worker, const JobRow& job, std::size_t position, Time now);
+// Returns when the tasks on `worker` will no longer be possible causes; Time::max() while one of
+// them stays possible until it ends.
+Time QuietAt(const WorkerRow& worker);
+
+// Returns whether the crash that was counted last shows that `counted`, whose run `run` was lost,
+// crashes its workers.
+bool IsCause(const TaskRow& counted, int run);
+// Returns whether a suspect that has been running for `time` is no longer a suspect.
+bool IsCleared(const StepSpec& step, const TaskRow& counted, Duration time);
+// Returns the delay before the next start of a latency-critical task, which is never given up.
+Duration RestartDelay(const TaskRow& counted);
+
+}  // namespace dn
--- a/src/scheduling/internal/job_table.cc
+++ b/src/scheduling/internal/job_table.cc
@@ -37,6 +37,11 @@
           .index = static_cast<int>(within - step_offset[step])};
 }
 
+std::size_t JobRow::CountedPosition(std::size_t position) const {
+  if (!StepOf(position)->gang) return position;
+  return position - position % tasks_per_occurrence + step_offset[StepIndexOf(position)];
+}
+
 std::pair<std::size_t, std::size_t> JobRow::RangeOf(std::size_t occurrence,
                                                     std::size_t step) const {
   const std::size_t first = occurrence * tasks_per_occurrence + step_offset[step];
@@ -198,4 +203,15 @@
   return JobProgress(std::move(progress));
 }
 
+JobCrashes JobTable::CrashesOf(const JobRow& job) {
+  JobCrashesFields crashes{.id = job.accepted->id, .tasks = {}};
+  for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+    const TaskRow& task = job.tasks[i];
+    if (task.crashes == 0 || task.phase == TaskPhase::kDone) continue;
+    crashes.tasks.emplace_back(TaskCrashesFields{
+        .position = i, .crashes = task.crashes, .isolated_run = task.isolated_run});
+  }
+  return JobCrashes(std::move(crashes));
+}
+
 }  // namespace dn
--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -50,8 +50,14 @@
   // When a stop was acknowledged for a run that had not been confirmed. The run cannot start after
   // that.
   std::optional<Time> revoked_at;
-  int missed_reports = 0;      // Consecutive reports that did not list this confirmed run.
-  int last_failed_run = 0;     // A gang counts one failure per run.
+  int missed_reports = 0;   // Consecutive reports that did not list this confirmed run.
+  int last_failed_run = 0;  // A gang counts one failure per run.
+  // The first task of a gang keeps the next four members for the whole gang.
+  int crashes = 0;  // Workers that crashed while a run of the task was, or may have been, on them.
+  int last_crashed_run = 0;  // A gang counts one crash per run.
+  bool suspect = false;  // May be the cause of a crash; see crash_blame.h. Implies `crashes` > 0.
+  // The run that was started as the only possible cause of a crash of its worker; 0: none.
+  int isolated_run = 0;
   Time phase_since{};          // When the task entered its phase.
   Time not_before{};           // While kWaiting: earliest time of the next start.
   int progress = 0;            // Percent, as reported.
@@ -100,6 +106,8 @@
   // Latency-critical jobs: normalised load from the job's own requests, without interference.
   std::optional<double> own_load;
 
+  bool has_crash_record = false;  // A record of crashes was, or is about to be, written.
+
   std::size_t occurrences() const { return tasks.size() / tasks_per_occurrence; }
   std::size_t PositionOf(const TaskKey& key) const;
   TaskKey KeyOf(std::size_t position) const;
@@ -110,6 +118,9 @@
     return accepted->spec->steps[StepIndexOf(position)];
   }
   ImageId ImageOf(std::size_t position) const { return images[StepIndexOf(position)]; }
+  // Returns the position of the task whose counts of crashes hold for the task at `position`: the
+  // first task of a gang, else the task itself.
+  std::size_t CountedPosition(std::size_t position) const;
   // Returns the positions [first, last) of the tasks of one step.
   std::pair<std::size_t, std::size_t> RangeOf(std::size_t occurrence, std::size_t step) const;
   bool StepDone(std::size_t occurrence, std::size_t step) const;
@@ -145,6 +156,7 @@
   void Erase(JobId id);
 
   static JobProgress ProgressOf(const JobRow& job);
+  static JobCrashes CrashesOf(const JobRow& job);
 
  private:
   // WorkerRow::tasks points to the rows, which do not move until they are erased.
--- a/src/scheduling/internal/record_codec.cc
+++ b/src/scheduling/internal/record_codec.cc
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::uint64_t kFormat = 1;
+// Format of the records of crashes. It differs from `kFormat`, so that versions that know only the
+// progress of jobs skip these records.
+constexpr std::uint64_t kCrashesFormat = 2;
 // Upper bounds on the counts in a record, so that a damaged record cannot cause a huge allocation:
 // ten times the largest job that a request of the largest allowed size can describe.
 constexpr std::uint64_t kMaxSteps = 20'000;
@@ -254,6 +257,38 @@
   return JobProgress(std::move(progress));
 }
 
+std::string CrashesKey(JobId id) { return FormatJobId(id) + ".crashes"; }
+
+std::string EncodeJobCrashes(const JobCrashes& crashes) {
+  Writer out;
+  out.Number(kCrashesFormat);
+  out.Number(crashes->id);
+  out.Number(crashes->tasks.size());
+  for (const TaskCrashes& task : crashes->tasks) {
+    out.Number(task->position);
+    out.Signed(task->crashes);
+    out.Signed(task->isolated_run);
+  }
+  return out.Take();
+}
+
+Result<JobCrashes> DecodeJobCrashes(std::string_view bytes) {
+  Reader in(bytes);
+  if (in.Number() != kCrashesFormat) return Errc::kMalformed;
+  JobCrashesFields crashes;
+  crashes.id = in.Number();
+  const std::uint64_t tasks = in.Count(kMaxTasks);
+  for (std::uint64_t i = 0; i < tasks && !in.failed(); ++i) {
+    TaskCrashesFields task;
+    task.position = in.Number();
+    task.crashes = static_cast<int>(in.Signed());
+    task.isolated_run = static_cast<int>(in.Signed());
+    crashes.tasks.emplace_back(task);
+  }
+  if (!in.complete()) return Errc::kMalformed;
+  return JobCrashes(std::move(crashes));
+}
+
 std::string EncodeInterference(const std::vector<InterferenceEstimate>& estimates) {
   Writer out;
   out.Number(kFormat);
--- a/src/scheduling/internal/record_codec.h
+++ b/src/scheduling/internal/record_codec.h
@@ -54,6 +54,28 @@
 };
 using JobProgress = Immutable<JobProgressFields>;
 
+struct TaskCrashesFields {
+  std::size_t position = 0;  // In JobProgressFields::tasks.
+  int crashes = 0;           // Workers that crashed under the task.
+  // The run that was started as the only possible cause of a crash of its worker; 0: none.
+  int isolated_run = 0;
+
+  friend auto operator<=>(const TaskCrashesFields&, const TaskCrashesFields&) = default;
+};
+using TaskCrashes = Immutable<TaskCrashesFields>;
+
+// Crashes of workers under the tasks of a job; tasks that are not named have none. Kept apart from
+// the progress, under a key of its own, so that versions without it can still read the progress.
+struct JobCrashesFields {
+  JobId id = 0;
+  std::vector<TaskCrashes> tasks;
+
+  friend auto operator<=>(const JobCrashesFields&, const JobCrashesFields&) = default;
+};
+using JobCrashes = Immutable<JobCrashesFields>;
+// Key of the record of a job's crashes.
+std::string CrashesKey(JobId id);
+
 // The decoders return kMalformed for damaged records and for records of another format version.
 std::string EncodeInterference(const std::vector<InterferenceEstimate>& estimates);
 Result<std::vector<InterferenceEstimate>> DecodeInterference(std::string_view bytes);
@@ -61,5 +83,7 @@
 Result<AcceptedJob> DecodeAcceptedJob(std::string_view bytes);
 std::string EncodeJobProgress(const JobProgress& progress);
 Result<JobProgress> DecodeJobProgress(std::string_view bytes);
+std::string EncodeJobCrashes(const JobCrashes& crashes);
+Result<JobCrashes> DecodeJobCrashes(std::string_view bytes);
 
 }  // namespace dn
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -113,6 +113,7 @@
     if (worker->start_time_ms != 0) {
       Decide("worker-reborn", id.value, "born=" + std::to_string(report->start_time_ms));
     }
+    HandleRestart(*worker, report->start_time_ms, now);
     worker->start_time_ms = report->start_time_ms;
     worker->ends_seen = 0;
     worker->ends_recorded = 0;
@@ -359,7 +360,12 @@
   if (!response) {
     if (worker != nullptr) AvoidUnresponsive(*worker, now);
     if (task->stage == StartStage::kConfirmed || task->stopping) return;
-    if (++task->start_attempts < kMaxStartAttempts) {
+    // Each copy of a start may take effect late, also after a restart of the worker. If workers
+    // have crashed under the task, or this one has restarted, no further copy is sent.
+    const bool repeat = job.tasks[job.CountedPosition(position)].crashes == 0 &&
+                        worker != nullptr &&
+                        worker->entry->start_time_ms == task->worker_start_time_ms;
+    if (++task->start_attempts < kMaxStartAttempts && repeat) {
       task->start_sent_at = now;
       if (auto retry = StartOf(job, position, now)) starts_.push_back(*std::move(retry));
       return;
@@ -454,6 +460,13 @@
   RecordBatch batch;
   for (const JobId id : jobs_.dirty())
     batch.records.push_back(JobTable::ProgressOf(*jobs_.Find(id)));
+  for (const JobId id : jobs_.dirty()) {
+    JobRow& job = *jobs_.Find(id);
+    JobCrashes crashes = JobTable::CrashesOf(job);
+    if (crashes->tasks.empty() && !job.has_crash_record) continue;
+    job.has_crash_record = true;
+    batch.crashes.push_back(std::move(crashes));
+  }
   jobs_.ClearDirty();
   for (const TaskKey& key : std::exchange(planned_, {})) {
     const TaskRow* task = jobs_.Find(key);
@@ -463,6 +476,8 @@
   }
   const std::set<JobId> expired = std::exchange(expired_, {});
   batch.expired.assign(expired.begin(), expired.end());
+  std::copy_if(expired.begin(), expired.end(), std::back_inserter(batch.expired_crashes),
+               [&](JobId id) { return jobs_.Find(id)->has_crash_record; });
   for (const auto& [id, worker] : workers_.workers()) {
     const std::pair<std::int64_t, std::int64_t> ends{worker.start_time_ms, worker.ends_seen};
     if (worker.ends_seen == worker.ends_recorded || ends_taken_[id] == ends) continue;
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "scheduling/internal/crash_blame.h"
 #include "scheduling/internal/interference.h"
 #include "scheduling/internal/pace_control.h"
 #include "scheduling/internal/placement_policy.h"
@@ -36,11 +37,13 @@
 // Changes that are recorded together.
 struct RecordBatch {
   std::vector<JobProgress> records;
-  std::vector<TaskKey> intents;  // Tasks whose start was planned.
-  std::vector<int> runs;         // Run numbers, parallel to `intents`.
+  std::vector<JobCrashes> crashes;  // Of jobs in `records`.
+  std::vector<TaskKey> intents;     // Tasks whose start was planned.
+  std::vector<int> runs;            // Run numbers, parallel to `intents`.
   // By worker: start time of its incarnation, and number of the last end.
   std::map<WorkerId, std::pair<std::int64_t, std::int64_t>> ends;
   std::vector<JobId> expired;  // Jobs past their retention period, whose records are deleted.
+  std::vector<JobId> expired_crashes;  // Those of `expired` with a record of crashes.
 
   bool empty() const { return records.empty() && ends.empty() && expired.empty(); }
 };
@@ -77,9 +80,10 @@
   Shard(const Policy& policy, FencingToken token);
 
   // Restores a shard after a take-over: first the jobs, then their progress, each in any number of
-  // calls. Accept() also adds new jobs later.
+  // calls. Accept() also adds new jobs later. RestoreCrashes() follows the job's progress.
   void Accept(const AcceptedJob& job, Time now);
   void Restore(const JobProgress& progress, Time now);
+  void RestoreCrashes(const JobCrashes& crashes, Time now);
 
   // Import and export the interference estimates, which one owner passes to the next.
   void RestoreInterference(const std::vector<InterferenceEstimate>& estimates) {
@@ -162,6 +166,21 @@
   void Unplace(JobRow& job, std::size_t position, TaskPhase phase, Time now);
   void CountFailure(WorkerRow& worker, JobRow& job, std::size_t position, Time now);
   void FinishIfDone(JobRow& job, Time now);
+  // Handles the first report of the incarnation that started at `start_time_ms`.
+  void HandleRestart(WorkerRow& worker, std::int64_t start_time_ms, Time now);
+  // Counts a crash of `worker` for the tasks whose runs may have been there.
+  void CountCrash(WorkerRow& worker, const std::vector<TaskRef>& lost, CrashEvidence evidence,
+                  Time now);
+  // Counts a crash for one task; fails the job if the task is the cause. `recent`: the run may have
+  // started shortly before the crash.
+  void Blame(JobRow& job, std::size_t position, bool recent, Time now);
+  void SetSuspect(JobRow& job, std::size_t position, bool suspect);
+  void ClearSuspects();
+  // Selects workers that take no other start until a suspect can be started there.
+  void HoldWorkers(Time now);
+  void HoldWorker(const JobRow& job, std::size_t position, Time now);
+  // Returns whether the task may start on `worker` in spite of the suspects there or to come.
+  bool MayUse(const WorkerRow& worker, const JobRow& job, std::size_t position, Time now) const;
   // Excludes a worker that did not respond to a start from placement. The time doubles with each
   // consecutive start without a response, up to the quarantine.
   void AvoidUnresponsive(WorkerRow& worker, Time now);
@@ -188,6 +207,10 @@
   Interference interference_;
   std::set<TaskRef> stopping_;    // Contains all tasks with `stopping` set; may contain others.
   std::set<TaskRef> throttling_;  // Contains all tasks whose speed is not settled; others too.
+  // Contains the counted tasks of all suspects (see CountedTask()); may contain others.
+  std::set<TaskRef> suspects_;
+  std::map<WorkerId, TaskRef> held_;  // In this plan: workers held for suspects, by counted task.
+  std::set<TaskRef> holders_;         // The tasks in `held_`.
   std::int64_t workers_evaluated_ = 0;
   Time last_sweep_{};             // When Plan() last looked for stalled tasks and lost workers.
   std::vector<TaskKey> planned_;  // Planned starts that are not in a batch yet.
--- /dev/null
+++ b/src/scheduling/internal/shard_crashes.cc
@@ -0,0 +1,212 @@
+// Decisions of a shard's owner on workers that crash and on the tasks that were running there.
+#include <algorithm>
+#include <tuple>
+
+#include "scheduling/internal/crash_blame.h"
+#include "scheduling/internal/shard.h"
+
+namespace dn {
+namespace {
+
+// Largest number of workers that are kept free of other starts for suspects at the same time: a
+// bound on the cost of a plan.
+constexpr std::size_t kMaxHeldWorkers = 64;
+
+// Returns whether the task could be placed on `worker` once tasks there have ended.
+bool CouldFit(const WorkerRow& worker, const JobRow& job, std::size_t position) {
+  const StepSpec& step = job.StepOf(position);
+  const WorkerEntry& entry = worker.entry;
+  if (!worker.listed || entry->draining || !worker.confirmed) return false;
+  if (entry->service != job.accepted->queue->service) return false;
+  if (!step->required_label.empty() && !worker.HasLabel(step->required_label)) return false;
+  return entry->capacity.memory_mb >= step->demand.memory_mb &&
+         entry->capacity.accelerators >= step->demand.accelerators &&
+         entry->capacity.millicores - worker.latency_critical_millicores >= step->demand.millicores;
+}
+
+}  // namespace
+
+void Shard::HandleRestart(WorkerRow& worker, std::int64_t start_time_ms, Time now) {
+  std::vector<TaskRef> lost;
+  for (const auto& [ref, job] : worker.tasks) {
+    const std::int64_t placed_in = job->tasks[ref.position].worker_start_time_ms;
+    if (placed_in != 0 && placed_in != start_time_ms && placed_in != worker.drained_start_time_ms) {
+      lost.push_back(ref);
+    }
+  }
+  CountCrash(worker, lost, CrashEvidence::kRestarted, now);
+  for (const TaskRef& ref : lost) {
+    JobRow& job = *jobs_.Find(ref.job);
+    TaskRow& task = job.tasks[ref.position];
+    if (task.phase != TaskPhase::kPlaced) continue;
+    if (task.stage == StartStage::kUnrecorded) {
+      Unplace(job, ref.position, TaskPhase::kWaiting, now);
+      continue;
+    }
+    // A start without a response may still take effect in the new incarnation, until that has
+    // acknowledged a stop. Starts of earlier owners are refused from now on.
+    const bool may_be_late = task.stage == StartStage::kSent || task.start_attempts > 0;
+    if (!may_be_late || task.inherited) continue;
+    task.stage = StartStage::kSent;
+    task.worker_start_time_ms = start_time_ms;
+    task.revoked_at.reset();
+    task.stop_sent_at = Time();
+    Stop(job, ref.position);
+  }
+}
+
+void Shard::CountCrash(WorkerRow& worker, const std::vector<TaskRef>& lost, CrashEvidence evidence,
+                       Time now) {
+  std::size_t counted = 0;
+  std::size_t suspects = 0;
+  for (const TaskRef& ref : lost) {
+    JobRow& job = *jobs_.Find(ref.job);
+    const TaskRow& task = job.tasks[ref.position];
+    if (task.phase != TaskPhase::kPlaced || task.stage == StartStage::kUnrecorded) continue;
+    ++counted;
+    // The crash came after the last report.
+    const bool recent = RunStart(task) + kSuspectPeriod >= worker.last_report;
+    if (job.phase == JobPhase::kOpen) Blame(job, ref.position, recent, now);
+    if (IsSuspect(job, ref.position)) ++suspects;
+  }
+  if (counted == 0) return;
+  Decide("worker-crashed", worker.entry->id.value,
+         "evidence=" + std::string(NameOf(evidence)) + " tasks=" + std::to_string(counted) +
+             " suspects=" + std::to_string(suspects));
+}
+
+void Shard::Blame(JobRow& job, std::size_t position, bool recent, Time now) {
+  const StepSpec& step = job.StepOf(position);
+  TaskRow& counted = job.tasks[job.CountedPosition(position)];
+  const int run = job.tasks[position].run;
+  if (step->gang && std::exchange(counted.last_crashed_run, run) == run) return;
+  ++counted.crashes;
+  jobs_.MarkDirty(job);
+  SetSuspect(job, position, recent || counted.crashes >= kRepeatedCrashes);
+  if (step->long_running) {
+    job.tasks[position].not_before = now + RestartDelay(counted);
+    return;
+  }
+  if (!IsCause(counted, run)) return;
+  job.phase = JobPhase::kFailed;
+  job.finished_at = now;
+  Decide(
+      "job-failed", FormatJobId(job.accepted->id),
+      "task=" + FormatTaskKey(job.KeyOf(position)) + " crashes=" + std::to_string(counted.crashes));
+  StopAll(job);
+}
+
+void Shard::SetSuspect(JobRow& job, std::size_t position, bool suspect) {
+  const TaskRef group = CountedTask(job, position);
+  job.tasks[group.position].suspect = suspect;
+  if (suspect) suspects_.insert(group);
+  for (std::size_t i = group.position;
+       i < job.tasks.size() && job.CountedPosition(i) == group.position; ++i) {
+    if (job.tasks[i].phase != TaskPhase::kPlaced) continue;
+    WorkerRow* const worker = workers_.Find(job.tasks[i].worker);
+    if (worker == nullptr) continue;
+    const TaskRef ref{.job = group.job, .position = i};
+    if (suspect) worker->suspects.insert(ref);
+    if (!suspect) worker->suspects.erase(ref);
+  }
+}
+
+void Shard::RestoreCrashes(const JobCrashes& crashes, Time now) {
+  JobRow* const job = jobs_.Find(crashes->id);
+  if (job == nullptr) {
+    Decide("progress-without-job", FormatJobId(crashes->id), "crashes ignored");
+    return;
+  }
+  job->has_crash_record = true;
+  for (const TaskCrashes& from : crashes->tasks) {
+    if (from->position >= job->tasks.size()) continue;
+    TaskRow& task = job->tasks[from->position];
+    task.crashes = from->crashes;
+    task.isolated_run = from->isolated_run;
+    if (job->StepOf(from->position)->long_running) task.not_before = now + RestartDelay(task);
+    // Whether a task that waits was a suspect is not recorded.
+    SetSuspect(*job, from->position,
+               task.phase == TaskPhase::kWaiting || task.isolated_run == task.run ||
+                   task.crashes >= kRepeatedCrashes);
+  }
+}
+
+void Shard::ClearSuspects() {
+  for (auto& [id, worker] : workers_.workers()) {
+    const std::set<TaskRef> suspects = worker.suspects;
+    for (const TaskRef& ref : suspects) {
+      JobRow& job = *jobs_.Find(ref.job);
+      const TaskRow& task = job.tasks[ref.position];
+      const StepSpec& step = job.StepOf(ref.position);
+      TaskRow& counted = job.tasks[job.CountedPosition(ref.position)];
+      if (task.stage != StartStage::kConfirmed || task.stopping) continue;
+      if (!IsCleared(step, counted, worker.last_report - RunStart(task))) continue;
+      SetSuspect(job, ref.position, false);
+      counted.isolated_run = 0;
+      if (step->long_running) counted.crashes = 0;
+      jobs_.MarkDirty(job);
+    }
+  }
+}
+
+void Shard::HoldWorkers(Time now) {
+  held_.clear();
+  holders_.clear();
+  if (suspects_.empty()) return;
+  const auto used = static_cast<std::size_t>(
+      std::count_if(workers_.workers().begin(), workers_.workers().end(),
+                    [](const auto& entry) { return !entry.second.suspects.empty(); }));
+  // Half of the workers stay open to other tasks.
+  const std::size_t limit =
+      std::clamp<std::size_t>(workers_.workers().size() / 2, 1, kMaxHeldWorkers);
+  for (auto entry = suspects_.begin(); entry != suspects_.end();) {
+    JobRow* const job = jobs_.Find(entry->job);
+    if (job == nullptr || job->phase != JobPhase::kOpen || !job->tasks[entry->position].suspect ||
+        job->tasks[entry->position].phase == TaskPhase::kDone) {
+      entry = suspects_.erase(entry);
+      continue;
+    }
+    const std::size_t first = entry->position;
+    ++entry;
+    if (!job->StepReady(first / job->tasks_per_occurrence, job->StepIndexOf(first))) continue;
+    for (std::size_t i = first; i < job->tasks.size() && job->CountedPosition(i) == first; ++i) {
+      const TaskRow& task = job->tasks[i];
+      if (task.phase != TaskPhase::kWaiting || task.not_before > now) continue;
+      if (used + held_.size() >= limit) return;
+      HoldWorker(*job, i, now);
+    }
+  }
+}
+
+void Shard::HoldWorker(const JobRow& job, std::size_t position, Time now) {
+  const TaskRef group = CountedTask(job, position);
+  const PlacementRule& rule = PlacementRuleFor(KindOf(job.StepOf(position)));
+  const PlacementView view{.interference = interference_, .policy = policy_, .now = now};
+  const WorkerId* best = nullptr;
+  // By rank: whether the task must wait for others to end, until when, and for how many.
+  std::tuple<bool, Time, std::size_t> best_rank;
+  for (const auto& [id, worker] : workers_.workers()) {
+    ++workers_evaluated_;
+    if (held_.count(id) > 0 || !worker.suspects.empty()) continue;
+    if (!CouldFit(worker, job, position)) continue;
+    const Time quiet = std::max(QuietAt(worker), now);
+    const bool blocked = quiet == Time::max() || !CanPlace(worker, job, position, now) ||
+                         !rule.Cost(worker, job.StepOf(position), job.ImageOf(position), view);
+    const std::tuple rank{blocked, quiet, worker.tasks.size()};
+    if (best != nullptr && best_rank <= rank) continue;
+    best = &id;
+    best_rank = rank;
+  }
+  if (best == nullptr) return;
+  held_.emplace(*best, group);
+  holders_.insert(group);
+}
+
+bool Shard::MayUse(const WorkerRow& worker, const JobRow& job, std::size_t position,
+                   Time now) const {
+  const auto held = held_.find(worker.entry->id);
+  if (held != held_.end() && held->second != CountedTask(job, position)) return false;
+  return MayStartBeside(worker, job, position, now);
+}
+
+}  // namespace dn
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -29,7 +29,9 @@
     last_sweep_ = now;
     ReleaseLostWorkers(now);
     MoveStalled(now);
+    ClearSuspects();
   }
+  HoldWorkers(now);
   SearchMemo memo;
   for (const Waiting& waiting : CollectWaiting(now, wall_ms)) {
     const StepSpec& step = waiting.job->accepted->spec->steps[waiting.step];
@@ -50,8 +52,14 @@
       continue;
     }
     const auto placed = worker.tasks;
+    if (!worker.entry->draining) {
+      std::vector<TaskRef> lost;
+      for (const auto& [ref, row] : placed) lost.push_back(ref);
+      CountCrash(worker, lost, CrashEvidence::kLeaseExpired, now);
+    }
     for (const auto& [ref, row] : placed) {
       JobRow& job = *row;
+      if (job.tasks[ref.position].phase != TaskPhase::kPlaced) continue;
       Decide("task-lost", FormatTaskKey(job.KeyOf(ref.position)),
              "run=" + std::to_string(job.tasks[ref.position].run) +
                  " worker=" + entry->first.value + " cause=lease-over");
@@ -138,6 +146,7 @@
   const PlacementRule& rule = PlacementRuleFor(KindOf(step));
   const PlacementView view{.interference = interference_, .policy = policy_, .now = now};
   const ImageId image = job.ImageOf(position);
+  const bool suspect = IsSuspect(job, position);
   std::string rack = step->data_rack;
   if (step->same_rack) {
     const TaskKey key = job.KeyOf(position);
@@ -152,9 +161,11 @@
   double best_cost = 0;
   for (auto& [id, worker] : workers_.workers()) {
     ++workers_evaluated_;
-    if (!CanPlace(worker, job, position, now)) continue;
+    if (!CanPlace(worker, job, position, now) || !MayUse(worker, job, position, now)) continue;
     std::optional<double> cost = rule.Cost(worker, step, image, view);
     if (!cost) continue;
+    // Another crash should cost as few runs as possible.
+    if (suspect) cost = static_cast<double>(worker.tasks.size());
     if (!rack.empty() && worker.entry->rack != rack) *cost += kOffRackCost;
     if (best == nullptr || *cost < best_cost) {
       best = &worker;
@@ -170,6 +181,7 @@
   task.worker = worker.entry->id;
   task.worker_start_time_ms = worker.start_time_ms;
   task.stage = StartStage::kUnrecorded;
+  if (IsSuspect(job, position)) job.tasks[job.CountedPosition(position)].isolated_run = task.run;
   task.progress = 0;
   task.last_progress_at = now;
   task.observed = 0;
@@ -185,15 +197,22 @@
   const StepSpec& step = job.accepted->spec->steps[waiting.step];
   const std::string& service = job.accepted->queue->service;
   const ImageId image = job.images[waiting.step];
-  if (memo.WillFail(service, step, image)) return;
+  // A search that failed says nothing of suspects: workers may be held for them.
+  bool no_room = memo.WillFail(service, step, image);
   const auto [first, last] = job.RangeOf(waiting.occurrence, waiting.step);
   for (std::size_t i = first; i < last; ++i) {
+    if (no_room && holders_.empty()) return;
     const TaskRow& task = job.tasks[i];
     if (task.phase != TaskPhase::kWaiting || task.not_before > now) continue;
+    if (task.suspect ? holders_.count({.job = job.accepted->id, .position = i}) == 0 : no_room) {
+      continue;
+    }
     WorkerRow* worker = BestWorker(job, i, now);
     if (worker == nullptr) {
+      if (task.suspect) continue;
       memo.RecordFailure(service, step, image);
-      return;  // The other tasks of the step need the same resources.
+      no_room = true;  // The other tasks of the step need the same resources.
+      continue;
     }
     Place(job, i, *worker, now);
   }
--- a/src/scheduling/internal/worker_table.cc
+++ b/src/scheduling/internal/worker_table.cc
@@ -30,6 +30,7 @@
   WorkerRow& worker = FindOrAdd(entry->id, now);
   worker.entry = entry;
   worker.listed = true;
+  if (entry->draining) worker.drained_start_time_ms = entry->start_time_ms;
   worker.leaves_at = entry->draining
                          ? std::min(worker.leaves_at, now + Duration(entry->remaining_ms))
                          : Time::max();
@@ -62,11 +63,13 @@
 void WorkerTable::Reserve(WorkerRow& worker, JobRow& job, std::size_t position) {
   const TaskRef ref{.job = job.accepted->id, .position = position};
   if (worker.tasks.emplace(ref, &job).second) Count(worker, job.StepOf(position), 1);
+  if (job.tasks[job.CountedPosition(position)].suspect) worker.suspects.insert(ref);
 }
 
 void WorkerTable::Release(WorkerRow& worker, JobRow& job, std::size_t position) {
   const TaskRef ref{.job = job.accepted->id, .position = position};
   if (worker.tasks.erase(ref) > 0) Count(worker, job.StepOf(position), -1);
+  worker.suspects.erase(ref);
 }
 
 std::optional<ClockReading> WorkerTable::LeaseExpiry(const WorkerRow& worker, Time now) const {
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -26,6 +26,7 @@
   Time unlisted_at{};
   Resources reserved;                // By all placed tasks; best-effort tasks reserve no cores.
   std::map<TaskRef, JobRow*> tasks;  // Exactly the tasks that are placed on this worker.
+  std::set<TaskRef> suspects;        // Exactly those of `tasks` that may be the cause of a crash.
   std::int64_t best_effort_millicores = 0;       // Demand of the placed best-effort tasks.
   std::int64_t latency_critical_millicores = 0;  // Demand of the placed latency-critical tasks.
   // Whether a report has arrived since this owner took the shard over. Until then, orders of
@@ -33,6 +34,7 @@
   bool confirmed = false;
   Time leaves_at = Time::max();  // While draining: the earliest time at which the worker may leave.
   std::int64_t start_time_ms = 0;  // Incarnation in the last report; 0: no report has arrived.
+  std::int64_t drained_start_time_ms = 0;  // Last incarnation that was draining; 0: none.
   // Last reading of the worker's clock, and the owner's time of that reading.
   std::optional<std::pair<ClockReading, Time>> clock;
   // All leases that were granted so far have expired by this time.
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "scheduling/internal/candidacy.h"
+#include "scheduling/internal/crash_blame.h"
 #include "scheduling/internal/interference.h"
 #include "scheduling/internal/job_spec.h"
 #include "scheduling/internal/job_table.h"
--- a/src/scheduling/tests/record_codec_test.cc
+++ b/src/scheduling/tests/record_codec_test.cc
@@ -167,6 +167,25 @@
   CHECK(DecodeAcceptedJob(record).has_value() == c.valid);
 }
 
+// Guards against counts of crashes that are lost or misread, and against a version without them that
+// takes a record of crashes for the progress of a job.
+TEST_CASE("crashes are recorded apart from the progress of a job", "[scheduling][records]") {
+  const auto crashes = GENERATE(values<JobCrashes>({
+      JobCrashes({.id = 0x10}),
+      JobCrashes({.id = 0x10,
+                  .tasks = {TaskCrashes({.position = 0, .crashes = 1}),
+                            TaskCrashes({.position = 300, .crashes = 2, .isolated_run = 9})}}),
+  }));
+  const std::string record = EncodeJobCrashes(crashes);
+  REQUIRE(DecodeJobCrashes(record).has_value());
+  CHECK(DecodeJobCrashes(record).value() == crashes);
+  CHECK_FALSE(DecodeJobCrashes(record.substr(0, record.size() - 1)).has_value());
+  CHECK_FALSE(DecodeJobProgress(record).has_value());
+  const std::string progress = EncodeJobProgress(JobProgress({.id = 0x10}));
+  CHECK_FALSE(DecodeJobCrashes(progress).has_value());
+  CHECK(CrashesKey(0x10) != FormatJobId(0x10));
+}
+
 TEST_CASE("job identifiers are 16 hexadecimal digits", "[scheduling][records]") {
   struct Case {
     std::string text;
--- a/src/scheduling/tests/shard_interleavings_test.cc
+++ b/src/scheduling/tests/shard_interleavings_test.cc
@@ -179,6 +179,9 @@
         owner->shown_runs.insert(id);
       }
     }
+    for (const auto& [id, crashes] : crashes_) {
+      owner->shard.RestoreCrashes(DecodeJobCrashes(crashes).value(), now_);
+    }
     owner->open = true;
     Plan(owner);
     for (int i = 0; i < kWorkers; ++i) Renew(owner, i);
@@ -221,6 +224,9 @@
       for (const JobProgress& record : batch->records) {
         progress_[record->id] = EncodeJobProgress(record);
       }
+      for (const JobCrashes& record : batch->crashes) {
+        crashes_[record->id] = EncodeJobCrashes(record);
+      }
       RunInOwner(owner, now_ + Duration(2), [this, owner, batch] {
         owner->appending = false;
         owner->shard.Recorded(*batch, now_);
@@ -471,6 +477,7 @@
   std::vector<RunLog> log_;
   std::vector<AcceptedJob> accepted_;
   std::map<JobId, std::string> progress_;  // Durable records in the store.
+  std::map<JobId, std::string> crashes_;
   FencingToken fence_ = 0;
   FencingToken last_token_ = 0;
   std::shared_ptr<Owner> owner_;
