--- a/src/scheduling/tests/crash_blame_test.cc
+++ b/src/scheduling/tests/crash_blame_test.cc
@@ -83,6 +83,7 @@
   };
   struct Worker {
     WorkerId id;
+    WorkerId former_id;  // Of the worker that had the address before.
     std::int64_t incarnation = 1;
     bool up = true;
     bool reachable = true;
@@ -169,6 +170,7 @@
       worker.up = true;
       worker.draining = false;
       if (options_.restart == Restart::kOtherIdentifier) {
+        worker.former_id = worker.id;
         worker.id = {"w" + std::to_string(++last_worker_)};
       }
     }
@@ -253,6 +255,10 @@
 
   void Renew(Worker& worker) {
     if (!worker.up || !worker.reachable) return;
+    if (shard->ManagedWorker(worker.former_id)) {
+      shard->Reported(worker.former_id, OrderResponse({.refusal = OrderRefusal::kOtherIncarnation}),
+                      now, now);
+    }
     const Renewal renewal = shard->NextRenewal(worker.id, now);
     worker.token = std::max(worker.token, renewal->token);
     while (!worker.ended.empty() && worker.ended.front()->number <= renewal->ends_seen) {
@@ -529,6 +535,21 @@
   CHECK(fleet.DecisionsOf("worker-crashed") == c.crashes);
 }
 
+// Guards against tasks that wait for the leases of a worker although it has ended: another worker
+// answers at its address.
+TEST_CASE("tasks start again once another worker answers at the address of theirs",
+          "[scheduling][crashes]") {
+  const auto restart = GENERATE(Restart::kSameIdentifier, Restart::kOtherIdentifier);
+  Fleet fleet({.workers = 1, .restart = restart, .run_time = Duration(60'000)});
+  fleet.RunFor(Duration(200));
+  fleet.Submit(1, kTask, false);
+  fleet.RunFor(Duration(200));
+  REQUIRE(fleet.WorkerRuns(0));
+  fleet.CrashWorker(0);
+  fleet.RunFor(kRestartTime + Duration(400));
+  CHECK(fleet.WorkerRuns(0));
+}
+
 // Guards against crashes that take more runs along than the first: a task under which a worker has
 // crashed is not started beside tasks that started just now, and none is started beside it.
 TEST_CASE("a task under which a worker has crashed starts apart from others",
