Take a worker for ended once another worker answers at its address

Callers saw: tasks of a crashed worker that came back under another identifier waited 6 to 8 s for their next run.

Cause: a refusal by another worker at the same address was ignored, so the tasks were lost only when the last lease that may have been granted was over.

Change: such a refusal of a renewal, for a worker that is no longer listed, ends its leases.

--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -107,7 +107,13 @@
 
 void Shard::Reported(const WorkerId& id, const OrderResponse& response, Time sent, Time now) {
   WorkerRow* worker = workers_.Find(id);
-  if (worker == nullptr || response->refusal != OrderRefusal::kNone) return;
+  if (worker == nullptr) return;
+  // Another worker answers at the address of one that is no longer listed: it has ended, and so
+  // have its leases.
+  if (response->refusal == OrderRefusal::kOtherIncarnation && !worker->listed) {
+    worker->leases_expire_at = now;
+  }
+  if (response->refusal != OrderRefusal::kNone) return;
   const RunReport& report = response->report;
   if (worker->start_time_ms != report->start_time_ms) {
     if (worker->start_time_ms != 0) {
