--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -315,8 +315,8 @@
     }
     std::vector<StoreRecord> records;
     for (const JobCrashes& crashes : batch.crashes) {
-      records.emplace_back(StoreRecordFields{.key = CrashesKey(crashes->id),
-                                             .value = EncodeJobCrashes(crashes)});
+      records.emplace_back(
+          StoreRecordFields{.key = CrashesKey(crashes->id), .value = EncodeJobCrashes(crashes)});
     }
     for (const JobProgress& progress : batch.records) {
       records.emplace_back(StoreRecordFields{.key = FormatJobId(progress->id),
--- a/src/scheduling/tests/crash_blame_test.cc
+++ b/src/scheduling/tests/crash_blame_test.cc
@@ -535,6 +535,36 @@
   CHECK(fleet.DecisionsOf("worker-crashed") == c.crashes);
 }
 
+// Guards against suspects that wait for tasks beside which they may start: latency-critical tasks
+// that lost a run to a crash once and have been running since.
+TEST_CASE("suspects start beside latency-critical tasks that have been running for a while",
+          "[scheduling][crashes]") {
+  constexpr std::size_t kFleetSize = 4;
+  constexpr JobId kFirstLongRunning = 0x200;
+  constexpr int kJobs = 8;
+  Fleet fleet({.workers = kFleetSize});
+  fleet.RunFor(Duration(200));
+  StepFields step = kTask;
+  step.long_running = true;
+  for (JobId i = 0; i < kJobs; ++i) fleet.Submit(kFirstLongRunning + i, step, false);
+  fleet.RunFor(Duration(5'000));
+  for (std::size_t i = 0; i < kFleetSize; ++i) fleet.CrashWorker(i);
+  fleet.RunFor(Duration(8'000));
+  for (JobId i = 0; i < kJobs; ++i) {
+    CAPTURE(i);
+    CHECK(fleet.StartsOf(kFirstLongRunning + i).size() == 2);
+    fleet.Submit(i + 1, kTask, false);
+  }
+  fleet.RunFor(Duration(300));
+  for (std::size_t i = 0; i < kFleetSize; ++i) fleet.CrashWorker(i);
+  fleet.RunFor(Duration(12'000));
+  for (JobId i = 0; i < kJobs; ++i) {
+    CAPTURE(i);
+    CHECK(fleet.shard->StateOf(i + 1) == JobState::kCompleted);
+    CHECK(fleet.StartsOf(kFirstLongRunning + i).size() == 3);
+  }
+}
+
 // Guards against tasks that wait for the leases of a worker although it has ended: another worker
 // answers at its address.
 TEST_CASE("tasks start again once another worker answers at the address of theirs",
