Let suspects start beside tasks that have been running for a while

Cause: a suspect was kept away from each task with a crash. Latency-critical tasks that had survived one crash kept it for good, so most workers were closed to suspects; and a latency-critical suspect kept others away for 4 s.

Change: only suspects keep suspects away, and a task that has been running for 0.5 s is no possible cause. After one crash a latency-critical task is cleared after 0.5 s, like others; its crashes expire once a run went on for 4 s.

--- a/src/scheduling/internal/crash_blame.cc
+++ b/src/scheduling/internal/crash_blame.cc
@@ -10,25 +10,23 @@
 // two starts after three; one more than allowed, since a rack that loses power twice, or a lost
 // connection that looks like a crash, must not end jobs that could be done.
 constexpr int kCrashesOfCause = 3;
-// A latency-critical task is cleared after running for this long: the largest delay of a restart,
-// so that a task that is cleared too soon spends half of its time waiting at most.
+// The crashes of a latency-critical task count no more after this time: the largest delay of a
+// restart, so that a task that is cleared too soon spends half of its time waiting at most.
 constexpr Duration kLongRunningPeriod{4'000};
 // Delays before the restart of a latency-critical task after its second crash, third and so on. The
 // platform expects the task back within 6 s of its last run; a report and a plan take up the rest.
 constexpr Duration kFirstRestartDelay{1'000};
 constexpr Duration kMaxRestartDelay{4'000};
 
-const TaskRow& Counted(const JobRow& job, std::size_t position) {
-  return job.tasks[job.CountedPosition(position)];
-}
-
 }  // namespace
 
 TaskRef CountedTask(const JobRow& job, std::size_t position) {
   return {.job = job.accepted->id, .position = job.CountedPosition(position)};
 }
 
-bool IsSuspect(const JobRow& job, std::size_t position) { return Counted(job, position).suspect; }
+bool IsSuspect(const JobRow& job, std::size_t position) {
+  return job.tasks[job.CountedPosition(position)].suspect;
+}
 
 Time RunStart(const TaskRow& task) { return std::max(task.start_sent_at, task.phase_since); }
 
@@ -40,14 +38,13 @@
     if (CountedTask(*other, ref.position) == group) return true;
     const TaskRow& task = other->tasks[ref.position];
     return task.stage == StartStage::kConfirmed && RunStart(task) + kSuspectPeriod <= now &&
-           Counted(*other, ref.position).crashes == 0;
+           worker.suspects.count(ref) == 0;
   });
 }
 
 Time QuietAt(const WorkerRow& worker) {
   Time quiet{};
   for (const auto& [ref, job] : worker.tasks) {
-    if (Counted(*job, ref.position).crashes > 0) return Time::max();
     quiet = std::max(quiet, RunStart(job->tasks[ref.position]) + kSuspectPeriod);
   }
   return quiet;
@@ -58,8 +55,12 @@
 }
 
 bool IsCleared(const StepSpec& step, const TaskRow& counted, Duration time) {
-  if (step->long_running) return time >= kLongRunningPeriod;
-  return counted.crashes < kRepeatedCrashes && time >= kSuspectPeriod;
+  if (counted.crashes < kRepeatedCrashes) return time >= kSuspectPeriod;
+  return CrashesExpire(step, time);
+}
+
+bool CrashesExpire(const StepSpec& step, Duration time) {
+  return step->long_running && time >= kLongRunningPeriod;
 }
 
 Duration RestartDelay(const TaskRow& counted) {
--- a/src/scheduling/internal/crash_blame.h
+++ b/src/scheduling/internal/crash_blame.h
@@ -41,8 +41,7 @@
 // Returns whether the task may start on `worker` beside the tasks there without hiding the cause of
 // a crash.
 bool MayStartBeside(const WorkerRow& worker, const JobRow& job, std::size_t position, Time now);
-// Returns when the tasks on `worker` will no longer be possible causes; Time::max() while one of
-// them stays possible until it ends.
+// Returns when the tasks on `worker` will have been running for too long to be the cause.
 Time QuietAt(const WorkerRow& worker);
 
 // Returns whether the crash that was counted last shows that `counted`, whose run `run` was lost,
@@ -50,6 +49,8 @@
 bool IsCause(const TaskRow& counted, int run);
 // Returns whether a suspect that has been running for `time` is no longer a suspect.
 bool IsCleared(const StepSpec& step, const TaskRow& counted, Duration time);
+// Returns whether earlier crashes say nothing more of a task that has been running for `time`.
+bool CrashesExpire(const StepSpec& step, Duration time);
 // Returns the delay before the next start of a latency-critical task, which is never given up.
 Duration RestartDelay(const TaskRow& counted);
 
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -171,9 +171,9 @@
   // Counts a crash of `worker` for the tasks whose runs may have been there.
   void CountCrash(WorkerRow& worker, const std::vector<TaskRef>& lost, CrashEvidence evidence,
                   Time now);
-  // Counts a crash for one task; fails the job if the task is the cause. `recent`: the run may have
-  // started shortly before the crash.
-  void Blame(JobRow& job, std::size_t position, bool recent, Time now);
+  // Counts a crash for one task, whose run is known to have gone on for `ran`; fails the job if the
+  // task is the cause.
+  void Blame(JobRow& job, std::size_t position, Duration ran, Time now);
   void SetSuspect(JobRow& job, std::size_t position, bool suspect);
   void ClearSuspects();
   // Selects workers that take no other start until a suspect can be started there.
--- a/src/scheduling/internal/shard_crashes.cc
+++ b/src/scheduling/internal/shard_crashes.cc
@@ -65,8 +65,8 @@
     if (task.phase != TaskPhase::kPlaced || task.stage == StartStage::kUnrecorded) continue;
     ++counted;
     // The crash came after the last report.
-    const bool recent = RunStart(task) + kSuspectPeriod >= worker.last_report;
-    if (job.phase == JobPhase::kOpen) Blame(job, ref.position, recent, now);
+    const Duration ran = worker.last_report - RunStart(task);
+    if (job.phase == JobPhase::kOpen) Blame(job, ref.position, ran, now);
     if (IsSuspect(job, ref.position)) ++suspects;
   }
   if (counted == 0) return;
@@ -75,14 +75,15 @@
              " suspects=" + std::to_string(suspects));
 }
 
-void Shard::Blame(JobRow& job, std::size_t position, bool recent, Time now) {
+void Shard::Blame(JobRow& job, std::size_t position, Duration ran, Time now) {
   const StepSpec& step = job.StepOf(position);
   TaskRow& counted = job.tasks[job.CountedPosition(position)];
   const int run = job.tasks[position].run;
   if (step->gang && std::exchange(counted.last_crashed_run, run) == run) return;
+  if (CrashesExpire(step, ran)) counted.crashes = 0;
   ++counted.crashes;
   jobs_.MarkDirty(job);
-  SetSuspect(job, position, recent || counted.crashes >= kRepeatedCrashes);
+  SetSuspect(job, position, ran <= kSuspectPeriod || counted.crashes >= kRepeatedCrashes);
   if (step->long_running) {
     job.tasks[position].not_before = now + RestartDelay(counted);
     return;
@@ -140,10 +141,11 @@
       const StepSpec& step = job.StepOf(ref.position);
       TaskRow& counted = job.tasks[job.CountedPosition(ref.position)];
       if (task.stage != StartStage::kConfirmed || task.stopping) continue;
-      if (!IsCleared(step, counted, worker.last_report - RunStart(task))) continue;
+      const Duration ran = worker.last_report - RunStart(task);
+      if (!IsCleared(step, counted, ran)) continue;
       SetSuspect(job, ref.position, false);
       counted.isolated_run = 0;
-      if (step->long_running) counted.crashes = 0;
+      if (CrashesExpire(step, ran)) counted.crashes = 0;
       jobs_.MarkDirty(job);
     }
   }
@@ -190,7 +192,7 @@
     if (held_.count(id) > 0 || !worker.suspects.empty()) continue;
     if (!CouldFit(worker, job, position)) continue;
     const Time quiet = std::max(QuietAt(worker), now);
-    const bool blocked = quiet == Time::max() || !CanPlace(worker, job, position, now) ||
+    const bool blocked = !CanPlace(worker, job, position, now) ||
                          !rule.Cost(worker, job.StepOf(position), job.ImageOf(position), view);
     const std::tuple rank{blocked, quiet, worker.tasks.size()};
     if (best != nullptr && best_rank <= rank) continue;
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -54,6 +54,7 @@
     const auto placed = worker.tasks;
     if (!worker.entry->draining) {
       std::vector<TaskRef> lost;
+      lost.reserve(placed.size());
       for (const auto& [ref, row] : placed) lost.push_back(ref);
       CountCrash(worker, lost, CrashEvidence::kLeaseExpired, now);
     }
