--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -62,8 +62,14 @@
   // that.
   std::optional<Time> revoked_at;
   Time reported_at{};  // When a report last showed a run of the task or its end; Time() if never.
-  int missed_reports = 0;      // Consecutive reports that did not list this confirmed run.
-  int last_failed_run = 0;     // A gang counts one failure per run.
+  int missed_reports = 0;   // Consecutive reports that did not list this confirmed run.
+  int last_failed_run = 0;  // A gang counts one failure per run.
+  // The first task of a gang keeps the next four members for the whole gang.
+  int crashes = 0;  // Workers that crashed while a run of the task was, or may have been, on them.
+  int last_crashed_run = 0;  // A gang counts one crash per run.
+  bool suspect = false;  // May be the cause of a crash; see crash_blame.h. Implies `crashes` > 0.
+  // The run that was started as the only possible cause of a crash of its worker; 0: none.
+  int isolated_run = 0;
   Time phase_since{};          // When the task entered its phase.
   Time not_before{};           // While kWaiting: earliest time of the next start.
   int progress = 0;            // Percent, as reported.
@@ -115,6 +121,8 @@
   // Latency-critical jobs: normalised load from the job's own requests, without interference.
   std::optional<double> own_load;
 
+  bool has_crash_record = false;  // A record of crashes was, or is about to be, written.
+
   std::size_t occurrences() const { return tasks.size() / tasks_per_occurrence; }
   std::size_t PositionOf(const TaskKey& key) const;
   TaskKey KeyOf(std::size_t position) const;
@@ -125,6 +133,9 @@
     return accepted->spec->steps[StepIndexOf(position)];
   }
   ImageId ImageOf(std::size_t position) const { return images[StepIndexOf(position)]; }
+  // Returns the position of the task whose counts of crashes hold for the task at `position`: the
+  // first task of a gang, else the task itself.
+  std::size_t CountedPosition(std::size_t position) const;
   // Returns the positions [first, last) of the tasks of one step.
   std::pair<std::size_t, std::size_t> RangeOf(std::size_t occurrence, std::size_t step) const;
   bool StepDone(std::size_t occurrence, std::size_t step) const;
@@ -160,6 +171,7 @@
   void Erase(JobId id);
 
   static JobProgress ProgressOf(const JobRow& job);
+  static JobCrashes CrashesOf(const JobRow& job);
 
  private:
   // WorkerRow::tasks points to the rows, which do not move until they are erased.
--- a/src/scheduling/internal/shard_progress.cc
+++ b/src/scheduling/internal/shard_progress.cc
@@ -85,7 +85,7 @@
   ReducedStart best_start;
   for (auto& [id, worker] : workers_.workers()) {
     ++workers_evaluated_;
-    if (RefusalOf(worker, job, position, now)) continue;
+    if (RefusalOf(worker, job, position, now) || !MayUse(worker, job, position, now)) continue;
     const auto start = ReducedStartOn(worker, job.StepOf(position), job.ImageOf(position), view);
     if (!start) continue;
     const bool better = best == nullptr || start->speed_percent > best_start.speed_percent ||
--- a/src/scheduling/tests/shard_interleavings_test.cc
+++ b/src/scheduling/tests/shard_interleavings_test.cc
@@ -72,6 +72,7 @@
   int worker_restarts = 0;   // Per 100 ms; restarts at once under the same identifier, listed.
   int lost_reports = 0;      // Per renewal; its response is lost.
   int capacity_changes = 0;  // Per 100 ms and worker; the capacity shrinks or grows.
+  int crashing_jobs = 0;     // Of the jobs; their first task crashes its worker soon after a start.
   // Fault of one worker from kLastingFaultBegins to the end.
   WorkerFault lasting = WorkerFault::kNone;
 };
@@ -167,6 +168,8 @@
   }
 
   std::vector<std::string> Check() const;
+  // Checks what becomes of tasks that crash their workers, and of the jobs beside them.
+  std::vector<std::string> CheckCrashes() const;
   // Jobs that an owner showed as begun without a run or as waiting although it knew of a run.
   const std::set<std::string>& begun_findings() const { return begun_findings_; }
   // Tasks that could run and had no run, long after the last fault.
@@ -252,6 +255,9 @@
         owner->shown_runs.insert(id);
       }
     }
+    for (const auto& [id, crashes] : crashes_) {
+      owner->shard.RestoreCrashes(DecodeJobCrashes(crashes).value(), now_);
+    }
     owner->open = true;
     Plan(owner);
     for (int i = 0; i < kWorkers; ++i) Renew(owner, i);
@@ -294,6 +300,9 @@
       for (const JobProgress& record : batch->records) {
         progress_[record->id] = EncodeJobProgress(record);
       }
+      for (const JobCrashes& record : batch->crashes) {
+        crashes_[record->id] = EncodeJobCrashes(record);
+      }
       RunInOwner(owner, now_ + Duration(2), [this, owner, batch] {
         owner->appending = false;
         owner->shard.Recorded(*batch, now_);
@@ -425,6 +434,7 @@
     worker.running[order->task] = {log_.size(), now_ + Duration(Pick(200, 900))};
     log_.push_back({.worker = index, .task = order->task, .run = order->run, .started = now_});
     if (!late_order_) CheckCapacity(index, order);
+    if (CrashesWorkers(order->task)) ScheduleCrash(index, log_.size() - 1);
     return Refuse(worker, OrderRefusal::kNone);
   }
 
@@ -650,6 +660,18 @@
     }
   }
 
+  bool CrashesWorkers(const TaskKey& task) const {
+    constexpr JobId kStride = 389;  // Spreads these jobs over the identifiers.
+    constexpr JobId kThousand = 1'000;
+    return task.step == 0 && task.index == 0 &&
+           task.job * kStride % kThousand < static_cast<JobId>(faults_.crashing_jobs);
+  }
+  void ScheduleCrash(int index, std::size_t entry) {
+    After(Duration(Pick(10, 150)), [this, index, entry] {
+      if (!log_[entry].ended) Crash(workers_[index]);
+    });
+  }
+
   // The worker restarts under the same identifier without any state.
   void Crash(SimWorker& worker) {
     Restart(worker);
@@ -671,6 +693,7 @@
   std::vector<RunLog> log_;
   std::vector<AcceptedJob> accepted_;
   std::map<JobId, std::string> progress_;  // Durable records in the store.
+  std::map<JobId, std::string> crashes_;
   FencingToken fence_ = 0;
   FencingToken last_token_ = 0;
   std::shared_ptr<Owner> owner_;
@@ -740,6 +763,43 @@
   return findings;
 }
 
+std::vector<std::string> World::CheckCrashes() const {
+  constexpr int kCrashesBeforeLimit = 3;
+  constexpr int kMaxStartsAfterwards = 2;
+  // A task under which so many workers have crashed, for whatever cause, may be given up.
+  constexpr int kCrashesToGiveUp = 2;
+  std::vector<std::string> findings;
+  std::map<TaskKey, std::vector<const RunLog*>> by_task;
+  for (const RunLog& run : log_) by_task[run.task].push_back(&run);
+  std::set<JobId> unlucky;
+  for (const auto& [task, runs] : by_task) {
+    const auto lost = std::count_if(runs.begin(), runs.end(),
+                                    [](const RunLog* run) { return run->end_kind == "lost"; });
+    if (faults_.worker_crashes > 0 && lost >= kCrashesToGiveUp) unlucky.insert(task.job);
+    int starts_afterwards = 0;
+    for (const RunLog* run : runs) {
+      const auto crashes = std::count_if(runs.begin(), runs.end(), [&](const RunLog* before) {
+        return before->end_kind == "lost" && *before->ended <= run->started;
+      });
+      if (crashes >= kCrashesBeforeLimit) ++starts_afterwards;
+    }
+    if (starts_afterwards > kMaxStartsAfterwards) {
+      findings.push_back(FormatTaskKey(task) + " was started " + std::to_string(starts_afterwards) +
+                         " times after three crashes");
+    }
+  }
+  for (const AcceptedJob& job : accepted_) {
+    const JobState state = owner_->shard.StateOf(job->id);
+    const JobState expected =
+        CrashesWorkers({.job = job->id}) ? JobState::kFailed : JobState::kCompleted;
+    if (state == JobState::kFailed && unlucky.count(job->id) > 0) continue;
+    if (state != expected) {
+      findings.push_back("job " + FormatJobId(job->id) + " is " + std::string(NameOf(state)));
+    }
+  }
+  return findings;
+}
+
 const std::vector<Faults> kFaults = {
     {.name = "none"},
     {.name = "lost requests", .lost_requests = 100},
@@ -869,5 +929,38 @@
   }
 }
 
+const std::vector<Faults> kCrashFaults = {
+    {.name = "tasks that crash workers", .crashing_jobs = 100},
+    {.name = "many tasks that crash workers", .crashing_jobs = 300},
+    {.name = "tasks that crash workers, owner killed", .owner_kills = 15, .crashing_jobs = 100},
+    {.name = "tasks that crash workers, late orders", .late_orders = 60, .crashing_jobs = 100},
+    {.name = "tasks that crash workers, lost responses",
+     .lost_responses = 100,
+     .crashing_jobs = 100},
+    {.name = "tasks that crash workers, workers unreachable",
+     .worker_disconnects = 3,
+     .crashing_jobs = 100},
+    {.name = "tasks that crash workers, shard reassigned, slow store",
+     .reassignments = 20,
+     .slow_store = 100,
+     .crashing_jobs = 100},
+    {.name = "tasks that crash workers, other crashes", .worker_crashes = 2, .crashing_jobs = 100},
+};
+
+// Guards against tasks that are started again and again although each start crashes a worker, and
+// against jobs that fail because they ran beside.
+TEST_CASE("tasks that crash their workers are given up under all faults",
+          "[scheduling][interleavings]") {
+  const auto faults = GENERATE(from_range(kCrashFaults));
+  for (const std::uint64_t seed : testing::Seeds(12)) {
+    CAPTURE(faults.name, seed);
+    World world(faults, seed);
+    world.Run();
+    const std::vector<std::string> findings = world.CheckCrashes();
+    CAPTURE(findings);
+    CHECK(findings.empty());
+  }
+}
+
 }  // namespace
 }  // namespace dn
