--- a/src/scheduling/tests/record_codec_test.cc
+++ b/src/scheduling/tests/record_codec_test.cc
@@ -167,8 +167,8 @@
   CHECK(DecodeAcceptedJob(record).has_value() == c.valid);
 }
 
-// Guards against counts of crashes that are lost or misread, and against a version without them that
-// takes a record of crashes for the progress of a job.
+// Guards against counts of crashes that are lost or misread, and against a version without them
+// that takes a record of crashes for the progress of a job.
 TEST_CASE("crashes are recorded apart from the progress of a job", "[scheduling][records]") {
   const auto crashes = GENERATE(values<JobCrashes>({
       JobCrashes({.id = 0x10}),
