--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -111,13 +111,13 @@
     if (worker->start_time_ms != 0) {
       Decide("worker-reborn", id.value, "born=" + std::to_string(report->start_time_ms));
     }
-    HandleRestart(*worker, report->start_time_ms, now);
     worker->start_time_ms = report->start_time_ms;
+    WithdrawStarts(*worker, now);
+    HandleRestart(*worker, report->start_time_ms, now);
     worker->ends_seen = 0;
     worker->ends_recorded = 0;
     worker->failed_jobs.clear();
     ends_taken_.erase(id);
-    WithdrawStarts(*worker, now);
   }
   worker->clock = {report->clock, now};
   worker->confirmed = true;
