--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -66,7 +66,7 @@
   int last_failed_run = 0;  // A gang counts one failure per run.
   // The first task of a gang keeps the next four members for the whole gang.
   int crashes = 0;  // Workers that crashed while a run of the task was, or may have been, on them.
-  int last_crashed_run = 0;  // A gang counts one crash per run.
+  int last_crashed_run = 0;  // A run counts once, also if its stop outlives several incarnations.
   bool suspect = false;  // May be the cause of a crash; see crash_blame.h. Implies `crashes` > 0.
   // The run that was started as the only possible cause of a crash of its worker; 0: none.
   int isolated_run = 0;
--- a/src/scheduling/internal/shard_crashes.cc
+++ b/src/scheduling/internal/shard_crashes.cc
@@ -79,7 +79,7 @@
   const StepSpec& step = job.StepOf(position);
   TaskRow& counted = job.tasks[job.CountedPosition(position)];
   const int run = job.tasks[position].run;
-  if (step->gang && std::exchange(counted.last_crashed_run, run) == run) return;
+  if (std::exchange(counted.last_crashed_run, run) == run) return;
   if (CrashesExpire(step, ran)) counted.crashes = 0;
   ++counted.crashes;
   jobs_.MarkDirty(job);
