--- a/src/scheduling/internal/run_gaps.cc
+++ b/src/scheduling/internal/run_gaps.cc
@@ -10,6 +10,9 @@
 // Time without a run from which a task is counted: longer than a start that gets its response at
 // the second attempt, and than three reports of a busy worker.
 constexpr Duration kMinGap{3'000};
+// Time from the placing of a task to the first report of its run: a record, a start, and a report
+// of a busy worker. Until then a placed task is not counted, however long it had waited.
+constexpr Duration kStartTime{1'500};
 // Period at which a task is logged again.
 constexpr Duration kRepeatPeriod{5'000};
 // Largest number of tasks that one check logs: a twentieth of the lines that the log accepts in a
@@ -178,6 +181,7 @@
       const auto since = DueWithoutRunSince(job, i, now, wall_ms);
       if (!since || now - *since < kMinGap) continue;
       const Candidate candidate{.job = &job, .position = i, .since = *since};
+      if (candidate.placed() && now - task.phase_since < kStartTime) continue;
       ++(candidate.placed() ? gaps.placed : gaps.waiting);
       gaps.longest = std::max(gaps.longest, now - *since);
       const auto before = logged_.find(candidate.ref());
--- a/src/scheduling/tests/run_gaps_test.cc
+++ b/src/scheduling/tests/run_gaps_test.cc
@@ -96,6 +96,12 @@
       {"placed and never reported",
        [](Fixture& f) { f.Place(f.job(), 0, kAccepted + Duration(2'000)); }, Duration(4'000), 0, 1,
        Duration(4'000)},
+      {"placed after a long wait, start under way",
+       [](Fixture& f) { f.Place(f.job(), 0, kAccepted + Duration(8'000)); }, Duration(9'499), 0, 0,
+       Duration(0)},
+      {"placed after a long wait, no report of the run",
+       [](Fixture& f) { f.Place(f.job(), 0, kAccepted + Duration(8'000)); }, Duration(9'500), 0, 1,
+       Duration(9'500)},
       {"confirmed by the response to the start only",
        [](Fixture& f) {
          f.Place(f.job(), 0, kAccepted);
