Order the speeds of inherited best-effort runs, beside the starts

Cause: a new owner believes that the runs it takes over are at full speed, but an earlier owner may have lowered it; such a run stayed slow, or counted as stalled. Change: the speed of an inherited best-effort run counts as not acknowledged. Its orders are spread: one in flight to a worker, 64 in all, so that a start waits for one round trip at most. New tests: 1,500 inherited runs and 200 waiting starts are at speed within 2 s with round trips of 40 ms, all starts in the first plan, also if every worker is unhealthy at first; orders of ended runs are dropped.

--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -36,6 +36,9 @@
   Time sent_at{};          // When the last order was sent.
   // Until then, an earlier order without a response may still take effect.
   Time unsettled_until{};
+  // An earlier owner placed the run and may have lowered its speed, and the worker has acknowledged
+  // no order of this owner.
+  bool inherited = false;
 
   // Returns whether the run keeps the speed that the worker acknowledged.
   bool settled() const { return acknowledged && sent_at >= unsettled_until; }
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -21,6 +21,10 @@
 // Period at which a change of speed is repeated until the worker has acknowledged it: the timeout
 // of a call.
 constexpr Duration kThrottleRepeat{1'000};
+// Maximum orders in flight that set the speeds of inherited runs. After a take-over there are more
+// than a thousand such runs, and the starts that waited for the take-over come first. With a round
+// trip of 40 ms between regions, 1,500 orders take about a second.
+constexpr std::size_t kMaxInheritedSpeedOrders = 64;
 // Refusals of a change of speed by a worker that does not have the run.
 constexpr std::array kRunIsGone = {OrderRefusal::kFenced, OrderRefusal::kObsolete,
                                    OrderRefusal::kOtherIncarnation};
@@ -112,11 +116,11 @@
       Decide("worker-reborn", id.value, "born=" + std::to_string(report->start_time_ms));
     }
     worker->start_time_ms = report->start_time_ms;
+    MarkRunsOfIncarnation(*worker, report);
     WithdrawStarts(*worker, now);
     HandleRestart(*worker, report->start_time_ms, now);
     worker->ends_seen = 0;
     worker->ends_recorded = 0;
-    MarkRunsOfIncarnation(*worker, report);
     worker->failed_jobs.clear();
     ends_taken_.erase(id);
   }
@@ -282,7 +286,11 @@
   const StepSpec& step = job.StepOf(position);
   task->stage = StartStage::kConfirmed;
   task->reported_at = now;
-  task->inherited = false;
+  if (std::exchange(task->inherited, false) && step->best_effort) {
+    task->speed_orders.acknowledged = false;
+    task->speed_orders.inherited = true;
+    throttling_.insert({.job = running->task.job, .position = position});
+  }
   task->worker_start_time_ms = worker.start_time_ms;
   task->missed_reports = 0;
   task->observed = running->observed;
@@ -431,6 +439,10 @@
 
 void Shard::ThrottleAnswered(const ThrottleOrder& order,
                              const std::optional<OrderResponse>& response, Time now) {
+  const auto inherited = inherited_speed_orders_.find(order->worker);
+  if (inherited != inherited_speed_orders_.end() && inherited->second == order->task) {
+    inherited_speed_orders_.erase(inherited);
+  }
   TaskRow* task = jobs_.Find(order->task);
   if (task == nullptr || task->phase != TaskPhase::kPlaced || task->run != order->run) return;
   if (task->worker != order->worker) return;
@@ -438,6 +450,7 @@
   orders.in_flight = false;
   const OrderRefusal refusal = response ? (*response)->refusal : OrderRefusal::kNone;
   if (response && refusal == OrderRefusal::kNone) {
+    orders.inherited = false;
     if (order->percent != task->speed_percent) return;
     // A repeated order took effect only now; what follows from the change is measured from now on.
     if (!orders.acknowledged && orders.sent_at > task->speed_changed_at) {
@@ -571,6 +584,11 @@
   return orders;
 }
 
+bool Shard::MayOrderInheritedSpeed(const WorkerId& worker) const {
+  return inherited_speed_orders_.size() < kMaxInheritedSpeedOrders &&
+         inherited_speed_orders_.count(worker) == 0;
+}
+
 std::vector<ThrottleOrder> Shard::DueThrottles(Time now) {
   std::vector<ThrottleOrder> due;
   for (auto entry = throttling_.begin(); entry != throttling_.end();) {
@@ -584,7 +602,12 @@
     const bool repeated = orders.sent_percent == task.speed_percent;
     // A worker refuses the speed of a run that it does not have yet.
     const bool confirmed = task.stage == StartStage::kConfirmed;
-    if (confirmed && !orders.in_flight && (!repeated || now - orders.sent_at >= kThrottleRepeat)) {
+    const bool may_send = !orders.inherited || MayOrderInheritedSpeed(task.worker);
+    if (confirmed && may_send && !orders.in_flight &&
+        (!repeated || now - orders.sent_at >= kThrottleRepeat)) {
+      if (orders.inherited) {
+        inherited_speed_orders_[task.worker] = job->KeyOf(entry->position);
+      }
       orders.in_flight = true;
       orders.sent_percent = task.speed_percent;
       orders.sent_at = now;
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -224,6 +224,9 @@
   void MoveStalled(Time now);
   void ControlThrottling(Time now);
   std::vector<ThrottleOrder> DueThrottles(Time now);
+  // Returns whether the speed of an inherited run on `worker` may be ordered now. At most one such
+  // order is in flight to a worker, so that a start waits for one round trip at most.
+  bool MayOrderInheritedSpeed(const WorkerId& worker) const;
   // Returns whether a throttled task should run on another worker that accepts it.
   static bool WorthMoving(const JobRow& job, std::size_t position);
   void MoveIfSlow(JobRow& job, std::size_t position, Time now);
@@ -239,6 +242,7 @@
   Interference interference_;
   std::set<TaskRef> stopping_;    // Contains all tasks with `stopping` set; may contain others.
   std::set<TaskRef> throttling_;  // Contains all tasks whose speed is not settled; others too.
+  std::map<WorkerId, TaskKey> inherited_speed_orders_;  // In flight: speeds of inherited runs.
   // Contains the counted tasks of all suspects (see CountedTask()); may contain others.
   std::set<TaskRef> suspects_;
   std::map<WorkerId, TaskRef> held_;  // In this plan: workers held for suspects, by counted task.
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -955,6 +955,122 @@
   }
 }
 
+// Guards against a take-over at which the speeds of all inherited runs are ordered at once, so that
+// the starts that waited for it wait on, and against runs that stay slow.
+TEST_CASE("the speeds of inherited runs are ordered beside the starts",
+          "[scheduling][shard][load]") {
+  constexpr int kWorkers = 350;
+  constexpr int kRuns = 1'500;
+  constexpr JobId kFirstWaiting = 100'000;
+  constexpr JobId kWaiting = 200;
+  constexpr Duration kRoundTrip{40};
+  // Responses to the first order of each worker; the others are accepted.
+  struct Case {
+    std::string name;
+    OrderRefusal first;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"all accept", OrderRefusal::kNone},
+      {"all unhealthy at first", OrderRefusal::kUnhealthy},
+      {"runs have ended", OrderRefusal::kObsolete},
+  }));
+  CAPTURE(c.name);
+  ShardHarness harness;
+  StepFields step = kTask;
+  step.best_effort = true;
+  step.image = "f";
+  step.demand.millicores = 1'000;
+  const auto worker_of = [](int run) { return WorkerId{"w" + std::to_string(run % kWorkers)}; };
+  std::map<WorkerId, std::vector<ReportedRun>> running;
+  for (int i = 0; i < kRuns; ++i) {
+    const JobId job = static_cast<JobId>(i) + 1;
+    harness.Submit(step, job);
+    harness.shard.Restore(
+        JobProgress({.id = job,
+                     .tasks = {TaskProgress(
+                         {.phase = TaskPhase::kPlaced, .run = 1, .worker = worker_of(i).value})}}),
+        harness.now);
+    running[worker_of(i)].push_back(ReportedRun({.task = {.job = job}, .run = 1}));
+  }
+  for (JobId job = 0; job < kWaiting; ++job) harness.Submit(kTask, kFirstWaiting + job);
+  for (int i = 0; i < kWorkers; ++i) {
+    harness.shard.WorkerListed(
+        WorkerEntry({.id = worker_of(i),
+                     .service = "s",
+                     .address = {"127.0.0.1", 1},
+                     .start_time_ms = 1,
+                     .capacity = {.millicores = 64'000, .memory_mb = 250'000}}),
+        harness.now);
+    harness.shard.Reported(
+        worker_of(i),
+        OrderResponse({.report = RunReport(
+                           {.clock = 1, .start_time_ms = 1, .running = running[worker_of(i)]})}),
+        harness.now, harness.now);
+  }
+  const Time opened = harness.now;
+  std::multimap<Time, std::pair<ThrottleOrder, OrderRefusal>> responses;
+  std::map<WorkerId, int> in_flight;
+  std::set<WorkerId> answered;
+  std::set<JobId> at_speed;
+  std::size_t started = harness.PlanAndRecord().size();
+  CHECK(started == kWaiting);
+  while (harness.now < opened + Duration(2'000) && at_speed.size() < kRuns) {
+    for (const ThrottleOrder& order : harness.orders.throttles) {
+      CHECK(order->percent == 100);
+      CHECK(++in_flight[order->worker] == 1);
+      const bool first = answered.insert(order->worker).second;
+      responses.emplace(harness.now + kRoundTrip,
+                        std::make_pair(order, first ? c.first : OrderRefusal::kNone));
+    }
+    while (!responses.empty() && responses.begin()->first <= harness.now) {
+      const auto [order, refusal] = responses.begin()->second;
+      responses.erase(responses.begin());
+      --in_flight[order->worker];
+      if (refusal != OrderRefusal::kUnhealthy) at_speed.insert(order->task.job);
+      harness.shard.ThrottleAnswered(order, OrderResponse({.refusal = refusal}), harness.now);
+    }
+    harness.PlanAndRecord();
+  }
+  CHECK(at_speed.size() == kRuns);
+}
+
+// Guards against an inherited run that ends while the order of its speed waits: the order is
+// dropped, and the other runs of its worker get theirs.
+TEST_CASE("the speed of an inherited run that has ended is not ordered", "[scheduling][shard]") {
+  ShardHarness harness;
+  StepFields step = kTask;
+  step.best_effort = true;
+  step.image = "f";
+  std::vector<StartOrder> runs;
+  for (JobId job = 1; job <= 3; ++job) {
+    harness.Submit(step, job);
+    harness.shard.Restore(
+        JobProgress({.id = job,
+                     .tasks = {TaskProgress(
+                         {.phase = TaskPhase::kPlaced, .run = 1, .worker = kWorker.value})}}),
+        harness.now);
+    runs.push_back(StartOrder({.worker = kWorker, .task = {.job = job}, .run = 1}));
+  }
+  harness.shard.WorkerListed(
+      WorkerEntry({.id = kWorker, .service = "s", .address = {"127.0.0.1", 1}}), harness.now);
+  std::vector<ReportedRun> running;
+  for (const StartOrder& run : runs) running.push_back(ShardHarness::Running(run));
+  harness.Report(kWorker, running, {});
+  harness.PlanAndRecord();
+  REQUIRE(harness.orders.throttles.size() == 1);
+  const ThrottleOrder first = harness.orders.throttles[0];
+  REQUIRE(first->task.job == 1);
+  harness.Report(kWorker, {running[0], running[2]}, {ShardHarness::End(runs[1], EndKind::kDone)});
+  harness.PlanAndRecord();
+  CHECK(harness.orders.throttles.empty());  // One order at a time.
+  // The run whose order is in flight ends as well.
+  harness.Report(kWorker, {running[2]}, {ShardHarness::End(runs[0], EndKind::kDone, 2)});
+  harness.shard.ThrottleAnswered(first, std::nullopt, harness.now);
+  harness.PlanAndRecord();
+  REQUIRE(harness.orders.throttles.size() == 1);
+  CHECK(harness.orders.throttles[0]->task.job == 3);
+}
+
 // Guards against tasks that wait for a worker that is down or does not respond to orders.
 TEST_CASE("a worker that does not respond to starts gets no others", "[scheduling][shard][load]") {
   struct Case {
@@ -1303,30 +1419,6 @@
   CHECK(harness.PlanAndRecord().size() == (sent_before ? 0U : 1U));
 }
 
-// Guards against a done task that runs again: a restarted worker took the acknowledgement of its
-// earlier incarnation's ends for that of its own and forgot an end that no report had shown.
-TEST_CASE("ends are not acknowledged to a worker that may have restarted", "[scheduling][shard]") {
-  struct Case {
-    Duration age;  // Of the last report.
-    std::int64_t ends_seen;
-  };
-  const auto c = GENERATE(values<Case>({{Duration(100), 1}, {Duration(1'000), 0}}));
-  CAPTURE(c.age.count());
-  ShardHarness harness;
-  harness.AddWorker(kWorker);
-  harness.Submit(kTask);
-  const StartOrder start = harness.PlanAndRecord().at(0);
-  harness.Respond(start, OrderRefusal::kNone);
-  harness.Report(kWorker, {}, {ShardHarness::End(start, EndKind::kDone)});
-  harness.PlanAndRecord();
-  harness.now += c.age;
-  CHECK(harness.shard.NextRenewal(kWorker, harness.now)->ends_seen == c.ends_seen);
-  harness.Report(kWorker, {}, {});
-  CHECK(harness.shard.NextRenewal(kWorker, harness.now)->ends_seen == 1);
-}
-
-}  // namespace
-}  // namespace dn
 // Guards against jobs that are given up for crashes that did not happen: a start may reach a worker
 // only after its restart, and then the first report of the new incarnation shows the run or its
 // end.
@@ -1370,3 +1462,27 @@
   CHECK((harness.shard.StateOf(kJob) == JobState::kCompleted) == (c.shown == Shown::kEnd));
 }
 
+// Guards against a done task that runs again: a restarted worker took the acknowledgement of its
+// earlier incarnation's ends for that of its own and forgot an end that no report had shown.
+TEST_CASE("ends are not acknowledged to a worker that may have restarted", "[scheduling][shard]") {
+  struct Case {
+    Duration age;  // Of the last report.
+    std::int64_t ends_seen;
+  };
+  const auto c = GENERATE(values<Case>({{Duration(100), 1}, {Duration(1'000), 0}}));
+  CAPTURE(c.age.count());
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.Submit(kTask);
+  const StartOrder start = harness.PlanAndRecord().at(0);
+  harness.Respond(start, OrderRefusal::kNone);
+  harness.Report(kWorker, {}, {ShardHarness::End(start, EndKind::kDone)});
+  harness.PlanAndRecord();
+  harness.now += c.age;
+  CHECK(harness.shard.NextRenewal(kWorker, harness.now)->ends_seen == c.ends_seen);
+  harness.Report(kWorker, {}, {});
+  CHECK(harness.shard.NextRenewal(kWorker, harness.now)->ends_seen == 1);
+}
+
+}  // namespace
+}  // namespace dn
