A node that drains responds on each open connection

Cause: dn-node ended once no request was being handled, with a listening socket and open connections: a request that was on its way got no response. A request without an owner then waited up to 2.2 s, longer than the rest of the drain. Change: after the notice period the node stops listening and waits until its connections are closed, within the grace period. From the drain on, each request is answered 0.3 s before its end at the latest, with a refusal that has not run if nothing else is known.

--- a/src/job_client/internal/job_request_handler.cc
+++ b/src/job_client/internal/job_request_handler.cc
@@ -73,12 +73,15 @@
   if (call.body.size() > static_cast<std::size_t>((*view)->configuration->max_body_bytes)) {
     co_return ErrorReply(kTooLarge, "body-too-large");
   }
+  const Time latest_answer{Duration(latest_answer_ms_.load())};
+  if (Now() >= latest_answer) co_return UnavailableReply("instance-ends");
   const Duration timeout = protocol_.caller_timeout(call);
   Request request{.queue = *queue,
                   .job_text = call.path.substr((*queue)->path_prefix.size()),
                   .body = std::move(call.body),
                   .id = protocol_.request_id(call).substr(0, kMaxLoggedId),
-                  .deadline = Now() + std::max(timeout - kResponseMargin, timeout / 2)};
+                  .deadline = std::min(latest_answer,
+                                       Now() + std::max(timeout - kResponseMargin, timeout / 2))};
   const bool has_job_id = !request.job_text.empty();
   for (const Operation& operation : kOperations) {
     if (operation.method != call.method || operation.has_job_id != has_job_id) continue;
--- a/src/job_client/internal/job_request_handler.h
+++ b/src/job_client/internal/job_request_handler.h
@@ -16,6 +16,9 @@
   Task<HttpReply> HandleReadiness(HttpCall call);
 
  private:
+  // Answers each request that arrives from now on by `latest`, with a refusal if nothing else is
+  // known by then: this instance is about to end.
+  void AnswerBy(Time latest) { latest_answer_ms_ = latest.time_since_epoch().count(); }
   // One request, routed to its queue.
   struct Request {
     Queue queue;
@@ -44,4 +47,5 @@
   DecisionLog& log_;
 };
 
+  std::atomic<std::int64_t> latest_answer_ms_{Time::max().time_since_epoch().count()};
 }  // namespace dn
--- a/src/node/internal/node_module.cc
+++ b/src/node/internal/node_module.cc
@@ -23,6 +23,9 @@
 constexpr Duration kDrainNoticePeriod{2'600};
 // Part of the grace period that is reserved for the exit of the process.
 constexpr Duration kExitMargin{1'000};
+// Part of the time of a drain that is reserved for sending the last responses and closing their
+// connections.
+constexpr Duration kLastAnswerMargin{300};
 // Pause between checks for requests in flight during a drain.
 constexpr Duration kDrainPollPause{50};
 
@@ -68,6 +71,7 @@
     servers_ = {front.get(), ready.get(), instances.get()};
     log_.Write("start", settings_->id, "zone=" + settings_->zone + " version=" + kVersion);
     pool_.Spawn(FollowConfiguration());
+    front_ = front.get();
     pool_.Spawn(membership_.Run());
     pool_.Spawn(FollowSettings());
     DrainOnSignal(pool_, [this] { return Drain(); });
@@ -223,8 +227,11 @@
     for (HttpServer* server : servers_) server->DisableKeepAlive();
     co_await membership_.Leave();
     const Time notice_end = std::min(end, Now() + kDrainNoticePeriod);
-    while (Now() < notice_end || (in_flight_ > 0 && Now() < end))
-      co_await SleepFor(kDrainPollPause);
+    request_handler_.AnswerBy(end - kLastAnswerMargin);
+    while (Now() < notice_end) co_await SleepFor(kDrainPollPause);
+    // A request may still be on its way on a connection that is open.
+    front_->Close();
+    while ((in_flight_ > 0 || !front_->closed()) && Now() < end) co_await SleepFor(kDrainPollPause);
   }
 
   const NodeSettings settings_;  // Settings at the start of the process.
@@ -247,6 +254,7 @@
 };
 
 }  // namespace
+  HttpServer* front_ = nullptr;    // That of `servers_` for callers; set by Run().
 
 int RunNode(int argc, char** argv, const NodeAdapter& adapter) {
   cxxopts::Options options(argv[0], "Schedules the jobs of callers on the platform's workers.");
