One search for all tasks of a step; plans visit open jobs only

Cause: a plan searched all workers once for each task of a step (39 tasks x 540 workers) and visited every job, also those that had ended within the last two minutes. Change: WorkerRanking keeps the workers that accept a step's tasks by cost; a placement changes the cost of its worker only.

--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -46,7 +46,9 @@
 
 std::vector<Decision> Shard::TakeDecisions() { return std::exchange(decisions_, {}); }
 
-void Shard::Accept(const AcceptedJob& job, Time now) { jobs_.Accept(job, now); }
+void Shard::Accept(const AcceptedJob& job, Time now) {
+  if (jobs_.Accept(job, now)) open_jobs_.push_back(jobs_.Find(job->id));
+}
 
 void Shard::Restore(const JobProgress& progress, Time now) {
   jobs_.Restore(progress, now);
@@ -540,7 +542,10 @@
     task->start_sent_at = now;
     starts_.push_back(*std::move(start));
   }
-  for (const JobId id : batch.expired) jobs_.Erase(id);
+  for (const JobId id : batch.expired) {
+    std::erase(open_jobs_, jobs_.Find(id));
+    jobs_.Erase(id);
+  }
 }
 
 std::optional<StartOrder> Shard::StartOf(const JobRow& job, std::size_t position, Time now) {
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -19,6 +19,7 @@
 #include "scheduling/internal/shard_load.h"
 #include "scheduling/internal/start_counts.h"
 #include "scheduling/internal/urgency.h"
+#include "scheduling/internal/worker_ranking.h"
 #include "scheduling/internal/worker_table.h"
 
 namespace dn {
@@ -203,6 +204,8 @@
   // Orders the stop of the task's run. The order is repeated until a report shows its effect.
   void Stop(JobRow& job, std::size_t position);
   void StopAll(JobRow& job);
+  // Rebuilds `open_jobs_` and finds the jobs past their retention period.
+  void CollectOpenJobs(Time now);
   std::vector<Waiting> CollectWaiting(Time now, std::int64_t wall_ms);
   void PlaceStep(const Waiting& waiting, SearchMemo& memo, Time now);
   bool PlaceGang(const Waiting& waiting, Time now);
@@ -213,6 +216,16 @@
   void PlaceReduced(const std::vector<Waiting>& waiting, Time now);
   bool PlaceOneReduced(const Waiting& waiting, Time now);
   WorkerRow* BestWorker(const JobRow& job, std::size_t position, Time now);
+  // Returns the workers that accept the task. The ranking holds for the other tasks of its step,
+  // too, unless they are suspects or have to run on the rack of the first.
+  WorkerRanking RankWorkers(const JobRow& job, std::size_t position, Time now);
+  // Returns the cost of placing the task on `worker`; nothing if it may not run there. `rack`:
+  // where the task should run; empty: anywhere.
+  std::optional<double> CostOn(const WorkerRow& worker, const JobRow& job, std::size_t position,
+                               const std::string& rack, Time now);
+  // Returns the rack of the task's data, or that of the other tasks of a step that is to run on one
+  // rack; empty if there is neither.
+  std::string PreferredRack(const JobRow& job, std::size_t position);
   void Place(JobRow& job, std::size_t position, WorkerRow& worker, Time now);
   void ReleaseLostWorkers(Time now);
   void ReleaseSilentWorkers(Time now);
@@ -238,6 +251,8 @@
   const Policy policy_;
   const FencingToken token_;
   JobTable jobs_;
+  // Contains all jobs that have not ended; may contain others, until the next sweep.
+  std::vector<JobRow*> open_jobs_;
   WorkerTable workers_;
   Interference interference_;
   std::set<TaskRef> stopping_;    // Contains all tasks with `stopping` set; may contain others.
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -32,6 +32,7 @@
     MoveStalled(now);
     MoveThrottled(now);
     ClearSuspects();
+    CollectOpenJobs(now);
   }
   HoldWorkers(now);
   SearchMemo memo;
@@ -106,23 +107,34 @@
   }
 }
 
-std::vector<Shard::Waiting> Shard::CollectWaiting(Time now, std::int64_t wall_ms) {
-  std::vector<Waiting> out;
+void Shard::CollectOpenJobs(Time now) {
+  open_jobs_.clear();
   for (auto& [id, job] : jobs_.jobs()) {
-    if (job.phase != JobPhase::kOpen) {
-      const bool retention_over =
-          job.finished_at && now - *job.finished_at > policy_->finished_retention;
-      const bool placed = job.waiting + job.done < job.tasks.size();
-      if (retention_over && !placed && !job.dirty) expired_.insert(id);
+    if (job.phase == JobPhase::kOpen) {
+      open_jobs_.push_back(&job);
       continue;
     }
+    const bool retention_over =
+        job.finished_at && now - *job.finished_at > policy_->finished_retention;
+    const bool placed = job.waiting + job.done < job.tasks.size();
+    if (retention_over && !placed && !job.dirty) expired_.insert(id);
+  }
+}
+
+std::vector<Shard::Waiting> Shard::CollectWaiting(Time now, std::int64_t wall_ms) {
+  std::vector<Waiting> out;
+  for (JobRow* const open_job : open_jobs_) {
+    JobRow& job = *open_job;
+    if (job.phase != JobPhase::kOpen) continue;
     if (job.accepted->spec->occurrences > 0) jobs_.AddDueOccurrences(job, wall_ms);
     if (job.waiting == 0) {
       if (job.without_run_since) UpdateIdleTime(job, true, now);
       continue;
     }
     if (job.accepted->queue->needs_advice) {
-      if (!advice_reported_) Decide("advice-not-supported", FormatJobId(id), "waits");
+      if (!advice_reported_) {
+        Decide("advice-not-supported", FormatJobId(job.accepted->id), "waits");
+      }
       advice_reported_ = true;
       continue;
     }
@@ -149,40 +161,48 @@
   return out;
 }
 
-WorkerRow* Shard::BestWorker(const JobRow& job, std::size_t position, Time now) {
+std::string Shard::PreferredRack(const JobRow& job, std::size_t position) {
+  const StepSpec& step = job.StepOf(position);
+  if (!step->same_rack || !step->data_rack.empty()) return step->data_rack;
+  const TaskKey key = job.KeyOf(position);
+  const auto [first, last] =
+      job.RangeOf(static_cast<std::size_t>(key.occurrence), static_cast<std::size_t>(key.step));
+  for (std::size_t i = first; i < last; ++i) {
+    if (job.tasks[i].phase != TaskPhase::kPlaced) continue;
+    const WorkerRow* const peer = workers_.Find(job.tasks[i].worker);
+    if (peer != nullptr && !peer->entry->rack.empty()) return peer->entry->rack;
+  }
+  return {};
+}
+
+std::optional<double> Shard::CostOn(const WorkerRow& worker, const JobRow& job,
+                                    std::size_t position, const std::string& rack, Time now) {
   // Added cost of a worker on another rack than the data or the step's other tasks.
   constexpr double kOffRackCost = 10;
-  const StepSpec& step = job.StepOf(position);
+  ++workers_evaluated_;
+  if (!MayUse(worker, job, position, now)) return std::nullopt;
   const PlacementView view{.interference = interference_, .policy = policy_, .now = now};
-  const bool suspect = IsSuspect(job, position);
-  std::string rack = step->data_rack;
-  if (step->same_rack) {
-    const TaskKey key = job.KeyOf(position);
-    const auto [first, last] =
-        job.RangeOf(static_cast<std::size_t>(key.occurrence), static_cast<std::size_t>(key.step));
-    for (std::size_t i = first; i < last && rack.empty(); ++i) {
-      if (job.tasks[i].phase != TaskPhase::kPlaced) continue;
-      if (const WorkerRow* peer = workers_.Find(job.tasks[i].worker)) rack = peer->entry->rack;
-    }
-  }
-  WorkerRow* best = nullptr;
-  double best_cost = 0;
+  const PlacementCost offered = CostOf(worker, job, position, view);
+  const double* const rule_cost = std::get_if<double>(&offered);
+  if (rule_cost == nullptr) return std::nullopt;
+  // Another crash under a suspect should cost as few runs as possible.
+  const double base_cost =
+      IsSuspect(job, position) ? static_cast<double>(worker.tasks.size()) : *rule_cost;
+  const bool off_rack = !rack.empty() && worker.entry->rack != rack;
+  return base_cost + (off_rack ? kOffRackCost : 0);
+}
+
+WorkerRow* Shard::BestWorker(const JobRow& job, std::size_t position, Time now) {
+  return RankWorkers(job, position, now).Best();
+}
+
+WorkerRanking Shard::RankWorkers(const JobRow& job, std::size_t position, Time now) {
+  WorkerRanking ranking;
+  const std::string rack = PreferredRack(job, position);
   for (auto& [id, worker] : workers_.workers()) {
-    ++workers_evaluated_;
-    if (!MayUse(worker, job, position, now)) continue;
-    const PlacementCost offered = CostOf(worker, job, position, view);
-    const double* const rule_cost = std::get_if<double>(&offered);
-    if (rule_cost == nullptr) continue;
-    // Another crash under a suspect should cost as few runs as possible.
-    const double base_cost = suspect ? static_cast<double>(worker.tasks.size()) : *rule_cost;
-    const bool off_rack = !rack.empty() && worker.entry->rack != rack;
-    const double cost = base_cost + (off_rack ? kOffRackCost : 0);
-    if (best == nullptr || cost < best_cost) {
-      best = &worker;
-      best_cost = cost;
-    }
+    if (const auto cost = CostOn(worker, job, position, rack, now)) ranking.Add(worker, *cost);
   }
-  return best;
+  return ranking;
 }
 
 void Shard::Place(JobRow& job, std::size_t position, WorkerRow& worker, Time now) {
@@ -210,6 +230,8 @@
   const ImageId image = job.images[waiting.step];
   // A search that failed says nothing of suspects: workers may be held for them.
   bool no_room = memo.WillFail(service, step, image);
+  // Set if the previous task was placed on its best worker and the next one is alike.
+  std::optional<WorkerRanking> ranking;
   const auto [first, last] = job.RangeOf(waiting.occurrence, waiting.step);
   for (std::size_t i = first; i < last; ++i) {
     if (no_room && holders_.empty()) return;
@@ -218,14 +240,22 @@
     if (task.suspect ? holders_.count({.job = job.accepted->id, .position = i}) == 0 : no_room) {
       continue;
     }
-    WorkerRow* worker = BestWorker(job, i, now);
+    if (task.suspect) ranking.reset();
+    if (ranking) {
+      ranking->UpdateBest(CostOn(*ranking->Best(), job, i, step->data_rack, now));
+    } else {
+      ranking = RankWorkers(job, i, now);
+    }
+    WorkerRow* worker = ranking->Best();
     if (worker == nullptr) {
+      ranking.reset();
       if (task.suspect) continue;
       memo.RecordFailure(service, step, image);
       no_room = true;  // The other tasks of the step need the same resources.
       continue;
     }
     Place(job, i, *worker, now);
+    if (task.suspect || step->same_rack) ranking.reset();
   }
 }
 
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -1131,6 +1131,54 @@
   CHECK(harness.shard.workers_evaluated() - before <= kWorkers);
 }
 
+// Guards against plans whose cost grows with the tasks of a step times workers: the tasks of a step
+// are alike.
+TEST_CASE("all tasks of a step are placed in one search", "[scheduling][shard][load]") {
+  struct Case {
+    std::string name;
+    int max_per_worker;
+    bool best_effort;
+    std::string data_rack;
+  };
+  const auto c = GENERATE(values<Case>({{"batch", 0, false, ""},
+                                        {"at most one on a worker", 1, false, ""},
+                                        {"best-effort", 0, true, ""},
+                                        {"data on a rack", 0, false, "r3"}}));
+  CAPTURE(c.name);
+  constexpr int kWorkers = 100;
+  constexpr int kTasks = 39;
+  ShardHarness harness;
+  for (int i = 0; i < kWorkers; ++i) {
+    harness.AddWorker(WorkerEntryFields{.id = {"w" + std::to_string(i)},
+                                        .capacity = {.millicores = 16'000, .memory_mb = 64'000},
+                                        .rack = "r" + std::to_string(i / 8)});
+  }
+  StepFields step = kTask;
+  step.count = kTasks;
+  step.max_per_worker = c.max_per_worker;
+  step.best_effort = c.best_effort;
+  step.data_rack = c.data_rack;
+  step.image = "f";
+  harness.Submit(step);
+  const std::int64_t before = harness.shard.workers_evaluated();
+  const std::vector<StartOrder> starts = harness.PlanAndRecord();
+  REQUIRE(starts.size() == kTasks);
+  // One search, and the worker of each placement once more.
+  CHECK(harness.shard.workers_evaluated() - before <= kWorkers + kTasks);
+  std::map<WorkerId, int> on_worker;
+  int on_rack = 0;
+  for (const StartOrder& start : starts) {
+    ++on_worker[start->worker];
+    const int index = std::stoi(start->worker.value.substr(1));
+    if ("r" + std::to_string(index / 8) == c.data_rack) ++on_rack;
+  }
+  for (const auto& [id, count] : on_worker) {
+    CHECK(count <= (c.max_per_worker > 0 ? c.max_per_worker : 4));
+  }
+  // The 8 workers of the rack have room for 32 tasks.
+  if (!c.data_rack.empty()) CHECK(on_rack == 32);
+}
+
 // How a worker that stays listed responds to renewals.
 struct Renewals {
   std::string name;
