Progress that exceeds a call of the store is stored in several

Cause: the owner appends the progress of all changed jobs as one entry, and an entry was sent as one call whatever its size. While the store is away for seconds on a large fleet, over a thousand jobs change (3 KB each); the store rejects calls over 2 MB, and the call was repeated for ever: no start and no end was recorded any more. The stand-in of the store rejects larger calls than the platform allows. A single record over 256 KB is still refused for good: open.

--- a/src/store/internal/record_writer.cc
+++ b/src/store/internal/record_writer.cc
@@ -16,14 +16,32 @@
 // store rejected or that did not reach it.
 constexpr int kMaxRejections = 3;
 
+std::size_t SizeOf(const StoreRecord& record) {
+  return record->key.size() + (record->value ? record->value->size() : 0);
+}
+
 std::size_t SizeOf(const std::vector<StoreRecord>& records) {
   std::size_t size = 0;
-  for (const StoreRecord& record : records) {
-    size += record->key.size() + (record->value ? record->value->size() : 0);
-  }
+  for (const StoreRecord& record : records) size += SizeOf(record);
   return size;
 }
 
+// Splits records into calls of at most kMaxCallBytes, in order.
+std::vector<std::vector<StoreRecord>> SplitIntoCalls(std::vector<StoreRecord> records) {
+  std::vector<std::vector<StoreRecord>> calls;
+  std::size_t size = 0;
+  for (StoreRecord& record : records) {
+    const std::size_t added = SizeOf(record);
+    if (calls.empty() || size + added > kMaxCallBytes) {
+      calls.emplace_back();
+      size = 0;
+    }
+    size += added;
+    calls.back().push_back(std::move(record));
+  }
+  return calls;
+}
+
 }  // namespace
 
 RecordWriter::RecordWriter(StoreClient& store, Partition partition, std::string producer,
@@ -92,7 +110,12 @@
       return !taken.empty();
     });
     if (!more) co_return;
-    Result<> outcome = co_await AppendCall(records, epoch_ > 0);
+    // Only a single entry can need several calls.
+    Result<> outcome = boost::outcome_v2::success();
+    for (const std::vector<StoreRecord>& call : SplitIntoCalls(std::move(records))) {
+      outcome = co_await AppendCall(call, epoch_ > 0);
+      if (!outcome) break;
+    }
     queue_.With([&](Queue&) {
       for (const auto& entry : taken) entry->outcome = outcome;
     });
--- a/src/store/internal/record_writer.h
+++ b/src/store/internal/record_writer.h
@@ -23,7 +23,9 @@
     Time deadline;  // Latest time at which Append returns.
   };
 
-  // Waits until `records` are durable or a limit has passed. Errors:
+  // Waits until `records` are durable or a limit has passed. More records than fit into a call
+  // are stored in several, in order, so that the first of them may be durable after an error; only
+  // producers with an epoch append that many. Errors:
   // kUnavailable: the records are not stored and never will be; kTimeout: the
   // outcome is unknown, the records may still become durable; kConflict: a higher
   // epoch has fenced this producer, which can store nothing more.
--- a/src/store/tests/record_writer_test.cc
+++ b/src/store/tests/record_writer_test.cc
@@ -54,5 +54,47 @@
   CHECK(first.get() == c.first);
 }
 
+// Returns whether all records were stored within 5 s.
+Task<bool> AppendAll(std::shared_ptr<RecordWriter> writer, std::vector<StoreRecord> records) {
+  const Time limit = Now() + Duration(5'000);
+  auto stored = co_await writer->Append(std::move(records), {.send_by = limit, .deadline = limit});
+  co_return stored.has_value();
+}
+
+// Returns the number of keys of the partition; nothing if it cannot be read.
+Task<std::optional<std::size_t>> CountKeys(StoreClient& store) {
+  auto newest = co_await store.Newest(kJobs);
+  if (!newest) co_return std::nullopt;
+  co_return newest.value()->records.size();
+}
+
+// A thousand jobs change while the store is away, and their progress is appended at once. Guards
+// against a call that the store rejects as too large each time it is repeated.
+TEST_CASE("records that exceed a call are stored in several", "[store][load]") {
+  struct Case {
+    std::string name;
+    int records;
+    std::size_t bytes;  // Of each.
+  };
+  const auto c = GENERATE(values<Case>({{"one small record", 1, 10},
+                                        {"as many as fit", 100, 1'000},
+                                        {"progress of 1,700 jobs", 1'700, 3'000},
+                                        {"large records", 20, 250'000}}));
+  CAPTURE(c.name);
+  testing::Runner runner;
+  standins::StoreStandin standin(runner.pool());
+  REQUIRE(standin.Start());
+  HttpClient http;
+  StoreClient store(standin.address(), platform::MakeStoreProtocol(), http);
+  const auto writer = std::make_shared<RecordWriter>(store, kJobs, "owner", 7);
+  std::vector<StoreRecord> records;
+  for (int i = 0; i < c.records; ++i) {
+    records.push_back(
+        StoreRecord({.key = "k" + std::to_string(i), .value = std::string(c.bytes, 'v')}));
+  }
+  CHECK(runner.Wait(AppendAll(writer, records)));
+  CHECK(runner.Wait(CountKeys(store)) == records.size());
+}
+
 }  // namespace
 }  // namespace dn
--- a/standins/internal/store_standin.cc
+++ b/standins/internal/store_standin.cc
@@ -12,6 +12,8 @@
 namespace endian = boost::endian;
 
 constexpr int kPartitions = 16;
+constexpr std::size_t kMaxCallBytes =
+    2'097'152;  // Of the records of one call; the platform's limit.
 constexpr std::size_t kCachedResponses = 5;
 constexpr Duration kSilentPollInterval{50};
 
@@ -233,6 +235,7 @@
       return JsonReply(409, {{"Reason", "seq"}, {"Sequence", producer->sequence + 1}});
     }
   }
+  if (call.body.size() > kMaxCallBytes) return JsonReply(413, {});
   const std::int64_t offset = log.end();
   std::string_view remaining = call.body;
   while (remaining.size() >= 4) {
