A start that has waited for a second is not sent; stops go first

Cause: the queue of a worker's link was not bounded in time: behind a worker that does not respond, or after a pause of the process, starts left seconds after they were decided, and stops behind them. Change: a start that is 1 s old when its turn comes is given back as refused and placed anew; a stop goes before other orders of its worker. Conclusion: no start leaves on a permission that is older than a second in our queue.

--- a/src/task_worker/internal/worker_link.cc
+++ b/src/task_worker/internal/worker_link.cc
@@ -12,6 +12,9 @@
 constexpr Duration kOrderTimeout{1'000};
 // Pause after a renewal that failed or was rejected.
 constexpr Duration kRetryPause{200};
+// Age from which a start is not sent any more: the owner may have been paused, or the worker does
+// not respond, and the task is better placed anew. A quarter of the lease that the start carries.
+constexpr Duration kMaxStartAge{1'000};
 // Approximate size of the heads of a request and its response.
 constexpr std::size_t kHeadBytes = 350;
 
@@ -80,7 +83,13 @@
 
 void WorkerLink::Send(Order order) {
   const bool start = queue_.With([&](Queue& queue) {
-    queue.waiting.push_back(std::move(order));
+    QueuedOrder queued{.order = std::move(order), .queued_at = Now()};
+    // A worker refuses the start of a run that was stopped before, so a stop may overtake it.
+    if (std::holds_alternative<StopOrder>(queued.order)) {
+      queue.waiting.push_front(std::move(queued));
+    } else {
+      queue.waiting.push_back(std::move(queued));
+    }
     if (queue.senders >= kMaxSenders) return false;
     ++queue.senders;
     return true;
@@ -90,22 +99,27 @@
 
 Task<> WorkerLink::RunSender(std::shared_ptr<WorkerLink> self) {
   while (true) {
-    auto next = self->queue_.With([](Queue& queue) -> std::optional<Order> {
+    auto next = self->queue_.With([](Queue& queue) -> std::optional<QueuedOrder> {
       if (queue.waiting.empty()) {
         --queue.senders;
         return std::nullopt;
       }
-      Order order = std::move(queue.waiting.front());
+      QueuedOrder queued = std::move(queue.waiting.front());
       queue.waiting.pop_front();
-      return order;
+      return queued;
     });
     if (!next) co_return;
     co_await self->SendOne(*std::move(next));
   }
 }
 
-Task<> WorkerLink::SendOne(Order order) {
+Task<> WorkerLink::SendOne(QueuedOrder queued) {
+  const Order& order = queued.order;
   if (const auto* start = std::get_if<StartOrder>(&order)) {
+    if (Now() - queued.queued_at >= kMaxStartAge) {
+      delegate_->OnStartResponse(*start, OrderResponse({.refusal = OrderRefusal::kLeaseExpired}));
+      co_return;
+    }
     HttpCall call = protocol_.encode_start(*start);
     auto response = co_await SendOrder(std::move(call));
     delegate_->OnStartResponse(*start, response);
--- a/src/task_worker/internal/worker_link.h
+++ b/src/task_worker/internal/worker_link.h
@@ -44,19 +44,24 @@
   // Sends renewals until the delegate has no registration for the worker.
   Task<> Run();
   // Queues an order. It is sent at once unless the maximum number of orders is in
-  // flight.
+  // flight; stops go before other orders. A start that has waited for kMaxStartAge is not sent any
+  // more: the delegate learns that it is refused (kLeaseExpired).
   void Send(Order order);
 
  private:
+  struct QueuedOrder {
+    Order order;
+    Time queued_at{};
+  };
   struct Queue {
-    std::deque<Order> waiting;
+    std::deque<QueuedOrder> waiting;
     int senders = 0;  // Running RunSender coroutines.
   };
 
   // Sends queued orders one after the other until the queue is empty.
   static Task<> RunSender(std::shared_ptr<WorkerLink> self);
-  // Sends `order` and passes the response to the delegate.
-  Task<> SendOne(Order order);
+  // Sends `queued` and passes the response to the delegate.
+  Task<> SendOne(QueuedOrder queued);
   // Sends an order, which is charged to the budget.
   Task<std::optional<OrderResponse>> SendOrder(HttpCall call);
   // Returns nullopt if there was no response or it cannot be decoded. Adds the size of the
--- /dev/null
+++ b/src/task_worker/tests/worker_link_test.cc
@@ -0,0 +1,101 @@
+// Orders of a WorkerLink to a worker that does not respond in time.
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <set>
+#include <thread>
+
+#include "platform/platform.h"
+#include "task_worker/task_worker.h"
+#include "tests/support/runner.h"
+
+namespace dn {
+namespace {
+
+// Registers one worker and counts the responses to its starts.
+class Delegate final : public WorkerLinkDelegate {
+ public:
+  explicit Delegate(Endpoint address) : address_(std::move(address)) {}
+
+  std::optional<WorkerEntry> EntryOf(const WorkerId& worker) override {
+    return WorkerEntry({.id = worker, .service = "s", .address = address_});
+  }
+  Renewal NextRenewal(const WorkerId& worker) override { return Renewal({.worker = worker}); }
+  void OnRenewalResponse(const WorkerId& /*worker*/, const OrderResponse& /*response*/,
+                         Time /*sent*/) override {}
+  void OnStartResponse(const StartOrder& /*order*/,
+                       const std::optional<OrderResponse>& response) override {
+    if (!response) {
+      ++unanswered;
+    } else if ((*response)->refusal == OrderRefusal::kLeaseExpired) {
+      ++expired;
+    } else {
+      ++answered;
+    }
+  }
+  void OnStopResponse(const StopOrder& /*order*/,
+                      const std::optional<OrderResponse>& /*response*/) override {
+    ++stops;
+  }
+  void OnThrottleResponse(const ThrottleOrder& /*order*/,
+                          const std::optional<OrderResponse>& /*response*/) override {}
+  void OnFenced(const WorkerId& /*worker*/) override {}
+
+  std::atomic<int> unanswered{0};
+  std::atomic<int> expired{0};
+  std::atomic<int> answered{0};
+  std::atomic<int> stops{0};
+
+ private:
+  const Endpoint address_;
+};
+
+// Guards against starts that leave seconds after they were decided, when the permission for them
+// may have run out. Stops are sent however old they are.
+TEST_CASE("a start that has waited for too long is not sent", "[task_worker]") {
+  struct Case {
+    std::string name;
+    Duration response_time;
+    int starts;
+    bool all_sent;
+  };
+  const auto c =
+      GENERATE(values<Case>({{"the worker responds", Duration(1), 40, true},
+                             {"the worker is slow", Duration(50), 40, true},
+                             {"the worker does not respond", Duration(4'000), 40, false}}));
+  CAPTURE(c.name);
+  testing::Runner runner;
+  std::atomic<int> received{0};
+  auto server = HttpServer::Start(runner.pool(), {.host = "127.0.0.1", .port = 0},
+                                  [&](HttpCall call) -> Task<HttpReply> {
+                                    if (call.path == "/api/run-start") ++received;
+                                    co_await SleepFor(c.response_time);
+                                    co_return HttpReply{.body = R"({"ClockMs":1})"};
+                                  });
+  REQUIRE(server);
+  HttpClient http;
+  DecisionLog log("n");
+  SharedExchangeBudget budget{ExchangeCapacity()};
+  const auto delegate = std::make_shared<Delegate>(server.value()->address());
+  const auto link = std::make_shared<WorkerLink>(
+      WorkerId{"w"}, delegate, platform::MakeWorkerProtocol(), http, budget, runner.pool(), log);
+  for (int i = 0; i < c.starts; ++i) {
+    link->Send(StartOrder({.worker = {"w"}, .task = {.job = static_cast<JobId>(i)}, .run = 1}));
+  }
+  link->Send(StopOrder({.worker = {"w"}, .task = {.job = 1}, .run = 1}));
+  const Time end = Now() + Duration(6'000);
+  const auto accounted_for = [&] {
+    return delegate->answered + delegate->unanswered + delegate->expired;
+  };
+  while ((delegate->stops == 0 || accounted_for() < c.starts) && Now() < end) {
+    std::this_thread::sleep_for(Duration(10));
+  }
+  CHECK(delegate->stops == 1);
+  CHECK(accounted_for() == c.starts);
+  CHECK((received == c.starts) == c.all_sent);
+  CHECK((delegate->answered == c.starts) == c.all_sent);
+  // Four connections carry one order in their time limit of 1 s, which is also the limit of age.
+  if (!c.all_sent) CHECK(received <= 8);
+}
+
+}  // namespace
+}  // namespace dn
