--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 
+#include "node/internal/loop_pace.h"
 #include "node/internal/node_adapter.h"
 #include "node/internal/shards.h"
 
