--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -7,12 +7,8 @@
 // Maximum time between two plans: throttling and the treatment of waiting tasks
 // depend on time.
 constexpr Duration kMaxPlanInterval{50};
-// Plans cover many events at once and take a tenth of the time at most: exchanges with workers,
-// records and callers need the rest.
-const LoopPace kPlanPace({.share = 0.1, .min_pause = Duration(8), .max_pause = kMaxPlanInterval});
-// The records of a job are encoded whole, so that fewer batches cost less. A start waits for its
-// record.
-const LoopPace kRecordPace({.share = 0.2, .min_pause = Duration(0), .max_pause = Duration(25)});
+// Minimum pause between two plans, so that one plan covers many events.
+constexpr Duration kMinPlanPause{8};
 // Pause between attempts of a take-over step.
 constexpr Duration kRetryPause{100};
 // Pause between reads of worker registrations, which are renewed every 1.5 s; one
@@ -307,7 +303,6 @@
   Time run_gaps_checked = Now();
   while (active_) {
     const std::uint64_t ticket = changed_.Ticket();
-    const auto began = BootClock::now();
     const Time now = Now();
     const std::int64_t wall = WallMs();
     auto [orders, decisions] = table_.With([&](Table& table) {
@@ -326,7 +321,7 @@
     }
     if (!orders.empty()) SendOrders(orders);
     recorded_.NotifyAll();
-    co_await SleepFor(PauseAfter(kPlanPace, BootClock::now() - began, Duration(0)));
+    co_await SleepFor(kMinPlanPause);
     co_await changed_.Wait(ticket, now + kMaxPlanInterval);
   }
   // The gauges tell about owned shards only.
@@ -338,8 +333,6 @@
   Time interference_recorded = Now();
   while (active_) {
     const std::uint64_t ticket = recorded_.Ticket();
-    const auto began = BootClock::now();
-    BootClock::duration waited{0};
     const RecordBatch batch = table_.With([](Table& table) { return table.shard.TakeBatch(); });
     if (batch.empty()) {
       co_await recorded_.Wait(ticket, Now() + kMaxPlanInterval);
@@ -368,9 +361,7 @@
     // Jobs are deleted before their progress: progress without a job is ignored,
     // whereas a job without progress would run again.
     if (!deletions.empty()) {
-      const auto sent = BootClock::now();
       auto cleaned = co_await job_cleaner_->Append(deletions, NoLimits());
-      waited += BootClock::now() - sent;
       if (cleaned) records.insert(records.end(), deletions.begin(), deletions.end());
       for (const JobId id : batch.expired_crashes) {
         records.emplace_back(StoreRecordFields{.key = CrashesKey(id), .value = std::nullopt});
@@ -378,9 +369,7 @@
     }
     if (!records.empty()) {
       const Time started = Now();
-      const auto sent = BootClock::now();
       auto stored = co_await progress_->Append(std::move(records), NoLimits());
-      waited += BootClock::now() - sent;
       if (!active_) co_return;
       if (!stored) {
         Drop("fenced");
@@ -396,8 +385,6 @@
     });
     SendOrders(orders);
     recorded_.NotifyAll();
-    const Duration pause = PauseAfter(kRecordPace, BootClock::now() - began - waited, waited);
-    if (pause > Duration(0)) co_await SleepFor(pause);
   }
 }
 
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -4,7 +4,6 @@
 
 #include <atomic>
 
-#include "node/internal/loop_pace.h"
 #include "node/internal/node_adapter.h"
 #include "node/internal/shards.h"
 
