--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -277,6 +277,14 @@
   }
 }
 
+ExchangeWaits ShardOwner::ShowExchangeWaits() {
+  const ExchangeWaits waits =
+      context_.exchanges.With([](ExchangeBudget& budget) { return budget.WaitsAt(Now()); });
+  context_.metrics.Set(Gauge::kProcessorWaitMs, waits.processor.count());
+  context_.metrics.Set(Gauge::kLinkWaitMs, waits.link.count());
+  return waits;
+}
+
 void ShardOwner::SendOrders(const Orders& orders) {
   const auto link_of = [&](const WorkerId& worker) {
     return table_.With([&](Table& table) -> std::shared_ptr<WorkerLink> {
@@ -303,6 +311,7 @@
   Time run_gaps_checked = Now();
   while (active_) {
     const std::uint64_t ticket = changed_.Ticket();
+    const auto began = BootClock::now();
     const Time now = Now();
     const std::int64_t wall = WallMs();
     auto [orders, decisions] = table_.With([&](Table& table) {
@@ -313,7 +322,11 @@
     if (now - load_logged >= kLoadPeriod) {
       load_logged = now;
       const ShardLoad load = table_.With([&](Table& table) { return table.shard.Load(now); });
-      context_.log.Write("load", std::to_string(shard_), ToText(load));
+      const ExchangeWaits waits = ShowExchangeWaits();
+      context_.log.Write("load", std::to_string(shard_),
+                         ToText(load) +
+                             " processor_wait_ms=" + std::to_string(waits.processor.count()) +
+                             " link_wait_ms=" + std::to_string(waits.link.count()));
     }
     if (now - run_gaps_checked >= kRunGapPeriod) {
       run_gaps_checked = now;
@@ -321,11 +334,15 @@
     }
     if (!orders.empty()) SendOrders(orders);
     recorded_.NotifyAll();
+    context_.metrics.RecordLatency(Latency::kPlan,
+                                   std::chrono::ceil<Duration>(BootClock::now() - began));
     co_await SleepFor(kMinPlanPause);
     co_await changed_.Wait(ticket, now + kMaxPlanInterval);
   }
   // The gauges tell about owned shards only.
   ShowRunGaps(RunGaps());
+  context_.metrics.Set(Gauge::kProcessorWaitMs, 0);
+  context_.metrics.Set(Gauge::kLinkWaitMs, 0);
 }
 
 Task<> ShardOwner::RecordLoop() {
--- a/src/runtime/internal/metrics.h
+++ b/src/runtime/internal/metrics.h
@@ -58,15 +58,17 @@
   kRecord,      // Append by the owner of a shard, until it is durable.
   kTakeOver,    // Take-over of a shard, until the shard is open.
   kFirstStart,  // From a job's arrival at its owner to its first confirmed run.
+  kPlan,        // Plan of the owner of a shard, with its log lines and the queueing of its orders.
 };
 template <>
 struct EnumNames<Latency> {
-  static constexpr std::array<EnumName<Latency>, 5> kNames = {
+  static constexpr std::array<EnumName<Latency>, 6> kNames = {
       {{Latency::kCallerCall, "caller_call"},
        {Latency::kOwnerCall, "owner_call"},
        {Latency::kRecord, "record"},
        {Latency::kTakeOver, "take_over"},
-       {Latency::kFirstStart, "first_start"}}};
+       {Latency::kFirstStart, "first_start"},
+       {Latency::kPlan, "plan"}}};
 };
 
 // Current values.
@@ -74,13 +76,17 @@
   kTasksWithoutRunWaiting,  // Tasks that are due, have had no live run for seconds, and wait.
   kTasksWithoutRunPlaced,   // The same, for tasks that are placed on a worker.
   kLongestWithoutRunMs,     // Longest time without a live run among these tasks, in ms.
+  kProcessorWaitMs,         // How long a look at a worker waits for the processor share, in ms.
+  kLinkWaitMs,              // How long a look at a worker waits for the link, in ms.
 };
 template <>
 struct EnumNames<Gauge> {
-  static constexpr std::array<EnumName<Gauge>, 3> kNames = {
+  static constexpr std::array<EnumName<Gauge>, 5> kNames = {
       {{Gauge::kTasksWithoutRunWaiting, "tasks_without_run_waiting"},
        {Gauge::kTasksWithoutRunPlaced, "tasks_without_run_placed"},
-       {Gauge::kLongestWithoutRunMs, "longest_without_run_ms"}}};
+       {Gauge::kLongestWithoutRunMs, "longest_without_run_ms"},
+       {Gauge::kProcessorWaitMs, "processor_wait_ms"},
+       {Gauge::kLinkWaitMs, "link_wait_ms"}}};
 };
 
 class Metrics {
--- a/src/task_worker/internal/exchange_budget.cc
+++ b/src/task_worker/internal/exchange_budget.cc
@@ -38,13 +38,17 @@
 }
 
 Duration ExchangeBudget::ReserveRenewal(Time now, std::size_t bytes) {
-  double free_at_ms = 0;
-  for (const Resource& resource : resources_) {
-    free_at_ms = std::max(free_at_ms, resource.free_at_ms);
-  }
+  const ExchangeWaits waits = WaitsAt(now);
   Charge(now, bytes);
-  const Duration pause(static_cast<std::int64_t>(free_at_ms - MillisecondsOf(now)));
-  return std::clamp(pause, kMinRenewalPause, kMaxRenewalPause);
+  return std::clamp(std::max(waits.processor, waits.link), kMinRenewalPause, kMaxRenewalPause);
+}
+
+ExchangeWaits ExchangeBudget::WaitsAt(Time now) const {
+  const auto wait = [&](const Resource& resource) {
+    const double wait_ms = resource.free_at_ms - MillisecondsOf(now);
+    return std::max(Duration(0), Duration(static_cast<std::int64_t>(wait_ms)));
+  };
+  return {.processor = wait(resources_[0]), .link = wait(resources_[1])};
 }
 
 }  // namespace dn
--- a/src/task_worker/internal/exchange_budget.h
+++ b/src/task_worker/internal/exchange_budget.h
@@ -22,6 +22,14 @@
 };
 using ExchangeCapacity = Immutable<ExchangeCapacityFields>;
 
+// How long a renewal would wait for each resource. kMaxRenewalPause: the resource is saturated.
+struct ExchangeWaits {
+  Duration processor{0};
+  Duration link{0};
+
+  friend auto operator<=>(const ExchangeWaits&, const ExchangeWaits&) = default;
+};
+
 class ExchangeBudget {
  public:
   explicit ExchangeBudget(const ExchangeCapacity& capacity);
@@ -31,6 +39,7 @@
   // Charges a renewal of about `bytes` and returns the pause before it is sent, between
   // kMinRenewalPause and kMaxRenewalPause.
   Duration ReserveRenewal(Time now, std::size_t bytes);
+  ExchangeWaits WaitsAt(Time now) const;
 
  private:
   // A resource that carries one exchange after the other.
--- a/src/task_worker/tests/exchange_budget_test.cc
+++ b/src/task_worker/tests/exchange_budget_test.cc
@@ -118,6 +118,26 @@
   CHECK(played.most_in_10_ms <= 3 * played.renewals_per_second / 100);
 }
 
+// Guards against metrics that name the wrong bottleneck of a saturated owner.
+TEST_CASE("the waits tell which resource is saturated", "[task_worker]") {
+  struct Case {
+    std::string name;
+    ExchangeCapacityFields capacity;
+    std::size_t bytes;
+    ExchangeWaits waits;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"idle", {0.5, 1'000}, 0, {}},
+      {"little processor", {0.01, 1'000}, 10, {kMaxRenewalPause, Duration(0)}},
+      {"narrow link", {8, 0.1}, 4'000, {Duration(3), kMaxRenewalPause}},
+  }));
+  CAPTURE(c.name);
+  ExchangeBudget budget{ExchangeCapacity(c.capacity)};
+  for (int i = 0; i < 100 && c.bytes > 0; ++i) budget.Charge(kStart, c.bytes);
+  CHECK(budget.WaitsAt(kStart) == c.waits);
+  CHECK(budget.WaitsAt(kStart + kMaxRenewalPause) == ExchangeWaits());
+}
+
 // Guards against long pauses that outlast the load that caused them.
 TEST_CASE("renewals hardly wait soon after a burst of orders", "[task_worker][load]") {
   ExchangeBudget budget{ExchangeCapacity(kSmallFleet.capacity)};
