--- a/src/node/internal/node_module.cc
+++ b/src/node/internal/node_module.cc
@@ -23,6 +23,9 @@
 constexpr Duration kDrainNoticePeriod{2'600};
 // Part of the grace period that is reserved for the exit of the process.
 constexpr Duration kExitMargin{1'000};
+// Part of the time of a drain that is reserved for sending the last responses and closing their
+// connections.
+constexpr Duration kLastAnswerMargin{300};
 // Pause between checks for requests in flight during a drain.
 constexpr Duration kDrainPollPause{50};
 
@@ -35,6 +38,8 @@
         adapter_(adapter),
         pool_(settings->cores),
         log_(settings->id),
+        exchanges_(ExchangeCapacity(
+            {.processor_share = settings->processor_share, .link_mbps = settings->link_mbps})),
         store_(settings->store, adapter.store, http_),
         local_(store_, settings->id),
         membership_(
@@ -66,6 +71,7 @@
     });
     if (!front || !ready || !instances) return 1;
     servers_ = {front.get(), ready.get(), instances.get()};
+    front_ = front.get();
     log_.Write("start", settings_->id, "zone=" + settings_->zone + " version=" + kVersion);
     pool_.Spawn(FollowConfiguration());
     pool_.Spawn(membership_.Run());
@@ -133,6 +139,7 @@
     auto owner = std::make_shared<ShardOwner>(
         ShardOwner::Context{.pool = pool_,
                             .http = http_,
+                            .exchanges = exchanges_,
                             .store = store_,
                             .adapter = adapter_,
                             .log = log_,
@@ -220,11 +227,14 @@
     const Time end = Now() + settings_->stop_grace - kExitMargin;
     log_.Write("drain", settings_->id, "in_flight=" + std::to_string(in_flight_.load()));
     local_.StartDrain();
+    request_handler_.AnswerBy(end - kLastAnswerMargin);
     for (HttpServer* server : servers_) server->DisableKeepAlive();
     co_await membership_.Leave();
     const Time notice_end = std::min(end, Now() + kDrainNoticePeriod);
-    while (Now() < notice_end || (in_flight_ > 0 && Now() < end))
-      co_await SleepFor(kDrainPollPause);
+    while (Now() < notice_end) co_await SleepFor(kDrainPollPause);
+    // A request may still be on its way on a connection that is open.
+    front_->Close();
+    while ((in_flight_ > 0 || !front_->closed()) && Now() < end) co_await SleepFor(kDrainPollPause);
   }
 
   const NodeSettings settings_;  // Settings at the start of the process.
@@ -235,6 +245,7 @@
   DecisionLog log_;
   Metrics metrics_;
   HttpClient http_{&metrics_};
+  SharedExchangeBudget exchanges_;
   StoreClient store_;
   LocalService local_;
   ShardMembership membership_;
@@ -243,6 +254,7 @@
   InstanceServer instance_server_;
   KeyedFollower configuration_;
   std::vector<HttpServer*> servers_;
+  HttpServer* front_ = nullptr;    // That of `servers_` for callers; set by Run().
   std::atomic<int> in_flight_{0};  // Requests of callers.
 };
 
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -15,6 +15,7 @@
   struct Context {
     WorkerPool& pool;
     HttpClient& http;
+    SharedExchangeBudget& exchanges;  // With workers; all shards of this node share it.
     StoreClient& store;
     const NodeAdapter& adapter;
     DecisionLog& log;
@@ -91,6 +92,8 @@
   void HandleWorkers(const std::vector<StoreRecord>& records, bool complete);
   // Writes the tasks without a live run to the log and the metrics.
   void ShowRunGaps(const RunGaps& gaps);
+  // Shows in the metrics how long looks at workers wait, and returns it.
+  ExchangeWaits ShowExchangeWaits();
   void LogDecisions(const std::vector<Decision>& decisions);
 
   Context context_;
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -19,6 +19,7 @@
 #include "scheduling/internal/shard_load.h"
 #include "scheduling/internal/start_counts.h"
 #include "scheduling/internal/urgency.h"
+#include "scheduling/internal/worker_ranking.h"
 #include "scheduling/internal/worker_table.h"
 
 namespace dn {
@@ -179,6 +180,9 @@
   void WithdrawStart(JobRow& job, std::size_t position, Time now);
   void CountFailure(WorkerRow& worker, JobRow& job, std::size_t position, Time now);
   void FinishIfDone(JobRow& job, Time now);
+  // Notes that the runs in the first report of an incarnation began in that incarnation: their
+  // starts reached the worker after it had restarted.
+  void MarkRunsOfIncarnation(const WorkerRow& worker, const RunReport& report);
   // Handles the first report of the incarnation that started at `start_time_ms`.
   void HandleRestart(WorkerRow& worker, std::int64_t start_time_ms, Time now);
   // Counts a crash of `worker` for the tasks whose runs may have been there.
@@ -200,6 +204,8 @@
   // Orders the stop of the task's run. The order is repeated until a report shows its effect.
   void Stop(JobRow& job, std::size_t position);
   void StopAll(JobRow& job);
+  // Rebuilds `open_jobs_` and finds the jobs past their retention period.
+  void CollectOpenJobs(Time now);
   std::vector<Waiting> CollectWaiting(Time now, std::int64_t wall_ms);
   void PlaceStep(const Waiting& waiting, SearchMemo& memo, Time now);
   bool PlaceGang(const Waiting& waiting, Time now);
@@ -210,6 +216,16 @@
   void PlaceReduced(const std::vector<Waiting>& waiting, Time now);
   bool PlaceOneReduced(const Waiting& waiting, Time now);
   WorkerRow* BestWorker(const JobRow& job, std::size_t position, Time now);
+  // Returns the workers that accept the task. The ranking holds for the other tasks of its step,
+  // too, unless they are suspects or have to run on the rack of the first.
+  WorkerRanking RankWorkers(const JobRow& job, std::size_t position, Time now);
+  // Returns the cost of placing the task on `worker`; nothing if it may not run there. `rack`:
+  // where the task should run; empty: anywhere.
+  std::optional<double> CostOn(const WorkerRow& worker, const JobRow& job, std::size_t position,
+                               const std::string& rack, Time now);
+  // Returns the rack of the task's data, or that of the other tasks of a step that is to run on one
+  // rack; empty if there is neither.
+  std::string PreferredRack(const JobRow& job, std::size_t position);
   void Place(JobRow& job, std::size_t position, WorkerRow& worker, Time now);
   void ReleaseLostWorkers(Time now);
   void ReleaseSilentWorkers(Time now);
@@ -221,6 +237,9 @@
   void MoveStalled(Time now);
   void ControlThrottling(Time now);
   std::vector<ThrottleOrder> DueThrottles(Time now);
+  // Returns whether the speed of an inherited run on `worker` may be ordered now. At most one such
+  // order is in flight to a worker, so that a start waits for one round trip at most.
+  bool MayOrderInheritedSpeed(const WorkerId& worker) const;
   // Returns whether a throttled task should run on another worker that accepts it.
   static bool WorthMoving(const JobRow& job, std::size_t position);
   void MoveIfSlow(JobRow& job, std::size_t position, Time now);
@@ -232,10 +251,13 @@
   const Policy policy_;
   const FencingToken token_;
   JobTable jobs_;
+  // Contains all jobs that have not ended; may contain others, until the next sweep.
+  std::vector<JobRow*> open_jobs_;
   WorkerTable workers_;
   Interference interference_;
   std::set<TaskRef> stopping_;    // Contains all tasks with `stopping` set; may contain others.
   std::set<TaskRef> throttling_;  // Contains all tasks whose speed is not settled; others too.
+  std::map<WorkerId, TaskKey> inherited_speed_orders_;  // In flight: speeds of inherited runs.
   // Contains the counted tasks of all suspects (see CountedTask()); may contain others.
   std::set<TaskRef> suspects_;
   std::map<WorkerId, TaskRef> held_;  // In this plan: workers held for suspects, by counted task.
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -955,6 +955,122 @@
   }
 }
 
+// Guards against a take-over at which the speeds of all inherited runs are ordered at once, so that
+// the starts that waited for it wait on, and against runs that stay slow.
+TEST_CASE("the speeds of inherited runs are ordered beside the starts",
+          "[scheduling][shard][load]") {
+  constexpr int kWorkers = 350;
+  constexpr int kRuns = 1'500;
+  constexpr JobId kFirstWaiting = 100'000;
+  constexpr JobId kWaiting = 200;
+  constexpr Duration kRoundTrip{40};
+  // Responses to the first order of each worker; the others are accepted.
+  struct Case {
+    std::string name;
+    OrderRefusal first;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"all accept", OrderRefusal::kNone},
+      {"all unhealthy at first", OrderRefusal::kUnhealthy},
+      {"runs have ended", OrderRefusal::kObsolete},
+  }));
+  CAPTURE(c.name);
+  ShardHarness harness;
+  StepFields step = kTask;
+  step.best_effort = true;
+  step.image = "f";
+  step.demand.millicores = 1'000;
+  const auto worker_of = [](int run) { return WorkerId{"w" + std::to_string(run % kWorkers)}; };
+  std::map<WorkerId, std::vector<ReportedRun>> running;
+  for (int i = 0; i < kRuns; ++i) {
+    const JobId job = static_cast<JobId>(i) + 1;
+    harness.Submit(step, job);
+    harness.shard.Restore(
+        JobProgress({.id = job,
+                     .tasks = {TaskProgress(
+                         {.phase = TaskPhase::kPlaced, .run = 1, .worker = worker_of(i).value})}}),
+        harness.now);
+    running[worker_of(i)].push_back(ReportedRun({.task = {.job = job}, .run = 1}));
+  }
+  for (JobId job = 0; job < kWaiting; ++job) harness.Submit(kTask, kFirstWaiting + job);
+  for (int i = 0; i < kWorkers; ++i) {
+    harness.shard.WorkerListed(
+        WorkerEntry({.id = worker_of(i),
+                     .service = "s",
+                     .address = {"127.0.0.1", 1},
+                     .start_time_ms = 1,
+                     .capacity = {.millicores = 64'000, .memory_mb = 250'000}}),
+        harness.now);
+    harness.shard.Reported(
+        worker_of(i),
+        OrderResponse({.report = RunReport(
+                           {.clock = 1, .start_time_ms = 1, .running = running[worker_of(i)]})}),
+        harness.now, harness.now);
+  }
+  const Time opened = harness.now;
+  std::multimap<Time, std::pair<ThrottleOrder, OrderRefusal>> responses;
+  std::map<WorkerId, int> in_flight;
+  std::set<WorkerId> answered;
+  std::set<JobId> at_speed;
+  std::size_t started = harness.PlanAndRecord().size();
+  CHECK(started == kWaiting);
+  while (harness.now < opened + Duration(2'000) && at_speed.size() < kRuns) {
+    for (const ThrottleOrder& order : harness.orders.throttles) {
+      CHECK(order->percent == 100);
+      CHECK(++in_flight[order->worker] == 1);
+      const bool first = answered.insert(order->worker).second;
+      responses.emplace(harness.now + kRoundTrip,
+                        std::make_pair(order, first ? c.first : OrderRefusal::kNone));
+    }
+    while (!responses.empty() && responses.begin()->first <= harness.now) {
+      const auto [order, refusal] = responses.begin()->second;
+      responses.erase(responses.begin());
+      --in_flight[order->worker];
+      if (refusal != OrderRefusal::kUnhealthy) at_speed.insert(order->task.job);
+      harness.shard.ThrottleAnswered(order, OrderResponse({.refusal = refusal}), harness.now);
+    }
+    harness.PlanAndRecord();
+  }
+  CHECK(at_speed.size() == kRuns);
+}
+
+// Guards against an inherited run that ends while the order of its speed waits: the order is
+// dropped, and the other runs of its worker get theirs.
+TEST_CASE("the speed of an inherited run that has ended is not ordered", "[scheduling][shard]") {
+  ShardHarness harness;
+  StepFields step = kTask;
+  step.best_effort = true;
+  step.image = "f";
+  std::vector<StartOrder> runs;
+  for (JobId job = 1; job <= 3; ++job) {
+    harness.Submit(step, job);
+    harness.shard.Restore(
+        JobProgress({.id = job,
+                     .tasks = {TaskProgress(
+                         {.phase = TaskPhase::kPlaced, .run = 1, .worker = kWorker.value})}}),
+        harness.now);
+    runs.push_back(StartOrder({.worker = kWorker, .task = {.job = job}, .run = 1}));
+  }
+  harness.shard.WorkerListed(
+      WorkerEntry({.id = kWorker, .service = "s", .address = {"127.0.0.1", 1}}), harness.now);
+  std::vector<ReportedRun> running;
+  for (const StartOrder& run : runs) running.push_back(ShardHarness::Running(run));
+  harness.Report(kWorker, running, {});
+  harness.PlanAndRecord();
+  REQUIRE(harness.orders.throttles.size() == 1);
+  const ThrottleOrder first = harness.orders.throttles[0];
+  REQUIRE(first->task.job == 1);
+  harness.Report(kWorker, {running[0], running[2]}, {ShardHarness::End(runs[1], EndKind::kDone)});
+  harness.PlanAndRecord();
+  CHECK(harness.orders.throttles.empty());  // One order at a time.
+  // The run whose order is in flight ends as well.
+  harness.Report(kWorker, {running[2]}, {ShardHarness::End(runs[0], EndKind::kDone, 2)});
+  harness.shard.ThrottleAnswered(first, std::nullopt, harness.now);
+  harness.PlanAndRecord();
+  REQUIRE(harness.orders.throttles.size() == 1);
+  CHECK(harness.orders.throttles[0]->task.job == 3);
+}
+
 // Guards against tasks that wait for a worker that is down or does not respond to orders.
 TEST_CASE("a worker that does not respond to starts gets no others", "[scheduling][shard][load]") {
   struct Case {
@@ -1015,6 +1131,54 @@
   CHECK(harness.shard.workers_evaluated() - before <= kWorkers);
 }
 
+// Guards against plans whose cost grows with the tasks of a step times workers: the tasks of a step
+// are alike.
+TEST_CASE("all tasks of a step are placed in one search", "[scheduling][shard][load]") {
+  struct Case {
+    std::string name;
+    int max_per_worker;
+    bool best_effort;
+    std::string data_rack;
+  };
+  const auto c = GENERATE(values<Case>({{"batch", 0, false, ""},
+                                        {"at most one on a worker", 1, false, ""},
+                                        {"best-effort", 0, true, ""},
+                                        {"data on a rack", 0, false, "r3"}}));
+  CAPTURE(c.name);
+  constexpr int kWorkers = 100;
+  constexpr int kTasks = 39;
+  ShardHarness harness;
+  for (int i = 0; i < kWorkers; ++i) {
+    harness.AddWorker(WorkerEntryFields{.id = {"w" + std::to_string(i)},
+                                        .capacity = {.millicores = 16'000, .memory_mb = 64'000},
+                                        .rack = "r" + std::to_string(i / 8)});
+  }
+  StepFields step = kTask;
+  step.count = kTasks;
+  step.max_per_worker = c.max_per_worker;
+  step.best_effort = c.best_effort;
+  step.data_rack = c.data_rack;
+  step.image = "f";
+  harness.Submit(step);
+  const std::int64_t before = harness.shard.workers_evaluated();
+  const std::vector<StartOrder> starts = harness.PlanAndRecord();
+  REQUIRE(starts.size() == kTasks);
+  // One search, and the worker of each placement once more.
+  CHECK(harness.shard.workers_evaluated() - before <= kWorkers + kTasks);
+  std::map<WorkerId, int> on_worker;
+  int on_rack = 0;
+  for (const StartOrder& start : starts) {
+    ++on_worker[start->worker];
+    const int index = std::stoi(start->worker.value.substr(1));
+    if ("r" + std::to_string(index / 8) == c.data_rack) ++on_rack;
+  }
+  for (const auto& [id, count] : on_worker) {
+    CHECK(count <= (c.max_per_worker > 0 ? c.max_per_worker : 4));
+  }
+  // The 8 workers of the rack have room for 32 tasks.
+  if (!c.data_rack.empty()) CHECK(on_rack == 32);
+}
+
 // How a worker that stays listed responds to renewals.
 struct Renewals {
   std::string name;
@@ -1303,6 +1467,49 @@
   CHECK(harness.PlanAndRecord().size() == (sent_before ? 0U : 1U));
 }
 
+// Guards against jobs that are given up for crashes that did not happen: a start may reach a worker
+// only after its restart, and then the first report of the new incarnation shows the run or its
+// end.
+TEST_CASE("a run that began in the new incarnation counts no crash", "[scheduling][shard]") {
+  enum class Shown { kNothing, kRunning, kEnd, kOtherRun };
+  struct Case {
+    std::string name;
+    Shown shown;
+    bool answered;  // The response to the start arrives before the report.
+    bool crash;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"running", Shown::kRunning, false, false},
+      {"running, start answered", Shown::kRunning, true, false},
+      {"ended", Shown::kEnd, false, false},
+      {"ended, start answered", Shown::kEnd, true, false},
+      {"not shown", Shown::kNothing, false, true},
+      {"another run is shown", Shown::kOtherRun, true, true},
+  }));
+  CAPTURE(c.name);
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.Submit(kTask);
+  const StartOrder start = harness.PlanAndRecord().at(0);
+  if (c.answered) harness.Respond(start, OrderRefusal::kNone);
+  const std::map<Shown, std::vector<ReportedRun>> running = {
+      {Shown::kRunning, {ShardHarness::Running(start)}},
+      {Shown::kOtherRun, {ReportedRun({.task = start->task, .run = start->run + 1})}}};
+  const std::map<Shown, std::vector<ReportedEnd>> ended = {
+      {Shown::kEnd, {ShardHarness::End(start, EndKind::kDone)}}};
+  const auto rows = [&](const auto& table) {
+    const auto found = table.find(c.shown);
+    return found == table.end() ? decltype(found->second)() : found->second;
+  };
+  harness.Report(kWorker, rows(running), rows(ended), 2);
+  const std::vector<Decision> decisions = harness.shard.TakeDecisions();
+  CHECK(c.crash == std::any_of(decisions.begin(), decisions.end(), [](const Decision& decision) {
+          return decision->kind == "worker-crashed";
+        }));
+  harness.PlanAndRecord();
+  CHECK((harness.shard.StateOf(kJob) == JobState::kCompleted) == (c.shown == Shown::kEnd));
+}
+
 // Guards against a done task that runs again: a restarted worker took the acknowledgement of its
 // earlier incarnation's ends for that of its own and forgot an end that no report had shown.
 TEST_CASE("ends are not acknowledged to a worker that may have restarted", "[scheduling][shard]") {
