--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -1054,6 +1054,7 @@
   harness.shard.WorkerListed(
       WorkerEntry({.id = kWorker, .service = "s", .address = {"127.0.0.1", 1}}), harness.now);
   std::vector<ReportedRun> running;
+  running.reserve(runs.size());
   for (const StartOrder& run : runs) running.push_back(ShardHarness::Running(run));
   harness.Report(kWorker, running, {});
   harness.PlanAndRecord();
--- a/src/store/tests/record_writer_test.cc
+++ b/src/store/tests/record_writer_test.cc
@@ -88,6 +88,7 @@
   StoreClient store(standin.address(), platform::MakeStoreProtocol(), http);
   const auto writer = std::make_shared<RecordWriter>(store, kJobs, "owner", 7);
   std::vector<StoreRecord> records;
+  records.reserve(static_cast<std::size_t>(c.records));
   for (int i = 0; i < c.records; ++i) {
     records.push_back(
         StoreRecord({.key = "k" + std::to_string(i), .value = std::string(c.bytes, 'v')}));
