Tell which jobs have no run, and what keeps them from a reduced start

Cause: the lines and gauges told of tasks without a run and of the answers to a start at full speed. Whether a whole job has no run, and what each worker answers to the reduced start that is to end its wait, could not be told, so three explanations of a job without a run looked alike. No decision changes. Conclusion: occupied and idle_cores, suspects, and placed tell the three hypotheses apart.

--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -277,6 +277,14 @@
   }
 }
 
+void ShardOwner::ShowIdleJobs(const IdleJobs& idle) {
+  context_.metrics.Set(Gauge::kJobsWithoutRun, idle->count);
+  for (const IdleJob& job : idle->due) {
+    context_.log.Write("job-without-run", FormatJobId(job->job),
+                       ToText(job) + " jobs=" + std::to_string(idle->count));
+  }
+}
+
 ExchangeWaits ShardOwner::ShowExchangeWaits() {
   const ExchangeWaits waits =
       context_.exchanges.With([](ExchangeBudget& budget) { return budget.WaitsAt(Now()); });
@@ -331,6 +339,7 @@
     if (now - run_gaps_checked >= kRunGapPeriod) {
       run_gaps_checked = now;
       ShowRunGaps(table_.With([&](Table& table) { return table.shard.CheckRunGaps(now, wall); }));
+      ShowIdleJobs(table_.With([&](Table& table) { return table.shard.FindIdleJobs(now); }));
     }
     if (!orders.empty()) SendOrders(orders);
     recorded_.NotifyAll();
@@ -341,6 +350,7 @@
   }
   // The gauges tell about owned shards only.
   ShowRunGaps(RunGaps());
+  ShowIdleJobs(IdleJobs());
   context_.metrics.Set(Gauge::kProcessorWaitMs, 0);
   context_.metrics.Set(Gauge::kLinkWaitMs, 0);
 }
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -92,6 +92,8 @@
   void HandleWorkers(const std::vector<StoreRecord>& records, bool complete);
   // Writes the tasks without a live run to the log and the metrics.
   void ShowRunGaps(const RunGaps& gaps);
+  // Writes the jobs without a run to the log and the metrics.
+  void ShowIdleJobs(const IdleJobs& idle);
   // Shows in the metrics how long looks at workers wait, and returns it.
   ExchangeWaits ShowExchangeWaits();
   void LogDecisions(const std::vector<Decision>& decisions);
--- a/src/runtime/internal/metrics.h
+++ b/src/runtime/internal/metrics.h
@@ -76,15 +76,17 @@
   kTasksWithoutRunWaiting,  // Tasks that are due, have had no live run for seconds, and wait.
   kTasksWithoutRunPlaced,   // The same, for tasks that are placed on a worker.
   kLongestWithoutRunMs,     // Longest time without a live run among these tasks, in ms.
+  kJobsWithoutRun,          // Jobs without a run for seconds although a best-effort task is ready.
   kProcessorWaitMs,         // How long a look at a worker waits for the processor share, in ms.
   kLinkWaitMs,              // How long a look at a worker waits for the link, in ms.
 };
 template <>
 struct EnumNames<Gauge> {
-  static constexpr std::array<EnumName<Gauge>, 5> kNames = {
+  static constexpr std::array<EnumName<Gauge>, 6> kNames = {
       {{Gauge::kTasksWithoutRunWaiting, "tasks_without_run_waiting"},
        {Gauge::kTasksWithoutRunPlaced, "tasks_without_run_placed"},
        {Gauge::kLongestWithoutRunMs, "longest_without_run_ms"},
+       {Gauge::kJobsWithoutRun, "jobs_without_run"},
        {Gauge::kProcessorWaitMs, "processor_wait_ms"},
        {Gauge::kLinkWaitMs, "link_wait_ms"}}};
 };
--- a/src/scheduling/internal/reduced_start.cc
+++ b/src/scheduling/internal/reduced_start.cc
@@ -15,17 +15,17 @@
 
 }  // namespace
 
-std::optional<ReducedStart> ReducedStartOn(const WorkerRow& worker, const StepSpec& step,
-                                           ImageId image, const PlacementView& view) {
+ReducedStartOffer ReducedStartOn(const WorkerRow& worker, const StepSpec& step, ImageId image,
+                                 const PlacementView& view) {
   for (const auto& [ref, job] : worker.tasks) {
-    if (job->tasks[ref.position].reduced_start) return std::nullopt;
+    if (job->tasks[ref.position].reduced_start) return ReducedStartRefusal::kOccupied;
   }
   const BestEffortHeadroom& headroom = HeadroomOf(worker, view);
   const double use = static_cast<double>(step->demand.millicores) * view.policy->initial_use;
   const double least_idle =
       kLeastIdleFraction * static_cast<double>(worker.entry->capacity.millicores);
   if (static_cast<double>(headroom.idle_millicores) < std::max(use, least_idle)) {
-    return std::nullopt;
+    return ReducedStartRefusal::kFewIdleCores;
   }
   double speed = kFullSpeed;
   for (const auto& [latency_critical_image, load] : headroom.loads) {
--- a/src/scheduling/internal/reduced_start.h
+++ b/src/scheduling/internal/reduced_start.h
@@ -3,7 +3,7 @@
 // latency-critical tasks on all workers would never start.
 #pragma once
 
-#include <optional>
+#include <variant>
 
 #include "scheduling/internal/placement_policy.h"
 
@@ -17,12 +17,25 @@
   friend auto operator<=>(const ReducedStart&, const ReducedStart&) = default;
 };
 
+// Why a worker that satisfies RefusalOf() accepts no reduced start.
+enum class ReducedStartRefusal {
+  kOccupied,      // It already runs a task that was started so.
+  kFewIdleCores,  // Too few of its cores are idle.
+};
+template <>
+struct EnumNames<ReducedStartRefusal> {
+  static constexpr std::array<EnumName<ReducedStartRefusal>, 2> kNames = {
+      {{ReducedStartRefusal::kOccupied, "occupied"},
+       {ReducedStartRefusal::kFewIdleCores, "idle_cores"}}};
+};
+
+using ReducedStartOffer = std::variant<ReducedStart, ReducedStartRefusal>;
+
 // Returns the speed at which one more task of the best-effort `step`, which runs `image`, can start
 // on `worker`: as fast as the policy's limit on the expected load allows, but at least the least
-// speed. Returns nothing if too few cores are idle, or if the worker already runs a task that was
-// started so. The caller has checked RefusalOf(). Does not accept a task on a worker where it
-// refuses one with a smaller demand.
-std::optional<ReducedStart> ReducedStartOn(const WorkerRow& worker, const StepSpec& step,
-                                           ImageId image, const PlacementView& view);
+// speed. The caller has checked RefusalOf(). Does not accept a task on a worker where it refuses
+// one with a smaller demand.
+ReducedStartOffer ReducedStartOn(const WorkerRow& worker, const StepSpec& step, ImageId image,
+                                 const PlacementView& view);
 
 }  // namespace dn
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "scheduling/internal/crash_blame.h"
+#include "scheduling/internal/idle_jobs.h"
 #include "scheduling/internal/interference.h"
 #include "scheduling/internal/pace_control.h"
 #include "scheduling/internal/placement_policy.h"
@@ -149,6 +150,11 @@
     return run_gaps_.Check(jobs_, workers_,
                            {.interference = interference_, .policy = policy_, .now = now}, wall_ms);
   }
+  // Returns the jobs without a run although a best-effort task is ready. Call it after Plan().
+  IdleJobs FindIdleJobs(Time now) const {
+    return dn::FindIdleJobs(jobs_, workers_,
+                            {.interference = interference_, .policy = policy_, .now = now});
+  }
   std::vector<Decision> TakeDecisions();
   // Number of workers that were evaluated for a task so far: a measure of the cost of planning.
   std::int64_t workers_evaluated() const { return workers_evaluated_; }
--- a/src/scheduling/internal/shard_progress.cc
+++ b/src/scheduling/internal/shard_progress.cc
@@ -86,8 +86,10 @@
   for (auto& [id, worker] : workers_.workers()) {
     ++workers_evaluated_;
     if (RefusalOf(worker, job, position, now) || !MayUse(worker, job, position, now)) continue;
-    const auto start = ReducedStartOn(worker, job.StepOf(position), job.ImageOf(position), view);
-    if (!start) continue;
+    const ReducedStartOffer offer =
+        ReducedStartOn(worker, job.StepOf(position), job.ImageOf(position), view);
+    const auto* const start = std::get_if<ReducedStart>(&offer);
+    if (start == nullptr) continue;
     const bool better = best == nullptr || start->speed_percent > best_start.speed_percent ||
                         (start->speed_percent == best_start.speed_percent &&
                          start->expected_load < best_start.expected_load);
