Show jobs that wait for each other's reduced starts, in virtual time (known red)

What callers see: an accepted best-effort job has nothing running for seconds while most cores are idle. Cause, suspected: one reduced start on a worker, and none for a job with a placed task, also if that task's start has no response. Change: tests only. The fleet of progress_test.cc takes several best-effort jobs and workers that ignore starts; the checks of the earlier cases are the same, by job. They are listed until the fix.

--- a/src/scheduling/tests/progress_test.cc
+++ b/src/scheduling/tests/progress_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <set>
 
 #include "scheduling/scheduling.h"
 
@@ -11,7 +12,7 @@
 
 constexpr int kWorkers = 6;
 constexpr JobId kServingJob = 1;
-constexpr JobId kBestEffortJob = 2;
+constexpr JobId kFirstBestEffortJob = 2;  // Best-effort jobs have ascending identifiers.
 constexpr std::int64_t kTargetMs = 1'000;
 constexpr double kRest = 0.25;  // Tail latency at rest, as a fraction of the target.
 constexpr double kTaskMs = 3'000;
@@ -65,7 +66,8 @@
         now_);
   }
 
-  void SubmitBestEffort(int count) {
+  // Submits `jobs` best-effort jobs of `count` tasks each.
+  void SubmitBestEffort(int count, int jobs = 1) {
     StepFields step;
     step.count = count;
     step.demand = {.millicores = kTaskMillicores, .memory_mb = 13'376};
@@ -73,13 +75,16 @@
     step.checkpointing = true;
     step.image = "fill";
     step.estimate_ms = static_cast<std::int64_t>(kTaskMs);
-    Submit(kBestEffortJob, step);
-    idle_since_ = now_;
+    for (int i = 0; i < jobs; ++i) {
+      const JobId id = kFirstBestEffortJob + static_cast<JobId>(i);
+      Submit(id, step);
+      idle_since_[id] = now_;
+    }
   }
 
   // Measures the time without a run from now on.
   void RestartMeasurement() {
-    idle_since_ = now_;
+    for (auto& [job, since] : idle_since_) since = now_;
     longest_idle_ = Duration(0);
   }
 
@@ -89,9 +94,12 @@
     for (const Time end = now_ + duration; now_ < end;) Step();
   }
 
-  // Whether the best-effort job has been completed.
-  bool done() const { return done_; }
-  // Longest time for which the best-effort job had no run, or none at a speed above 0.
+  // From now on, starts on the worker get no response and have no effect.
+  void IgnoreStarts(int index) { workers_.at({"w" + std::to_string(index)}).ignores_starts = true; }
+
+  // Whether all best-effort jobs have been completed.
+  bool done() const { return done_.size() == idle_since_.size(); }
+  // Longest time for which a best-effort job had no run, or none at a speed above 0.
   Duration longest_idle() const { return longest_idle_; }
   Duration longest_over_target() const { return longest_over_target_; }
 
@@ -108,6 +116,7 @@
     std::vector<ReportedEnd> ends;
     std::int64_t next_end = 1;
     Time over_since = Time::max();
+    bool ignores_starts = false;
   };
 
   void Submit(JobId id, const StepFields& step) {
@@ -121,7 +130,7 @@
   double LoadOf(const Worker& worker) const {
     double cores = 0;
     for (const auto& [task, run] : worker.running) {
-      if (task.job == kBestEffortJob) cores += kTaskMillicores / 1e3 * run.percent / 100;
+      if (task.job != kServingJob) cores += kTaskMillicores / 1e3 * run.percent / 100;
     }
     return std::min(1.3, load_.own + load_.per_core * cores);
   }
@@ -136,7 +145,6 @@
     shard_.Plan(now_, now_.time_since_epoch().count());
     shard_.Recorded(shard_.TakeBatch(), now_);
     Carry(shard_.TakeOrders(now_));
-    done_ = done_ || shard_.StateOf(kBestEffortJob) == JobState::kCompleted;
     MeasureIdle();
   }
 
@@ -148,7 +156,7 @@
     for (auto entry = worker.running.begin(); entry != worker.running.end();) {
       auto& [task, run] = *entry;
       run.done_ms += static_cast<double>(kTick.count()) * run.percent / 100;
-      if (task.job != kBestEffortJob || run.done_ms < kTaskMs) {
+      if (task.job == kServingJob || run.done_ms < kTaskMs) {
         ++entry;
         continue;
       }
@@ -186,6 +194,10 @@
 
   void Carry(const Orders& orders) {
     for (const StartOrder& order : orders.starts) {
+      if (workers_.at(order->worker).ignores_starts) {
+        shard_.StartAnswered(order, std::nullopt, now_);
+        continue;
+      }
       workers_.at(order->worker).running[order->task] = {
           .run = order->run,
           .done_ms = order->checkpoint.empty() ? 0 : std::stod(order->checkpoint)};
@@ -214,14 +226,16 @@
   }
 
   void MeasureIdle() {
-    bool at_work = false;
     for (const auto& [id, worker] : workers_) {
       for (const auto& [task, run] : worker.running) {
-        at_work = at_work || (task.job == kBestEffortJob && run.percent > 0);
+        if (task.job != kServingJob && run.percent > 0) idle_since_[task.job] = now_;
       }
     }
-    if (at_work || done()) idle_since_ = now_;
-    if (idle_since_ != Time()) longest_idle_ = std::max(longest_idle_, now_ - idle_since_);
+    for (auto& [job, since] : idle_since_) {
+      if (shard_.StateOf(job) == JobState::kCompleted) done_.insert(job);
+      if (done_.count(job) > 0) since = now_;
+      longest_idle_ = std::max(longest_idle_, now_ - since);
+    }
   }
 
   FleetLoad load_;
@@ -229,10 +243,10 @@
   Time last_report_{};
   Shard shard_;
   std::map<WorkerId, Worker> workers_;
-  Time idle_since_{};  // Time() before the best-effort job.
+  std::map<JobId, Time> idle_since_;  // By best-effort job.
+  std::set<JobId> done_;              // Jobs that were completed; the shard forgets them later.
   Duration longest_idle_{0};
   Duration longest_over_target_{0};
-  bool done_ = false;
 };
 
 // Guards against a job that waits for ever while most of the room is free, because its tasks are
@@ -260,6 +274,39 @@
   CHECK(fleet.longest_over_target() <= kOverTargetLimit);
 }
 
+// Guards against jobs that wait for each other's reduced starts while most of the cores are idle.
+TEST_CASE("each of many best-effort jobs makes progress while most cores are idle",
+          "[scheduling][progress]") {
+  struct Case {
+    std::string name;
+    FleetLoad load;
+    int jobs;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"as many jobs as workers", {.own = 0.8, .per_core = 0.02}, kWorkers},
+      {"two jobs for each worker", {.own = 0.8, .per_core = 0.02}, 2 * kWorkers},
+      {"three jobs for each worker", {.own = 0.8, .per_core = 0.02}, 3 * kWorkers},
+  }));
+  CAPTURE(c.name);
+  Fleet fleet(c.load);
+  fleet.SubmitBestEffort(2, c.jobs);
+  fleet.Run(Duration(30'000));
+  CHECK(fleet.longest_idle() <= kIdleLimit);
+  CHECK(fleet.longest_over_target() <= kOverTargetLimit);
+}
+
+// Guards against a job that waits for the response to one start although another task of it could
+// run elsewhere.
+TEST_CASE("a start without a response does not keep its job from a reduced start",
+          "[scheduling][progress]") {
+  Fleet fleet({.own = 0.8, .per_core = 0.02});
+  const int ignoring = GENERATE(range(0, kWorkers));
+  fleet.IgnoreStarts(ignoring);
+  fleet.SubmitBestEffort(2, kWorkers);
+  fleet.Run(Duration(15'000));
+  CHECK(fleet.longest_idle() <= kIdleLimit);
+}
+
 // Guards against a task that is throttled to nothing and stays so for ever, because other workers
 // had no room at the moment at which it was throttled.
 TEST_CASE("a task that was throttled to nothing moves once another worker accepts it",
