Give every job a run while most cores are idle

Cause: a job that every worker refuses for the expected load started one task at reduced speed, but only on a worker with half of its cores idle and without another such task. Change: while two fifths of a service's cores are in use by no task at the current speeds, idle cores are the only limit of reduced starts on a worker.

--- a/src/scheduling/internal/idle_jobs.cc
+++ b/src/scheduling/internal/idle_jobs.cc
@@ -36,12 +36,15 @@
   if (first == job.tasks.size()) return IdleJob(std::move(idle));
   const StepSpec& step = job.StepOf(first);
   idle.image = step->image;
+  const double unused = UnusedFraction(workers, job.accepted->queue->service, view);
+  const ReducedStartLimits limits = ReducedStartLimitsFor(unused);
+  idle.unused_percent = static_cast<std::int64_t>(unused * 100);
   for (const auto& [id, worker] : workers.workers()) {
     if (RefusalOf(worker, job, first, view.now)) {
       ++idle.unusable;
       continue;
     }
-    const ReducedStartOffer offer = ReducedStartOn(worker, step, job.ImageOf(first), view);
+    const ReducedStartOffer offer = ReducedStartOn(worker, step, job.ImageOf(first), limits, view);
     if (const auto* const refusal = std::get_if<ReducedStartRefusal>(&offer)) {
       ++idle.refusing.at(static_cast<std::size_t>(*refusal));
     } else {
@@ -55,7 +58,8 @@
   std::string_view name;
   std::int64_t IdleJobFields::*member;
 };
-constexpr std::array<Figure, 5> kFigures = {{{"ready", &IdleJobFields::ready},
+constexpr std::array<Figure, 6> kFigures = {{{"unused_percent", &IdleJobFields::unused_percent},
+                                             {"ready", &IdleJobFields::ready},
                                              {"suspects", &IdleJobFields::suspects},
                                              {"placed", &IdleJobFields::placed},
                                              {"accepted", &IdleJobFields::accepting},
--- a/src/scheduling/internal/placement_policy.cc
+++ b/src/scheduling/internal/placement_policy.cc
@@ -47,25 +47,36 @@
 };
 
 constexpr double kMillicores = 1'000;
+constexpr double kFullSpeed = 100;  // Percent.
 // Smallest fraction of its cores that a task uses at full speed.
 constexpr double kLeastUse = 0.66;
 
-std::int64_t IdleMillicores(const WorkerRow& worker, const PlacementView& view) {
-  auto idle_millicores =
+// Sets the idle cores of `headroom`.
+void CountIdleCores(const WorkerRow& worker, const PlacementView& view,
+                    BestEffortHeadroom& headroom) {
+  const double left =
       static_cast<double>(worker.entry->capacity.millicores) -
       static_cast<double>(worker.latency_critical_millicores) * view.policy->latency_critical_use;
+  double idle = left;
+  double unused = left;
   for (const auto& [ref, job] : worker.tasks) {
     const StepSpec& step = job->StepOf(ref.position);
     if (step->long_running) continue;
     const TaskRow& task = job->tasks[ref.position];
     const auto demand = static_cast<double>(step->demand.millicores);
-    const bool reported = view.now - task.phase_since >= kReportLag;
-    // Reported use, if reports cover the task already, but at least the use at full speed: a
-    // throttled task needs its cores again once it is sped up.
-    idle_millicores -= reported ? std::max(static_cast<double>(task.observed), demand * kLeastUse)
-                                : demand * view.policy->initial_use;
+    if (view.now - task.phase_since >= kReportLag) {
+      // A throttled task needs its cores again once it is sped up.
+      idle -= std::max(static_cast<double>(task.observed), demand * kLeastUse);
+      unused -= static_cast<double>(task.observed);
+    } else {
+      // Reports do not cover the task yet.
+      const double use = demand * view.policy->initial_use;
+      idle -= use;
+      unused -= use * task.speed_percent / kFullSpeed;
+    }
   }
-  return static_cast<std::int64_t>(idle_millicores);
+  headroom.idle_millicores = static_cast<std::int64_t>(idle);
+  headroom.unused_millicores = static_cast<std::int64_t>(unused);
 }
 
 }  // namespace
@@ -79,7 +90,8 @@
 namespace {
 
 BestEffortHeadroom ComputeHeadroom(const WorkerRow& worker, const PlacementView& view) {
-  BestEffortHeadroom headroom{.idle_millicores = IdleMillicores(worker, view), .loads = {}};
+  BestEffortHeadroom headroom;
+  CountIdleCores(worker, view, headroom);
   for (const auto& [ref, job] : worker.tasks) {
     const StepSpec& step = job->StepOf(ref.position);
     if (!step->long_running || step->target_latency_ms <= 0) continue;
--- a/src/scheduling/internal/reduced_start.cc
+++ b/src/scheduling/internal/reduced_start.cc
@@ -2,6 +2,7 @@
 #include "scheduling/internal/reduced_start.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace dn {
 namespace {
@@ -9,21 +10,43 @@
 constexpr double kFullSpeed = 100;
 // Percent; the throttling sets a speed below it to 0.
 constexpr double kLeastSpeed = 10;
-// Fraction of a worker's cores that must be idle. As long as less than half of all cores are in
-// use, some worker has half of its own idle; a fleet that is fuller has better use for them.
-constexpr double kLeastIdleFraction = 0.5;
+// Fraction of a service's cores from which on every job gets a run. The platform expects one while
+// half of the cores are idle; the use of latency-critical tasks is an estimate, hence a tenth less.
+constexpr double kLeastUnusedFraction = 0.4;
+// Below that, a worker takes one reduced start while half of its own cores are idle.
+constexpr ReducedStartLimits kFullLimits{.max_per_worker = 1, .least_idle_fraction = 0.5};
+// Above it, idle cores are the only limit.
+constexpr ReducedStartLimits kIdleLimits{.max_per_worker = std::numeric_limits<std::int64_t>::max(),
+                                         .least_idle_fraction = 0};
 
 }  // namespace
 
-ReducedStartOffer ReducedStartOn(const WorkerRow& worker, const StepSpec& step, ImageId image,
-                                 const PlacementView& view) {
-  for (const auto& [ref, job] : worker.tasks) {
-    if (job->tasks[ref.position].reduced_start) return ReducedStartRefusal::kOccupied;
+ReducedStartLimits ReducedStartLimitsFor(double unused_fraction) {
+  return unused_fraction >= kLeastUnusedFraction ? kIdleLimits : kFullLimits;
+}
+
+double UnusedFraction(const WorkerTable& workers, const std::string& service,
+                      const PlacementView& view) {
+  std::int64_t unused = 0;
+  std::int64_t capacity = 0;
+  for (const auto& [id, worker] : workers.workers()) {
+    if (!worker.listed || !worker.confirmed || worker.entry->service != service) continue;
+    unused += HeadroomOf(worker, view).unused_millicores;
+    capacity += worker.entry->capacity.millicores;
   }
+  return capacity == 0 ? 0 : static_cast<double>(unused) / static_cast<double>(capacity);
+}
+
+ReducedStartOffer ReducedStartOn(const WorkerRow& worker, const StepSpec& step, ImageId image,
+                                 const ReducedStartLimits& limits, const PlacementView& view) {
+  const auto started = std::count_if(
+      worker.tasks.begin(), worker.tasks.end(),
+      [](const auto& entry) { return entry.second->tasks[entry.first.position].reduced_start; });
+  if (started >= limits.max_per_worker) return ReducedStartRefusal::kOccupied;
   const BestEffortHeadroom& headroom = HeadroomOf(worker, view);
   const double use = static_cast<double>(step->demand.millicores) * view.policy->initial_use;
   const double least_idle =
-      kLeastIdleFraction * static_cast<double>(worker.entry->capacity.millicores);
+      limits.least_idle_fraction * static_cast<double>(worker.entry->capacity.millicores);
   if (static_cast<double>(headroom.idle_millicores) < std::max(use, least_idle)) {
     return ReducedStartRefusal::kFewIdleCores;
   }
--- a/src/scheduling/internal/reduced_start.h
+++ b/src/scheduling/internal/reduced_start.h
@@ -3,6 +3,7 @@
 // latency-critical tasks on all workers would never start.
 #pragma once
 
+#include <string>
 #include <variant>
 
 #include "scheduling/internal/placement_policy.h"
@@ -17,9 +18,27 @@
   friend auto operator<=>(const ReducedStart&, const ReducedStart&) = default;
 };
 
+// How far reduced starts may fill a worker.
+struct ReducedStartLimits {
+  std::int64_t max_per_worker = 0;  // Tasks that were started so.
+  double least_idle_fraction = 0;   // Of the worker's cores.
+
+  friend auto operator<=>(const ReducedStartLimits&, const ReducedStartLimits&) = default;
+};
+
+// Returns the limits for a service of which `unused_fraction` of the cores is in use by no task.
+// While most of its cores are idle, every job can have a run. A service that is fuller has better
+// use for its cores than jobs that interfere everywhere.
+ReducedStartLimits ReducedStartLimitsFor(double unused_fraction);
+
+// Returns the fraction of the cores of a service that no task uses; 0 if it has no worker that
+// takes tasks.
+double UnusedFraction(const WorkerTable& workers, const std::string& service,
+                      const PlacementView& view);
+
 // Why a worker that satisfies RefusalOf() accepts no reduced start.
 enum class ReducedStartRefusal {
-  kOccupied,      // It already runs a task that was started so.
+  kOccupied,      // It already runs as many tasks that were started so as the limits allow.
   kFewIdleCores,  // Too few of its cores are idle.
 };
 template <>
@@ -36,6 +55,6 @@
 // speed. The caller has checked RefusalOf(). Does not accept a task on a worker where it refuses
 // one with a smaller demand.
 ReducedStartOffer ReducedStartOn(const WorkerRow& worker, const StepSpec& step, ImageId image,
-                                 const PlacementView& view);
+                                 const ReducedStartLimits& limits, const PlacementView& view);
 
 }  // namespace dn
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -217,10 +217,11 @@
   bool PlaceGang(const Waiting& waiting, Time now);
   // Updates the time since when the job has had no run; `ready`: a task of it is ready.
   static void UpdateIdleTime(JobRow& job, bool ready, Time now);
-  // Starts a task at reduced speed for each job that has had no run for too long. At most one such
-  // task runs for a job and on a worker, so that late jobs do not slow down a full fleet.
+  // Starts a task at reduced speed for each job that has had no run for too long. While few cores
+  // of a service are idle, at most one such task runs on a worker, so that late jobs do not slow
+  // down a full fleet.
   void PlaceReduced(const std::vector<Waiting>& waiting, Time now);
-  bool PlaceOneReduced(const Waiting& waiting, Time now);
+  bool PlaceOneReduced(const Waiting& waiting, const ReducedStartLimits& limits, Time now);
   WorkerRow* BestWorker(const JobRow& job, std::size_t position, Time now);
   // Returns the workers that accept the task. The ranking holds for the other tasks of its step,
   // too, unless they are suspects or have to run on the rack of the first.
--- a/src/scheduling/internal/shard_progress.cc
+++ b/src/scheduling/internal/shard_progress.cc
@@ -1,6 +1,7 @@
 // Keeps every job progressing: starts a task at reduced speed for a job whose tasks no worker
 // accepts at full speed, and moves tasks that have been at speed 0 for long.
 #include <algorithm>
+#include <map>
 
 #include "scheduling/internal/reduced_start.h"
 #include "scheduling/internal/shard.h"
@@ -40,13 +41,18 @@
     return *a->job->without_run_since < *b->job->without_run_since;
   });
   SearchMemo memo;
+  const PlacementView view{.interference = interference_, .policy = policy_, .now = now};
+  std::map<std::string, ReducedStartLimits> limits;  // By service.
   for (const Waiting* entry : overdue) {
     JobRow& job = *entry->job;
     const StepSpec& step = job.accepted->spec->steps[entry->step];
     const std::string& service = job.accepted->queue->service;
     const bool placed = job.waiting + job.done < job.tasks.size();
     if (placed || memo.WillFail(service, step, job.images[entry->step])) continue;
-    if (!PlaceOneReduced(*entry, now)) {
+    if (limits.count(service) == 0) {
+      limits[service] = ReducedStartLimitsFor(UnusedFraction(workers_, service, view));
+    }
+    if (!PlaceOneReduced(*entry, limits[service], now)) {
       memo.RecordFailure(service, step, job.images[entry->step]);
     }
   }
@@ -71,7 +77,7 @@
   }
 }
 
-bool Shard::PlaceOneReduced(const Waiting& waiting, Time now) {
+bool Shard::PlaceOneReduced(const Waiting& waiting, const ReducedStartLimits& limits, Time now) {
   JobRow& job = *waiting.job;
   const auto [first, last] = job.RangeOf(waiting.occurrence, waiting.step);
   std::size_t position = first;
@@ -87,7 +93,7 @@
     ++workers_evaluated_;
     if (RefusalOf(worker, job, position, now) || !MayUse(worker, job, position, now)) continue;
     const ReducedStartOffer offer =
-        ReducedStartOn(worker, job.StepOf(position), job.ImageOf(position), view);
+        ReducedStartOn(worker, job.StepOf(position), job.ImageOf(position), limits, view);
     const auto* const start = std::get_if<ReducedStart>(&offer);
     if (start == nullptr) continue;
     const bool better = best == nullptr || start->speed_percent > best_start.speed_percent ||
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -21,7 +21,10 @@
 
 // State of a worker that the placement of best-effort tasks depends on.
 struct BestEffortHeadroom {
-  std::int64_t idle_millicores = 0;  // Idle cores, in millicores; may be negative.
+  // Idle cores once all best-effort tasks run at full speed, in millicores; may be negative.
+  std::int64_t idle_millicores = 0;
+  // Idle cores at the current speeds, in millicores; may be negative.
+  std::int64_t unused_millicores = 0;
   // Expected normalised load by latency-critical image: that of the image's most loaded task, plus
   // the load from best-effort tasks that reports do not cover yet.
   std::vector<std::pair<ImageId, double>> loads;
--- a/src/scheduling/tests/idle_jobs_test.cc
+++ b/src/scheduling/tests/idle_jobs_test.cc
@@ -67,7 +67,8 @@
       {"it has ended", [](Fixture& f) { f.job().phase = JobPhase::kCancelled; }, Duration(5'000),
        ""},
       {"a worker accepts it", [](Fixture&) {}, Duration(3'000),
-       "without_run_ms=3000 image=fill ready=2 suspects=0 placed=0 accepted=1 unusable=0 "
+       "without_run_ms=3000 image=fill unused_percent=100 ready=2 suspects=0 placed=0 accepted=1 "
+       "unusable=0 "
        "occupied=0 idle_cores=0"},
       {"the worker drains",
        [](Fixture& f) {
@@ -76,20 +77,24 @@
          f.workers.Listed(WorkerEntry(entry), kReady);
        },
        Duration(3'000),
-       "without_run_ms=3000 image=fill ready=2 suspects=0 placed=0 accepted=0 unusable=1 "
+       "without_run_ms=3000 image=fill unused_percent=100 ready=2 suspects=0 placed=0 accepted=0 "
+       "unusable=1 "
        "occupied=0 idle_cores=0"},
       {"its tasks are suspects",
        [](Fixture& f) {
          for (TaskRow& task : f.job().tasks) task.suspect = true;
        },
        Duration(3'000),
-       "without_run_ms=3000 image=fill ready=2 suspects=2 placed=0 accepted=1 unusable=0 "
+       "without_run_ms=3000 image=fill unused_percent=100 ready=2 suspects=2 placed=0 accepted=1 "
+       "unusable=0 "
        "occupied=0 idle_cores=0"},
       {"a start has no response", [](Fixture& f) { f.Place(1); }, Duration(4'000),
-       "without_run_ms=4000 image=fill ready=1 suspects=0 placed=1 accepted=1 unusable=0 "
+       "without_run_ms=4000 image=fill unused_percent=100 ready=1 suspects=0 placed=1 accepted=1 "
+       "unusable=0 "
        "occupied=0 idle_cores=0"},
       {"the cores are in use", [](Fixture& f) { f.Place(2).observed = 14'000; }, Duration(4'000),
-       "without_run_ms=4000 image=fill ready=2 suspects=0 placed=0 accepted=0 unusable=0 "
+       "without_run_ms=4000 image=fill unused_percent=12 ready=2 suspects=0 placed=0 accepted=0 "
+       "unusable=0 "
        "occupied=0 idle_cores=1"},
   }));
   CAPTURE(c.name);
