A run that is being stopped, or on a silent worker, is no run of its job

What callers see: a job has nothing running for seconds after the worker of its only run was lost, or while that run is being moved, although other tasks of it could start. Cause: the time without a run began only once the run had been released: 8 s after a worker fell silent, and after a stop had taken effect. Change: only a confirmed run that goes on and was reported or confirmed within the time limit of reports counts. Conclusion: the wait of such a job is bounded. Another task of it starts, never the one that may still run.

--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -119,7 +119,7 @@
   // Whether an earlier owner recorded an intent to start a task. If so, the time of the first run
   // is not known.
   bool has_earlier_intent = false;
-  // Since when no run of the job has been confirmed although a task is ready.
+  // Since when the job has had no run that goes on, as far as is known, although a task is ready.
   std::optional<Time> without_run_since;
   // Latency-critical jobs: normalised load from the job's own requests, without interference.
   std::optional<double> own_load;
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -215,7 +215,8 @@
   std::vector<Waiting> CollectWaiting(Time now, std::int64_t wall_ms);
   void PlaceStep(const Waiting& waiting, SearchMemo& memo, Time now);
   bool PlaceGang(const Waiting& waiting, Time now);
-  // Updates the time since when the job has had no run; `ready`: a task of it is ready.
+  // Updates the time since when the job has had no run; `ready`: a task of it is ready. A run that
+  // is being stopped, or whose worker has ceased to report, does not count.
   static void UpdateIdleTime(JobRow& job, bool ready, Time now);
   // Returns whether a task of a job without a run was placed so recently that its start may still
   // be confirmed.
--- a/src/scheduling/internal/shard_progress.cc
+++ b/src/scheduling/internal/shard_progress.cc
@@ -17,8 +17,9 @@
 }  // namespace
 
 void Shard::UpdateIdleTime(JobRow& job, bool ready, Time now) {
-  const bool has_run = std::any_of(job.tasks.begin(), job.tasks.end(), [](const TaskRow& task) {
-    return task.phase == TaskPhase::kPlaced && task.stage == StartStage::kConfirmed;
+  const bool has_run = std::any_of(job.tasks.begin(), job.tasks.end(), [&](const TaskRow& task) {
+    return task.phase == TaskPhase::kPlaced && task.stage == StartStage::kConfirmed &&
+           !task.stopping && now - std::max(task.reported_at, task.confirmed_at) < kReportTimeout;
   });
   if (has_run || !ready) {
     job.without_run_since.reset();
--- a/src/scheduling/tests/progress_test.cc
+++ b/src/scheduling/tests/progress_test.cc
@@ -230,6 +230,7 @@
 
   void MeasureIdle() {
     for (const auto& [id, worker] : workers_) {
+      if (worker.cut_off) continue;
       for (const auto& [task, run] : worker.running) {
         if (task.job != kServingJob && run.percent > 0) idle_since_[task.job] = now_;
       }
@@ -311,6 +312,20 @@
   CHECK(fleet.longest_idle() <= kIdleLimit);
 }
 
+// Guards against a job that counts as running for as long as a lost worker's leases last.
+TEST_CASE("a job whose only run is on a silent worker starts another task",
+          "[scheduling][progress]") {
+  Fleet fleet({.own = 0.8, .per_core = 0.02});
+  const int cut_off = GENERATE(range(0, kWorkers));
+  fleet.SubmitBestEffort(2, kWorkers);
+  fleet.Run(Duration(3'000));  // Each worker has a run of one job.
+  fleet.CutOff(cut_off);
+  fleet.RestartMeasurement();
+  fleet.Run(Duration(15'000));
+  // A worker counts as silent after 2.5 s; callers accept 3 s once that is known.
+  CHECK(fleet.longest_idle() <= kReportTimeout + kIdleLimit);
+}
+
 // Guards against a task that is throttled to nothing and stays so for ever, because other workers
 // had no room at the moment at which it was throttled.
 TEST_CASE("a task that was throttled to nothing moves once another worker accepts it",
