Show a job that waits while other jobs' best-effort tasks use the cores (known red)

Best-effort tasks reserve no cores, so the platform counts most of the room as free, while every job has a run only if cores are unused. Conclusion: the condition has to look at what is reserved, not at what is used.

--- a/src/scheduling/tests/progress_test.cc
+++ b/src/scheduling/tests/progress_test.cc
@@ -66,7 +66,7 @@
         now_);
   }
 
-  // Submits `jobs` best-effort jobs of `count` tasks each.
+  // Submits `jobs` more best-effort jobs of `count` tasks each.
   void SubmitBestEffort(int count, int jobs = 1) {
     StepFields step;
     step.count = count;
@@ -76,7 +76,7 @@
     step.image = "fill";
     step.estimate_ms = static_cast<std::int64_t>(kTaskMs);
     for (int i = 0; i < jobs; ++i) {
-      const JobId id = kFirstBestEffortJob + static_cast<JobId>(i);
+      const JobId id = kFirstBestEffortJob + idle_since_.size();
       Submit(id, step);
       idle_since_[id] = now_;
     }
@@ -308,6 +308,20 @@
   CHECK(fleet.longest_over_target() <= kOverTargetLimit);
 }
 
+// Guards against a job that waits until the best-effort tasks of other jobs leave cores idle. They
+// reserve none, so most of the room counts as free.
+TEST_CASE("a job gets a run while best-effort tasks of other jobs use the cores",
+          "[scheduling][progress]") {
+  Fleet fleet({.own = 0.5, .per_core = 0.002});
+  constexpr int kTasks = 20 * kWorkers;
+  fleet.SubmitBestEffort(kTasks);
+  fleet.Run(Duration(1'000));
+  fleet.SubmitBestEffort(2, kWorkers);
+  fleet.RestartMeasurement();
+  fleet.Run(Duration(15'000));
+  CHECK(fleet.longest_idle() <= kIdleLimit);
+}
+
 // Guards against a job that waits for the response to one start although another task of it could
 // run elsewhere.
 TEST_CASE("a start without a response does not keep its job from a reduced start",
