Show an owner that ends with a segmentation fault when jobs expire (known red)

What callers see: the owner of the shard is gone about 120 s after the first jobs have ended, and another takes over. If one falls between the record of the deletion and its completion, the job is expired again after it was erased, and TakeBatch dereferences it. Measured: the rows with plans in between end in SIGSEGV. Conclusion: cause shown; the fix is the first thing to do.

--- /dev/null
+++ b/src/scheduling/tests/job_expiry_test.cc
@@ -0,0 +1,39 @@
+// Tests how finished jobs are forgotten once their retention period is over.
+#include <catch2/catch.hpp>
+
+#include "scheduling/scheduling.h"
+
+namespace dn {
+namespace {
+
+constexpr JobId kJob = 0x10;
+constexpr Duration kSweep{200};  // Longer than the period at which a plan looks for expired jobs.
+
+// Guards against an owner that ends with a segmentation fault two minutes after a job has ended.
+TEST_CASE("a job that expires while its deletion is being recorded is deleted once",
+          "[scheduling][expiry]") {
+  const int plans_meanwhile = GENERATE(0, 1, 3);
+  CAPTURE(plans_meanwhile);
+  Time now{Duration(1'000'000)};
+  Shard shard(Policy(), 7);
+  shard.Accept(AcceptedJob({.id = kJob,
+                            .queue = Queue({.name = "q", .service = "s"}),
+                            .spec = JobSpec({.steps = {StepSpec()}})}),
+               now);
+  shard.Cancel(kJob, now);
+  shard.Recorded(shard.TakeBatch(), now);
+  now += Policy()->finished_retention + kSweep;
+  shard.Plan(now, 0);
+  const RecordBatch deletion = shard.TakeBatch();
+  REQUIRE(deletion.expired == std::vector<JobId>{kJob});
+  for (int i = 0; i < plans_meanwhile; ++i) {
+    now += kSweep;
+    shard.Plan(now, 0);
+  }
+  shard.Recorded(deletion, now);
+  CHECK(shard.jobs() == 0);
+  CHECK(shard.TakeBatch().expired.empty());
+}
+
+}  // namespace
+}  // namespace dn
