--- a/src/scheduling/internal/idle_jobs.h
+++ b/src/scheduling/internal/idle_jobs.h
@@ -19,7 +19,7 @@
   Duration without_run{};           // Time without a confirmed run.
   std::int64_t ready = 0;           // Best-effort tasks that wait and are ready.
   std::int64_t suspects = 0;        // Those of them that may be the cause of a crash.
-  std::int64_t placed = 0;          // Tasks that are placed, none of them with a confirmed run.
+  std::int64_t placed = 0;          // Tasks that are placed, none with a run that goes on.
   std::int64_t unused_percent = 0;  // Of the cores of the job's service: in use by no task.
   // Responses of all known workers to a reduced start.
   std::int64_t accepting = 0;
--- a/src/scheduling/internal/reduced_start.cc
+++ b/src/scheduling/internal/reduced_start.cc
@@ -10,8 +10,8 @@
 constexpr double kFullSpeed = 100;
 // Percent; the throttling sets a speed below it to 0.
 constexpr double kLeastSpeed = 10;
-// Fraction of a service's cores from which on every job gets a run. The platform expects one while
-// half of the cores are idle; the use of latency-critical tasks is an estimate, hence a tenth less.
+// Fraction of a service's cores that must be unused for every job to get a run: half of them, less
+// a tenth, since the use of latency-critical tasks is an estimate.
 constexpr double kLeastUnusedFraction = 0.4;
 // Below that, a worker takes one reduced start while half of its own cores are idle.
 constexpr ReducedStartLimits kFullLimits{.max_per_worker = 1,
