--- a/review/standin.py
+++ b/review/standin.py
@@ -430,6 +430,11 @@
         self.noted = None  # When LastSeen reached its end.
         self.lapsed_lease = False
 
+    def percent(self):
+        if self.due is None:
+            return 100
+        return min(99, int(100 * (now() - self.started) / max(0.001, self.due - self.started)))
+
 
 class Worker:
     """A worker that guards its capacity. `seconds(task, spec)` is how long a task runs."""
@@ -592,7 +597,7 @@
                 break
             await asyncio.sleep(0.01)
         return 200, {"ClockMs": self.clock(), "born": self.born,
-                     "Running": [[run.task, run.run, "", 100 if run.due is None else 50, 0]
+                     "Running": [[run.task, run.run, "", run.percent(), self.demand(run.task)[0]]
                                  for run in self.running.values()],
                      "Finished": [end[:5] for end in self.ends[:500]]}
 
