--- a/review/standin.py
+++ b/review/standin.py
@@ -205,6 +205,7 @@
         self.changed = asyncio.Condition()
         self.endpoints = []
         self.one_way_s = 0.0  # Delay of the links to the store, in each direction.
+        self.append_s = 0.003  # AppendMs
 
     async def add_endpoint(self):
         endpoint = None
@@ -254,7 +255,8 @@
 
     async def carry_out(self, path, query, body):
         if path == "/api/log-append":
-            await asyncio.sleep(0.003)  # AppendMs
+            if self.append_s > 0:
+                await asyncio.sleep(self.append_s)
             return await self._append(query, body)
         if path == "/api/log-read":
             return await self._read(query)
@@ -628,6 +630,7 @@
 
     def __init__(self, folder):
         self.folder = folder
+        self.status_s = 120  # Bounds.status_s
         self.log = Log(os.path.join(folder, "record.txt"))
         self.temp = tempfile.mkdtemp(prefix="dn-review-")
         self.store = Store(self.log)
@@ -669,7 +672,7 @@
                  "Limits.CpuShare": "0.25", "Limits.Cores": "1", "Limits.MemoryMb": "260",
                  "Limits.MaxFds": "4100", "Limits.LinkMbps": "1000.0", "HeartbeatMs": "1500",
                  "Bounds.GraceS": "6", "Bounds.HoldMaxMs": str(HOLD_MAX_MS),
-                 "Bounds.StopMs": str(STOP_MS), "Bounds.status_s": "120",
+                 "Bounds.StopMs": str(STOP_MS), "Bounds.status_s": str(self.status_s),
                  "Bounds.HarmMs": "4000", "Bounds.ContactMs": "4000", "Orders": "call",
                  "platform.Address": endpoint.address, "platform.form": "log",
                  "platform.RecordBytes": str(RECORD_BYTES),
