Conclude nothing from a report that does not list all ends

Cause: a worker lists at most 500 ends in a response, and Shard::Reconcile took each report for complete. Placed tasks that were neither running nor among the listed ends counted as never started, missing or given up, and started again.

Change: a report tells whether the worker may hold further ends, and Reconcile waits for the report that lists them. That report comes, since the listed ends are recorded and acknowledged meanwhile.

--- a/src/scheduling/internal/orders.h
+++ b/src/scheduling/internal/orders.h
@@ -129,6 +129,9 @@
   std::int64_t start_time_ms = 0;
   std::vector<ReportedRun> running;
   std::vector<ReportedEnd> ended;
+  // The worker may hold further ends that this report does not list: it lists a limited number, the
+  // oldest first. A run that is not in the report may then have ended.
+  bool more_ends = false;
 
   friend auto operator<=>(const RunReportFields&, const RunReportFields&) = default;
 };
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -311,6 +311,8 @@
 }
 
 void Shard::Reconcile(WorkerRow& worker, const RunReport& report, Time sent, Time now) {
+  // The other ends follow once those of this report are recorded and acknowledged.
+  if (report->more_ends) return;
   std::set<TaskKey> running;
   for (const ReportedRun& run : report->running) running.insert(run->task);
   const auto placed = worker.tasks;
--- a/src/scheduling/tests/shard_interleavings_test.cc
+++ b/src/scheduling/tests/shard_interleavings_test.cc
@@ -73,6 +73,8 @@
   int lost_reports = 0;      // Per renewal; its response is lost.
   int capacity_changes = 0;  // Per 100 ms and worker; the capacity shrinks or grows.
   int crashing_jobs = 0;     // Of the jobs; their first task crashes its worker soon after a start.
+  // Most ends in a report, no probability; 0: no limit.
+  std::size_t listed_ends = 0;
   // Fault of one worker from kLastingFaultBegins to the end.
   WorkerFault lasting = WorkerFault::kNone;
 };
@@ -467,6 +469,7 @@
           ReportedRunFields{.task = task, .run = log_[run.first].run, .progress_percent = 1});
     }
     for (const auto& [number, entry] : worker.ends) {
+      if (faults_.listed_ends > 0 && report.ended.size() == faults_.listed_ends) break;
       const RunLog& run = log_[entry];
       EndKind kind = EndKind::kDone;
       for (const auto& name : EnumNames<EndKind>::kNames) {
@@ -475,6 +478,7 @@
       report.ended.emplace_back(
           ReportedEndFields{.number = number, .task = run.task, .run = run.run, .kind = kind});
     }
+    report.more_ends = faults_.listed_ends > 0 && report.ended.size() == faults_.listed_ends;
     return OrderResponse({.clock = ClockOf(worker), .report = RunReport(std::move(report))});
   }
 
@@ -879,6 +883,13 @@
      .slow_store = 200,
      .worker_unreachable = 3,
      .worker_mute = 3},
+    // Reports that do not list all ends.
+    {.name = "few ends in a report, owner killed", .owner_kills = 15, .listed_ends = 1},
+    {.name = "few ends in a report, slow store, shard reassigned, lost responses",
+     .lost_responses = 60,
+     .reassignments = 20,
+     .slow_store = 100,
+     .listed_ends = 2},
 };
 
 // Guards against runs that overlap, repeat or never happen under faults, also of workers that stay
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -33,14 +33,15 @@
   }
 
   void Report(const WorkerId& id, std::vector<ReportedRun> running, std::vector<ReportedEnd> ended,
-              std::int64_t incarnation = 1) {
+              std::int64_t incarnation = 1, bool more_ends = false) {
     const Time sent = now;
     now += Duration(2);
     shard.Reported(id,
                    OrderResponse({.report = RunReport({.clock = now.time_since_epoch().count(),
                                                        .start_time_ms = incarnation,
                                                        .running = std::move(running),
-                                                       .ended = std::move(ended)})}),
+                                                       .ended = std::move(ended),
+                                                       .more_ends = more_ends})}),
                    sent, now);
   }
 
@@ -1468,6 +1469,77 @@
   CHECK(harness.PlanAndRecord().size() == (sent_before ? 0U : 1U));
 }
 
+// Guards against tasks that run twice: the end of their run was in the part of a long list of ends
+// that a report left out.
+TEST_CASE("a run is not lost by a report that does not list all ends", "[scheduling][shard]") {
+  constexpr int kReports = 3;
+  constexpr std::int64_t kNumber = 501;
+  struct Case {
+    std::string name;
+    bool inherited;
+    // After the start was sent or restored. `more_ends`: what each report tells.
+    void (*events)(ShardHarness&, const StartOrder&, bool more_ends);
+  };
+  const auto c = GENERATE(values<Case>({
+      {"placed by an earlier owner", true,
+       [](ShardHarness& harness, const StartOrder&, bool more_ends) {
+         harness.Report(kWorker, {}, {}, 1, more_ends);
+       }},
+      {"confirmed", false,
+       [](ShardHarness& harness, const StartOrder& start, bool more_ends) {
+         harness.Respond(start, OrderRefusal::kNone);
+         for (int i = 0; i < kReports; ++i) harness.Report(kWorker, {}, {}, 1, more_ends);
+       }},
+      {"confirmed, and its worker has restarted", false,
+       [](ShardHarness& harness, const StartOrder& start, bool more_ends) {
+         harness.Respond(start, OrderRefusal::kNone);
+         harness.now += Duration(1);
+         harness.Report(kWorker, {}, {}, 2, more_ends);
+       }},
+      {"sent, and revoked by an acknowledged stop", false,
+       [](ShardHarness& harness, const StartOrder& start, bool more_ends) {
+         for (int i = 0; i < 3; ++i) {
+           harness.Respond(start, std::nullopt);
+           harness.orders = harness.shard.TakeOrders(harness.now);
+         }
+         REQUIRE(harness.orders.stops.size() == 1);
+         harness.shard.StopAnswered(harness.orders.stops[0], OrderResponse(), harness.now);
+         harness.now += Duration(1);
+         harness.Report(kWorker, {}, {}, 1, more_ends);
+       }},
+      {"sent longer ago than a late order takes", false,
+       [](ShardHarness& harness, const StartOrder&, bool more_ends) {
+         harness.now += kLateOrderLimit;
+         harness.Report(kWorker, {}, {}, 1, more_ends);
+       }},
+  }));
+  const bool more_ends = GENERATE(false, true);
+  CAPTURE(c.name, more_ends);
+  ShardHarness harness;
+  StartOrder start({.worker = kWorker, .task = {.job = kJob}, .run = 1});
+  if (c.inherited) {
+    harness.Submit(kTask);
+    harness.shard.Restore(JobProgress({.id = kJob,
+                                       .tasks = {TaskProgress({.phase = TaskPhase::kPlaced,
+                                                               .run = start->run,
+                                                               .worker = kWorker.value})}}),
+                          harness.now);
+    harness.shard.WorkerListed(
+        WorkerEntry({.id = kWorker, .service = "s", .address = {"127.0.0.1", 1}}), harness.now);
+  } else {
+    harness.AddWorker(kWorker);
+    harness.Submit(kTask);
+    start = harness.PlanAndRecord().at(0);
+  }
+  c.events(harness, start, more_ends);
+  harness.AddWorker(kOtherWorker);
+  CHECK(harness.PlanAndRecord().size() == (more_ends ? 0U : 1U));
+  if (!more_ends) return;
+  harness.Report(kWorker, {}, {ShardHarness::End(start, EndKind::kDone, kNumber)});
+  CHECK(harness.PlanAndRecord().empty());
+  CHECK(harness.shard.StateOf(kJob) == JobState::kCompleted);
+}
+
 // Guards against jobs that are given up for crashes that did not happen: a start may reach a worker
 // only after its restart, and then the first report of the new incarnation shows the run or its
 // end.
--- a/standins/internal/task_worker_standin.cc
+++ b/standins/internal/task_worker_standin.cc
@@ -13,6 +13,7 @@
 constexpr Duration kMaxLease{6'000};
 constexpr int kCpuMillicores = 4'000;
 constexpr int kMemoryMb = 4'000;
+constexpr std::size_t kMaxListedEnds = 500;  // In one response; the others follow.
 
 std::int64_t NumberField(const json::object& body, const char* name) {
   const json::value* value = body.if_contains(name);
@@ -227,6 +228,7 @@
       }
       json::array ended;
       for (const auto& [number, task, run, end_reason] : state.unacknowledged_ends) {
+        if (ended.size() == kMaxListedEnds) break;
         ended.emplace_back(json::array{number, task, run, end_reason, ""});
       }
       return HttpReply{.status = 200,
