Delete an expired job once

Once the job was erased, the next batch looked it up and used the null pointer.

A list of expired jobs can then only name jobs that are in the table.

Measured: the test passes with 0, 1 and 3 plans meanwhile, with and without batches in between.

--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -125,6 +125,7 @@
   std::optional<double> own_load;
 
   bool has_crash_record = false;  // A record of crashes was, or is about to be, written.
+  bool deletion_taken = false;    // The deletion of the job's records is in a batch.
 
   std::size_t occurrences() const { return tasks.size() / tasks_per_occurrence; }
   std::size_t PositionOf(const TaskKey& key) const;
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -504,10 +504,12 @@
     batch.intents.push_back(key);
     batch.runs.push_back(task->run);
   }
-  const std::set<JobId> expired = std::exchange(expired_, {});
-  batch.expired.assign(expired.begin(), expired.end());
-  std::copy_if(expired.begin(), expired.end(), std::back_inserter(batch.expired_crashes),
-               [&](JobId id) { return jobs_.Find(id)->has_crash_record; });
+  for (const JobId id : std::exchange(expired_, {})) {
+    JobRow& job = *jobs_.Find(id);
+    job.deletion_taken = true;
+    batch.expired.push_back(id);
+    if (job.has_crash_record) batch.expired_crashes.push_back(id);
+  }
   for (const auto& [id, worker] : workers_.workers()) {
     const std::pair<std::int64_t, std::int64_t> ends{worker.start_time_ms, worker.ends_seen};
     if (worker.ends_seen == worker.ends_recorded || ends_taken_[id] == ends) continue;
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -280,6 +280,7 @@
   std::vector<StartOrder> starts_;
   std::vector<StopOrder> orphaned_run_stops_;  // Stops of orphaned runs.
   std::map<WorkerId, std::pair<std::int64_t, std::int64_t>> ends_taken_;
+  // Jobs past their retention period whose deletion is not in a batch yet.
   std::set<JobId> expired_;
   RunGapMonitor run_gaps_;
   // Number of placements so far.
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -117,7 +117,7 @@
     const bool retention_over =
         job.finished_at && now - *job.finished_at > policy_->finished_retention;
     const bool placed = job.waiting + job.done < job.tasks.size();
-    if (retention_over && !placed && !job.dirty) expired_.insert(id);
+    if (retention_over && !placed && !job.dirty && !job.deletion_taken) expired_.insert(id);
   }
 }
 
--- a/src/scheduling/tests/job_expiry_test.cc
+++ b/src/scheduling/tests/job_expiry_test.cc
@@ -13,7 +13,8 @@
 TEST_CASE("a job that expires while its deletion is being recorded is deleted once",
           "[scheduling][expiry]") {
   const int plans_meanwhile = GENERATE(0, 1, 3);
-  CAPTURE(plans_meanwhile);
+  const bool batches_meanwhile = GENERATE(false, true);
+  CAPTURE(plans_meanwhile, batches_meanwhile);
   Time now{Duration(1'000'000)};
   Shard shard(Policy(), 7);
   shard.Accept(AcceptedJob({.id = kJob,
@@ -29,6 +30,7 @@
   for (int i = 0; i < plans_meanwhile; ++i) {
     now += kSweep;
     shard.Plan(now, 0);
+    if (batches_meanwhile) CHECK(shard.TakeBatch().empty());
   }
   shard.Recorded(deletion, now);
   CHECK(shard.jobs() == 0);
