Do not take back a job that has just been deleted

Shown by a test: a read of the submitted jobs that began before a job's deletion, and that ends after it, returned the job to the owner, which had erased it, took it for a new one and would run its tasks again.

Cause: an identifier outlives its row, here in a response that is under way. The same class as the fault of expired jobs; the window grows with a slow store, whose pages come one after another.

Change: the owner remembers the jobs that it has deleted for 20 s.

--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -47,6 +47,7 @@
 std::vector<Decision> Shard::TakeDecisions() { return std::exchange(decisions_, {}); }
 
 void Shard::Accept(const AcceptedJob& job, Time now) {
+  if (deleted_.count(job->id) > 0) return;
   if (jobs_.Accept(job, now)) open_jobs_.push_back(jobs_.Find(job->id));
 }
 
@@ -549,6 +550,7 @@
   for (const JobId id : batch.expired) {
     std::erase(open_jobs_, jobs_.Find(id));
     jobs_.Erase(id);
+    deleted_[id] = now;
   }
 }
 
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -83,7 +83,9 @@
   Shard(const Policy& policy, FencingToken token);
 
   // Restores a shard after a take-over: first the jobs, then their progress, each in any number of
-  // calls. Accept() also adds new jobs later. RestoreCrashes() follows the job's progress.
+  // calls. Accept() also adds new jobs later; it ignores a job that this owner has just deleted,
+  // since a read of the submitted jobs may have begun before. RestoreCrashes() follows the job's
+  // progress.
   void Accept(const AcceptedJob& job, Time now);
   void Restore(const JobProgress& progress, Time now);
   void RestoreCrashes(const JobCrashes& crashes, Time now);
@@ -282,6 +284,8 @@
   std::map<WorkerId, std::pair<std::int64_t, std::int64_t>> ends_taken_;
   // Jobs past their retention period whose deletion is not in a batch yet.
   std::set<JobId> expired_;
+  // Jobs whose deletion became durable less than kLateReadLimit ago, and when. Not in `jobs_`.
+  std::map<JobId, Time> deleted_;
   RunGapMonitor run_gaps_;
   // Number of placements so far.
   std::int64_t placements_ = 0;
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -21,6 +21,9 @@
 // Longest period between two evaluations of the throttling on a worker without a new report.
 // Without one the result changes with time only, in tenths of seconds.
 constexpr Duration kThrottlingPeriod{100};
+// How long after the deletion of a job a read of the submitted jobs may still return it: 20 pages
+// of 500 jobs, each with the timeout of a call to the store.
+constexpr Duration kLateReadLimit{20'000};
 
 }  // namespace
 
@@ -108,6 +111,7 @@
 }
 
 void Shard::CollectOpenJobs(Time now) {
+  std::erase_if(deleted_, [&](const auto& entry) { return now - entry.second > kLateReadLimit; });
   open_jobs_.clear();
   for (auto& [id, job] : jobs_.jobs()) {
     if (job.phase == JobPhase::kOpen) {
