--- a/src/instance_link/internal/instance_link.cc
+++ b/src/instance_link/internal/instance_link.cc
@@ -104,8 +104,9 @@
 }
 
 Task<Result<Endpoint>> RemoteInstance::OwnerOf(int shard, Time deadline) {
-  auto reply = co_await Call(HttpMethod::kGet, std::string(kOwnerPrefix) + std::to_string(shard),
-                             {}, deadline);
+  auto reply = co_await Call(
+      {.path = std::string(kOwnerPrefix) + std::to_string(shard), .query = {}, .body = {}},
+      deadline);
   if (!reply) co_return reply.error();
   const std::string& text = reply.value().body;
   const std::size_t colon = text.rfind(':');
@@ -115,17 +116,20 @@
   co_return Endpoint{.host = text.substr(0, colon), .port = static_cast<std::uint16_t>(*port)};
 }
 
-Task<Result<HttpReply>> RemoteInstance::Call(HttpMethod method, std::string path, std::string body,
-                                             Time deadline, Duration timeout) {
+Task<Result<HttpReply>> RemoteInstance::Call(HttpCall call, Time deadline, Duration timeout) {
   const Duration remaining = std::min(timeout, deadline - Now());
   if (remaining <= Duration(0)) co_return Errc::kUnavailable;
-  HttpCall call{.method = method, .path = std::move(path), .query = {}, .body = std::move(body)};
   co_return co_await http_.Call(address_, std::move(call), remaining, TrafficKind::kSibling);
 }
 
 Task<SubmitOutcome> RemoteInstance::Submit(AcceptedJob job, Time deadline) {
-  auto reply = co_await Call(HttpMethod::kPost, std::string(kJobsPath), EncodeAcceptedJob(job),
-                             deadline, kSubmitTimeout);
+  HttpCall call{.method = HttpMethod::kPost,
+                .path = std::string(kJobsPath),
+                .query = {},
+                .body = EncodeAcceptedJob(job)};
+  // A refusal shows that the job is not stored only if there was no other attempt.
+  call.retry_on_broken_connection = false;
+  auto reply = co_await Call(std::move(call), deadline, kSubmitTimeout);
   if (!reply) {
     const bool sent = reply.error() != Errc::kUnreachable && reply.error() != Errc::kUnavailable;
     co_return sent ? SubmitOutcome::kUnknown : SubmitOutcome::kRefused;
@@ -133,20 +137,25 @@
   for (const auto& [outcome, status] : kSubmitStatus) {
     if (status == reply.value().status) co_return outcome;
   }
-  co_return SubmitOutcome::kRefused;
+  // The instance could not decode the job, so it did nothing.
+  if (reply.value().status == kNotFound) co_return SubmitOutcome::kRefused;
+  co_return SubmitOutcome::kUnknown;
 }
 
 Task<Result<JobState>> RemoteInstance::StateOf(JobId id, Time deadline) {
-  auto reply =
-      co_await Call(HttpMethod::kGet, std::string(kJobPrefix) + FormatJobId(id), {}, deadline);
+  auto reply = co_await Call(
+      {.path = std::string(kJobPrefix) + FormatJobId(id), .query = {}, .body = {}}, deadline);
   if (!reply) co_return reply.error();
   if (reply.value().status != kOk) co_return RefusalOf(reply.value());
   co_return ParseJobState(reply.value().body);
 }
 
 Task<Result<bool>> RemoteInstance::Cancel(JobId id, Time deadline) {
-  auto reply =
-      co_await Call(HttpMethod::kDelete, std::string(kJobPrefix) + FormatJobId(id), {}, deadline);
+  auto reply = co_await Call({.method = HttpMethod::kDelete,
+                              .path = std::string(kJobPrefix) + FormatJobId(id),
+                              .query = {},
+                              .body = {}},
+                             deadline);
   if (!reply) co_return reply.error();
   if (reply.value().status == kOk) co_return true;
   if (reply.value().status == kGone) co_return false;
@@ -154,7 +163,8 @@
 }
 
 Task<Result<std::int64_t>> RemoteInstance::WaitingOf(std::string queue, Time deadline) {
-  auto reply = co_await Call(HttpMethod::kGet, std::string(kQueuePrefix) + queue, {}, deadline);
+  auto reply =
+      co_await Call({.path = std::string(kQueuePrefix) + queue, .query = {}, .body = {}}, deadline);
   if (!reply) co_return reply.error();
   if (reply.value().status != kOk) co_return RefusalOf(reply.value());
   const auto waiting = ParseNumber(reply.value().body);
--- a/src/instance_link/internal/instance_link.h
+++ b/src/instance_link/internal/instance_link.h
@@ -48,8 +48,7 @@
 
   // Ends at `deadline` or after `timeout`, whichever is earlier. kUnavailable: the
   // deadline has passed and nothing was sent.
-  Task<Result<HttpReply>> Call(HttpMethod method, std::string path, std::string body, Time deadline,
-                               Duration timeout = kCallTimeout);
+  Task<Result<HttpReply>> Call(HttpCall call, Time deadline, Duration timeout = kCallTimeout);
 
   const Endpoint address_;
   HttpClient& http_;
--- a/src/runtime/internal/http_client.cc
+++ b/src/runtime/internal/http_client.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "runtime/internal/lock_order.h"
+#include "runtime/internal/socket_state.h"
 
 namespace dn {
 namespace {
@@ -63,7 +64,9 @@
     const Time now = Now();
     return idle.With([&](Idle& connections) -> ConnectionPtr {
       std::vector<ConnectionPtr>& list = connections[to];
-      std::erase_if(list, [&](const auto& c) { return now - c->idle_since > kMaxIdleTime; });
+      std::erase_if(list, [&](const auto& c) {
+        return now - c->idle_since > kMaxIdleTime || !IsQuiet(c->stream.socket().native_handle());
+      });
       if (list.empty()) return nullptr;
       ConnectionPtr taken = std::move(list.back());
       list.pop_back();
@@ -152,8 +155,10 @@
     // and the request permits a retry, it is sent again on a new connection.
     if (reply || reply.error() != Errc::kBroken || !retry_on_broken_connection) co_return reply;
   }
+  // The first attempt may have been processed, whatever becomes of the second.
+  const bool sent_before = connection != nullptr;
   auto fresh = co_await Impl::Connect(to, deadline - Now());
-  if (!fresh) co_return fresh.error();
+  if (!fresh) co_return sent_before ? Errc::kBroken : fresh.error();
   connection = std::move(fresh).value();
   const Duration remaining = std::max(Duration(1), deadline - Now());
   auto reply = co_await impl_->Exchange(*connection, request, remaining, kind, &keep_alive);
--- a/src/runtime/internal/http_client.h
+++ b/src/runtime/internal/http_client.h
@@ -16,7 +16,9 @@
   ~HttpClient();
 
   // Sends `call` and waits for the complete response. kUnreachable: nothing was
-  // sent. kBroken, kTimeout: the peer may have processed the request.
+  // sent, by any attempt. kBroken, kTimeout: the peer may have processed the request.
+  // If the call permits a retry, the peer may also have processed it before the attempt
+  // that the response belongs to.
   Task<Result<HttpReply>> Call(Endpoint to, HttpCall call, Duration timeout, TrafficKind kind);
 
  private:
--- a/src/runtime/internal/http_types.h
+++ b/src/runtime/internal/http_types.h
@@ -21,7 +21,8 @@
   // headers.
   std::map<std::string, std::string> headers = {};
   // Sent requests: whether to retry once on a new connection if a reused connection
-  // is broken.
+  // is broken. Must be false if a refusal is to prove that the peer did nothing: the
+  // refused attempt may have been the second.
   bool retry_on_broken_connection = true;
 
   auto operator<=>(const HttpCall&) const = default;
--- a/src/runtime/tests/http_client_test.cc
+++ b/src/runtime/tests/http_client_test.cc
@@ -1,7 +1,8 @@
-// Calls of the HTTP client to addresses that nobody can listen on.
+// What the HTTP client reports of calls that fail.
 #include <catch2/catch.hpp>
 
 #include "runtime/runtime.h"
+#include "standins/standins.h"
 #include "tests/support/runner.h"
 
 namespace dn {
@@ -27,5 +28,82 @@
   CHECK(runner.Wait(ErrorOfCall(client, to)) == Errc::kUnreachable);
 }
 
+// A server behind a relay that can break connections. Counts the calls that it has processed.
+class RelayedServer {
+ public:
+  RelayedServer() {
+    server_ =
+        HttpServer::Start(runner.pool(), {.host = "127.0.0.1", .port = 0}, [this](HttpCall call) {
+          return Handle(std::move(call));
+        }).value();
+    relay = standins::TcpRelay::Start(runner.pool(), {.host = "127.0.0.1", .port = 0},
+                                      server_->address(), Duration(0))
+                .value();
+  }
+  ~RelayedServer() { runner.Stop(); }
+  RelayedServer(const RelayedServer&) = delete;
+  RelayedServer& operator=(const RelayedServer&) = delete;
+
+  // Returns the status of the response to a call, or the error.
+  std::pair<int, std::error_code> Call(bool retry) {
+    HttpCall call{.method = HttpMethod::kPost, .path = "/", .query = {}, .body = {}};
+    call.retry_on_broken_connection = retry;
+    return runner.Wait(OutcomeOf(std::move(call)));
+  }
+
+  testing::Runner runner;
+  HttpClient client;
+  std::shared_ptr<standins::TcpRelay> relay;
+  std::atomic<int> processed{0};
+
+ private:
+  Task<std::pair<int, std::error_code>> OutcomeOf(HttpCall call) {
+    const auto reply = co_await client.Call(relay->address(), std::move(call), Duration(2'000),
+                                            TrafficKind::kStore);
+    if (!reply) co_return std::pair(0, reply.error());
+    co_return std::pair(reply.value().status, std::error_code());
+  }
+  Task<HttpReply> Handle(HttpCall /*call*/) {
+    ++processed;
+    co_return HttpReply{};
+  }
+
+  std::unique_ptr<HttpServer> server_;
+};
+
+// Guards against "nothing was sent" for a call that was sent and may have been processed: the
+// connection broke, and the repetition found nobody listening.
+TEST_CASE("a call that was sent is never reported as unreachable", "[runtime][http]") {
+  const bool retry = GENERATE(false, true);
+  const bool listens = GENERATE(false, true);
+  CAPTURE(retry, listens);
+  RelayedServer server;
+  REQUIRE(server.Call(retry).first == 200);
+  server.relay->BreakAtNextResponse([&] {
+    if (!listens) server.relay->SetMode(standins::RelayMode::kUnreachable);
+  });
+  const auto [status, error] = server.Call(retry);
+  const bool answered = retry && listens;
+  CHECK(status == (answered ? 200 : 0));
+  if (!answered) CHECK(error == Errc::kBroken);
+  CHECK(server.processed == (answered ? 3 : 2));
+  if (listens) return;
+  CHECK(server.Call(retry).second == Errc::kUnreachable);
+  CHECK(server.processed == 2);
+}
+
+// Guards against calls that fail on connections that the peer has closed long before.
+TEST_CASE("a connection that the peer has closed is not used again", "[runtime][http]") {
+  RelayedServer server;
+  REQUIRE(server.Call(false).first == 200);
+  server.relay->SetMode(standins::RelayMode::kUnreachable);
+  server.relay->CloseConnections();
+  std::this_thread::sleep_for(Duration(50));
+  CHECK(server.Call(false).second == Errc::kUnreachable);
+  server.relay->SetMode(standins::RelayMode::kPass);
+  CHECK(server.Call(false).first == 200);
+  CHECK(server.processed == 2);
+}
+
 }  // namespace
 }  // namespace dn
--- a/src/store/tests/record_writer_test.cc
+++ b/src/store/tests/record_writer_test.cc
@@ -54,13 +54,6 @@
   CHECK(first.get() == c.first);
 }
 
-// Returns whether all records were stored within 5 s.
-Task<bool> AppendAll(std::shared_ptr<RecordWriter> writer, std::vector<StoreRecord> records) {
-  const Time limit = Now() + Duration(5'000);
-  auto stored = co_await writer->Append(std::move(records), {.send_by = limit, .deadline = limit});
-  co_return stored.has_value();
-}
-
 // Returns the number of keys of the partition; nothing if it cannot be read.
 Task<std::optional<std::size_t>> CountKeys(StoreClient& store) {
   auto newest = co_await store.Newest(kJobs);
@@ -68,6 +61,55 @@
   co_return newest.value()->records.size();
 }
 
+// The store carries an append out and resets the connection, and then it is away or refuses calls
+// for a while. Guards against a refusal of records that are stored, and against records that are
+// reported as stored and are not: their call had the sequence number of the earlier one, whose
+// response the store repeated.
+TEST_CASE("an append whose response was lost is neither refused nor does it hide the next one",
+          "[store]") {
+  struct Case {
+    std::string name;
+    standins::RelayMode mode;  // Of the link to the store afterwards.
+    bool busy;                 // The store refuses all calls afterwards.
+    std::error_code first;     // Error of the append.
+  };
+  const auto c = GENERATE(values<Case>({
+      {"reachable", standins::RelayMode::kPass, false, {}},
+      {"not listening", standins::RelayMode::kUnreachable, false, Errc::kTimeout},
+      {"closes connections", standins::RelayMode::kRefuse, false, Errc::kTimeout},
+      {"refuses calls", standins::RelayMode::kPass, true, Errc::kTimeout},
+  }));
+  CAPTURE(c.name);
+  testing::Runner runner;
+  standins::StoreStandin standin(runner.pool());
+  REQUIRE(standin.Start());
+  const auto relay = standins::TcpRelay::Start(runner.pool(), {.host = "127.0.0.1", .port = 0},
+                                               standin.address(), Duration(0));
+  REQUIRE(relay);
+  HttpClient http;
+  StoreClient store(relay.value()->address(), platform::MakeStoreProtocol(), http);
+  const auto writer = std::make_shared<RecordWriter>(store, kJobs, "node", 0);
+  REQUIRE_FALSE(runner.Wait(Append(writer, "before")));
+  relay.value()->BreakAtNextResponse([&] {
+    standin.SetFault({.busy = c.busy});
+    relay.value()->SetMode(c.mode);
+  });
+  CHECK(runner.Wait(Append(writer, "lost response")) == c.first);
+  standin.SetFault({});
+  relay.value()->SetMode(standins::RelayMode::kPass);
+  std::this_thread::sleep_for(Duration(500));
+  CHECK_FALSE(runner.Wait(Append(writer, "after")));
+  CHECK(runner.Wait(CountKeys(store)) == 3U);
+  runner.Stop();
+}
+
+// Returns whether all records were stored within 5 s.
+Task<bool> AppendAll(std::shared_ptr<RecordWriter> writer, std::vector<StoreRecord> records) {
+  const Time limit = Now() + Duration(5'000);
+  auto stored = co_await writer->Append(std::move(records), {.send_by = limit, .deadline = limit});
+  co_return stored.has_value();
+}
+
 // A thousand jobs change while the store is away, and their progress is appended at once. Guards
 // against a call that the store rejects as too large each time it is repeated.
 TEST_CASE("records that exceed a call are stored in several", "[store][load]") {
