--- a/src/scheduling/tests/crash_blame_test.cc
+++ b/src/scheduling/tests/crash_blame_test.cc
@@ -588,7 +588,9 @@
     }
     REQUIRE_FALSE(lost.empty());
     run_with_load(Duration(12'000));
-    for (const auto& [job, since] : lost) {
+    for (const auto& entry : lost) {
+      const JobId job = entry.first;
+      const Time since = entry.second;
       const bool lasts = job >= kFirstLongRunning;
       const std::vector<Time>& starts = fleet.StartsOf(job);
       const auto again =
