Check a worker's notice again before each start is sent

Cause, as far as shown: a worker's notice was looked at only when a task was planned. Recording the intent, the queue of the worker's link and two repetitions of a start without a response can each take a second or more after that.

Evidence: six checks of two new tests fail on the code before: starts that were recorded, repeated or queued across a notice were sent.

A start that was never sent is withdrawn, and its task is placed elsewhere; one that may have been sent is revoked by a stop. A withdrawn start has a refusal of its own in the log.

Measured: the tests pass; the age of the registrations themselves stays without a limit while their reads fail.

--- a/src/scheduling/internal/orders.h
+++ b/src/scheduling/internal/orders.h
@@ -25,10 +25,11 @@
   kOtherIncarnation,  // The worker has restarted or is a different worker.
   kUnhealthy,         // The worker cannot accept orders now; it did nothing.
   kInvalid,
+  kWithdrawn,  // The order was not sent: it had become too old, or its worker is leaving.
 };
 template <>
 struct EnumNames<OrderRefusal> {
-  static constexpr std::array<EnumName<OrderRefusal>, 9> kNames = {
+  static constexpr std::array<EnumName<OrderRefusal>, 10> kNames = {
       {{OrderRefusal::kNone, "none"},
        {OrderRefusal::kFenced, "fenced"},
        {OrderRefusal::kObsolete, "obsolete"},
@@ -37,7 +38,8 @@
        {OrderRefusal::kNoTicket, "no-ticket"},
        {OrderRefusal::kOtherIncarnation, "other-life"},
        {OrderRefusal::kUnhealthy, "unhealthy"},
-       {OrderRefusal::kInvalid, "invalid"}}};
+       {OrderRefusal::kInvalid, "invalid"},
+       {OrderRefusal::kWithdrawn, "withdrawn"}}};
 };
 
 struct StartOrderFields {
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -558,6 +558,8 @@
   const TaskRow& task = job.tasks[position];
   WorkerRow* worker = workers_.Find(task.worker);
   if (worker == nullptr) return std::nullopt;
+  // The worker may have given notice since the start was planned or sent before.
+  if (worker->entry->draining) return std::nullopt;
   // A worker that does not respond gets no further lease; see NextRenewal().
   if (now - worker->last_report >= kReportTimeout) return std::nullopt;
   const auto until = workers_.LeaseExpiry(*worker, now);
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -261,6 +261,7 @@
   void MoveIfSlow(JobRow& job, std::size_t position, Time now);
   // Tries again to move tasks at speed 0: other workers may accept them by now.
   void MoveThrottled(Time now);
+  // Returns the start of a placed task; nothing if its worker may not be sent a start now.
   std::optional<StartOrder> StartOf(const JobRow& job, std::size_t position, Time now);
   void Decide(std::string kind, std::string subject, std::string detail);
 
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -1317,6 +1317,51 @@
   CHECK(orders.stops.size() == (c.repeated ? 0U : 1U));
 }
 
+// Guards against starts that reach a worker seconds after its notice: they were planned before it,
+// and were recorded or repeated after it.
+TEST_CASE("no start is sent to a worker that has given notice since it was planned",
+          "[scheduling][shard]") {
+  const bool draining = GENERATE(false, true);
+  const bool repeated = GENERATE(false, true);
+  CAPTURE(draining, repeated);
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.Submit(kTask);
+  const auto give_notice = [&] {
+    harness.now += Duration(10);
+    harness.shard.WorkerListed(
+        WorkerEntry({.id = kWorker,
+                     .service = "s",
+                     .address = {"127.0.0.1", 1},
+                     .start_time_ms = 1,
+                     .draining = draining,
+                     .remaining_ms = 5'000,
+                     .capacity = {.millicores = 16'000, .memory_mb = 64'000}}),
+        harness.now);
+  };
+  const std::size_t sent = draining ? 0 : 1;
+  if (repeated) {
+    const StartOrder start = harness.PlanAndRecord().at(0);
+    give_notice();
+    harness.Respond(start, std::nullopt);
+    const Orders orders = harness.shard.TakeOrders(harness.now);
+    CHECK(orders.starts.size() == sent);
+    CHECK(orders.stops.size() == 1 - sent);  // The first copy may still take effect.
+    return;
+  }
+  harness.shard.Plan(harness.now, 0);
+  const RecordBatch batch = harness.shard.TakeBatch();
+  REQUIRE(batch.intents.size() == 1);
+  give_notice();
+  harness.shard.Recorded(batch, harness.now);
+  CHECK(harness.shard.TakeOrders(harness.now).starts.size() == sent);
+  if (!draining) return;
+  harness.AddWorker(kOtherWorker);
+  const auto starts = harness.PlanAndRecord();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0]->worker == kOtherWorker);
+}
+
 // Guards against a run that was only sent and is never given up, because its stops are refused or
 // get no response; and against a second run while the first can still begin.
 TEST_CASE("a run that was only sent is given up although no stop is acknowledged",
--- a/src/task_worker/internal/worker_link.h
+++ b/src/task_worker/internal/worker_link.h
@@ -44,8 +44,8 @@
   // Sends renewals until the delegate has no registration for the worker.
   Task<> Run();
   // Queues an order. It is sent at once unless the maximum number of orders is in
-  // flight; stops go before other orders. A start that has waited for kMaxStartAge is not sent any
-  // more: the delegate learns that it is refused (kLeaseExpired).
+  // flight; stops go before other orders. A start that has waited for kMaxStartAge, or whose worker
+  // is draining by then, is not sent any more: the delegate learns that it is withdrawn.
   void Send(Order order);
 
  private:
--- a/src/task_worker/tests/worker_link_test.cc
+++ b/src/task_worker/tests/worker_link_test.cc
@@ -17,7 +17,7 @@
   explicit Delegate(Endpoint address) : address_(std::move(address)) {}
 
   std::optional<WorkerEntry> EntryOf(const WorkerId& worker) override {
-    return WorkerEntry({.id = worker, .service = "s", .address = address_});
+    return WorkerEntry({.id = worker, .service = "s", .address = address_, .draining = draining});
   }
   Renewal NextRenewal(const WorkerId& worker) override { return Renewal({.worker = worker}); }
   void OnRenewalResponse(const WorkerId& /*worker*/, const OrderResponse& /*response*/,
@@ -26,8 +26,8 @@
                        const std::optional<OrderResponse>& response) override {
     if (!response) {
       ++unanswered;
-    } else if ((*response)->refusal == OrderRefusal::kLeaseExpired) {
-      ++expired;
+    } else if ((*response)->refusal == OrderRefusal::kWithdrawn) {
+      ++withdrawn;
     } else {
       ++answered;
     }
@@ -41,9 +41,10 @@
   void OnFenced(const WorkerId& /*worker*/) override {}
 
   std::atomic<int> unanswered{0};
-  std::atomic<int> expired{0};
+  std::atomic<int> withdrawn{0};
   std::atomic<int> answered{0};
   std::atomic<int> stops{0};
+  std::atomic<bool> draining{false};
 
  private:
   const Endpoint address_;
@@ -84,7 +85,7 @@
   link->Send(StopOrder({.worker = {"w"}, .task = {.job = 1}, .run = 1}));
   const Time end = Now() + Duration(6'000);
   const auto accounted_for = [&] {
-    return delegate->answered + delegate->unanswered + delegate->expired;
+    return delegate->answered + delegate->unanswered + delegate->withdrawn;
   };
   while ((delegate->stops == 0 || accounted_for() < c.starts) && Now() < end) {
     std::this_thread::sleep_for(Duration(10));
@@ -97,5 +98,39 @@
   if (!c.all_sent) CHECK(received <= 8);
 }
 
+// Guards against starts that reach a worker long after its notice since they waited in its queue.
+TEST_CASE("a start is not sent to a worker that has given notice since", "[task_worker]") {
+  constexpr int kStarts = 12;
+  constexpr int kSenders = 4;
+  testing::Runner runner;
+  std::atomic<int> received{0};
+  auto server = HttpServer::Start(runner.pool(), {.host = "127.0.0.1", .port = 0},
+                                  [&](HttpCall call) -> Task<HttpReply> {
+                                    if (call.path == "/api/run-start") ++received;
+                                    co_await SleepFor(Duration(300));
+                                    co_return HttpReply{.body = R"({"ClockMs":1})"};
+                                  });
+  REQUIRE(server);
+  HttpClient http;
+  DecisionLog log("n");
+  SharedExchangeBudget budget{ExchangeCapacity()};
+  const auto delegate = std::make_shared<Delegate>(server.value()->address());
+  const auto link = std::make_shared<WorkerLink>(
+      WorkerId{"w"}, delegate, platform::MakeWorkerProtocol(), http, budget, runner.pool(), log);
+  for (int i = 0; i < kStarts; ++i) {
+    link->Send(StartOrder({.worker = {"w"}, .task = {.job = static_cast<JobId>(i)}, .run = 1}));
+  }
+  while (received < kSenders) std::this_thread::sleep_for(Duration(5));
+  delegate->draining = true;
+  link->Send(StopOrder({.worker = {"w"}, .task = {.job = 1}, .run = 1}));
+  const Time end = Now() + Duration(5'000);
+  while (delegate->answered + delegate->withdrawn < kStarts && Now() < end) {
+    std::this_thread::sleep_for(Duration(10));
+  }
+  CHECK(received == kSenders);
+  CHECK(delegate->withdrawn == kStarts - kSenders);
+  runner.Stop();
+}
+
 }  // namespace
 }  // namespace dn
