Do not await calls whose arguments are initialised from braces

Cause: gcc destroys a temporary twice that is initialised from braces within an expression that awaits. The calls between instances had been rewritten that way.

Change: the calls are made in a variable first, by one function.

--- a/src/instance_link/internal/instance_link.cc
+++ b/src/instance_link/internal/instance_link.cc
@@ -33,6 +33,10 @@
      {SubmitOutcome::kRefused, kUnavailable},
      {SubmitOutcome::kUnknown, kGatewayTimeout}}};
 
+HttpCall CallOf(HttpMethod method, std::string path, std::string body = {}) {
+  return {.method = method, .path = std::move(path), .query = {}, .body = std::move(body)};
+}
+
 // Returns the part of `path` after `prefix`, or nullopt if `path` does not start
 // with it.
 std::optional<std::string> RemovePrefix(std::string_view prefix, const std::string& path) {
@@ -104,9 +108,8 @@
 }
 
 Task<Result<Endpoint>> RemoteInstance::OwnerOf(int shard, Time deadline) {
-  auto reply = co_await Call(
-      {.path = std::string(kOwnerPrefix) + std::to_string(shard), .query = {}, .body = {}},
-      deadline);
+  HttpCall call = CallOf(HttpMethod::kGet, std::string(kOwnerPrefix) + std::to_string(shard));
+  auto reply = co_await Call(std::move(call), deadline);
   if (!reply) co_return reply.error();
   const std::string& text = reply.value().body;
   const std::size_t colon = text.rfind(':');
@@ -123,10 +126,7 @@
 }
 
 Task<SubmitOutcome> RemoteInstance::Submit(AcceptedJob job, Time deadline) {
-  HttpCall call{.method = HttpMethod::kPost,
-                .path = std::string(kJobsPath),
-                .query = {},
-                .body = EncodeAcceptedJob(job)};
+  HttpCall call = CallOf(HttpMethod::kPost, std::string(kJobsPath), EncodeAcceptedJob(job));
   // A refusal shows that the job is not stored only if there was no other attempt.
   call.retry_on_broken_connection = false;
   auto reply = co_await Call(std::move(call), deadline, kSubmitTimeout);
@@ -143,19 +143,16 @@
 }
 
 Task<Result<JobState>> RemoteInstance::StateOf(JobId id, Time deadline) {
-  auto reply = co_await Call(
-      {.path = std::string(kJobPrefix) + FormatJobId(id), .query = {}, .body = {}}, deadline);
+  HttpCall call = CallOf(HttpMethod::kGet, std::string(kJobPrefix) + FormatJobId(id));
+  auto reply = co_await Call(std::move(call), deadline);
   if (!reply) co_return reply.error();
   if (reply.value().status != kOk) co_return RefusalOf(reply.value());
   co_return ParseJobState(reply.value().body);
 }
 
 Task<Result<bool>> RemoteInstance::Cancel(JobId id, Time deadline) {
-  auto reply = co_await Call({.method = HttpMethod::kDelete,
-                              .path = std::string(kJobPrefix) + FormatJobId(id),
-                              .query = {},
-                              .body = {}},
-                             deadline);
+  HttpCall call = CallOf(HttpMethod::kDelete, std::string(kJobPrefix) + FormatJobId(id));
+  auto reply = co_await Call(std::move(call), deadline);
   if (!reply) co_return reply.error();
   if (reply.value().status == kOk) co_return true;
   if (reply.value().status == kGone) co_return false;
@@ -163,8 +160,8 @@
 }
 
 Task<Result<std::int64_t>> RemoteInstance::WaitingOf(std::string queue, Time deadline) {
-  auto reply =
-      co_await Call({.path = std::string(kQueuePrefix) + queue, .query = {}, .body = {}}, deadline);
+  HttpCall call = CallOf(HttpMethod::kGet, std::string(kQueuePrefix) + queue);
+  auto reply = co_await Call(std::move(call), deadline);
   if (!reply) co_return reply.error();
   if (reply.value().status != kOk) co_return RefusalOf(reply.value());
   const auto waiting = ParseNumber(reply.value().body);
--- a/src/instance_link/tests/submit_outcome_test.cc
+++ b/src/instance_link/tests/instance_calls_test.cc
@@ -1,4 +1,4 @@
-// What the instance that forwards a job concludes from the response of another instance.
+// What an instance concludes from the responses of another instance.
 #include <catch2/catch.hpp>
 
 #include "instance_link/instance_link.h"
@@ -57,5 +57,53 @@
   runner.Stop();
 }
 
+// Guards against calls whose parts are destroyed twice: gcc does so with temporaries that are
+// initialised from braces within an expression that awaits.
+TEST_CASE("each call to another instance returns its answer", "[instance_link]") {
+  struct Case {
+    std::string name;
+    std::string path;  // Of the call that the other instance receives.
+    std::string body;  // Of its response.
+    Task<bool> (*is_answered)(RemoteInstance&, Time deadline);
+  };
+  const auto c = GENERATE(values<Case>({
+      {"owner", "/owners/0", "127.0.0.1:7001",
+       [](RemoteInstance& instance, Time deadline) -> Task<bool> {
+         const auto owner = co_await instance.OwnerOf(0, deadline);
+         co_return owner&& owner.value().port == 7'001;
+       }},
+      {"state", "/jobs/0000000000000001", "running",
+       [](RemoteInstance& instance, Time deadline) -> Task<bool> {
+         const auto state = co_await instance.StateOf(1, deadline);
+         co_return state&& state.value() == JobState::kRunning;
+       }},
+      {"cancel", "/jobs/0000000000000001", "",
+       [](RemoteInstance& instance, Time deadline) -> Task<bool> {
+         const auto cancelled = co_await instance.Cancel(1, deadline);
+         co_return cancelled&& cancelled.value();
+       }},
+      {"waiting", "/queues/q", "12",
+       [](RemoteInstance& instance, Time deadline) -> Task<bool> {
+         const auto waiting = co_await instance.WaitingOf("q", deadline);
+         co_return waiting&& waiting.value() == 12;
+       }},
+  }));
+  CAPTURE(c.name);
+  constexpr int kCalls = 20;
+  testing::Runner runner;
+  const auto server = HttpServer::Start(
+      runner.pool(), {.host = "127.0.0.1", .port = 0}, [&](HttpCall call) -> Task<HttpReply> {
+        HttpReply reply{.status = call.path == c.path ? 200 : 404, .body = c.body};
+        co_return reply;
+      });
+  REQUIRE(server);
+  HttpClient http;
+  RemoteInstance instance(server.value()->address(), http);
+  for (int i = 0; i < kCalls; ++i) {
+    CHECK(runner.Wait(c.is_answered(instance, Now() + Duration(1'000))));
+  }
+  runner.Stop();
+}
+
 }  // namespace
 }  // namespace dn
