Close idle connections after a broken one instead of looking at each

Cause, as suspected: a system call for each idle connection on each call, at an owner that is at its limit.

The tests of the client, the store, the instances, the workers' links and the adapter pass.

--- a/src/runtime/internal/http_client.cc
+++ b/src/runtime/internal/http_client.cc
@@ -9,7 +9,6 @@
 #include <vector>
 
 #include "runtime/internal/lock_order.h"
-#include "runtime/internal/socket_state.h"
 
 namespace dn {
 namespace {
@@ -64,9 +63,7 @@
     const Time now = Now();
     return idle.With([&](Idle& connections) -> ConnectionPtr {
       std::vector<ConnectionPtr>& list = connections[to];
-      std::erase_if(list, [&](const auto& c) {
-        return now - c->idle_since > kMaxIdleTime || !IsQuiet(c->stream.socket().native_handle());
-      });
+      std::erase_if(list, [&](const auto& c) { return now - c->idle_since > kMaxIdleTime; });
       if (list.empty()) return nullptr;
       ConnectionPtr taken = std::move(list.back());
       list.pop_back();
@@ -83,9 +80,9 @@
     });
   }
 
-  // Closes the idle connections to a peer after a timeout on one connection. The
-  // timeout does not prove that the peer is down, but its other idle connections
-  // may have stopped responding as well.
+  // Closes the idle connections to a peer after a timeout on one connection, or after one was
+  // broken. That does not prove that the peer is down, but its other idle connections may have
+  // stopped responding or be broken as well.
   void DropIdle(const Endpoint& to) {
     idle.With([&](Idle& connections) { connections.erase(to); });
   }
@@ -150,7 +147,7 @@
   if (connection) {
     auto reply = co_await impl_->Exchange(*connection, request, timeout, kind, &keep_alive);
     if (reply && keep_alive) impl_->PutIdle(to, std::move(connection));
-    if (!reply && reply.error() == Errc::kTimeout) impl_->DropIdle(to);
+    if (!reply) impl_->DropIdle(to);
     // The peer may close an idle connection at any time. If the connection was broken
     // and the request permits a retry, it is sent again on a new connection.
     if (reply || reply.error() != Errc::kBroken || !retry_on_broken_connection) co_return reply;
--- a/src/runtime/internal/upstream_connection.cc
+++ b/src/runtime/internal/upstream_connection.cc
@@ -11,7 +11,6 @@
 #include <boost/beast.hpp>
 
 #include "http/http.h"
-#include "runtime/internal/socket_state.h"
 
 namespace dn {
 namespace {
@@ -50,7 +49,9 @@
   }
 
   bool Usable() override {
-    return IsQuiet(stream_.socket().native_handle()) && buffer_.size() == 0;
+    char byte = 0;
+    const auto got = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) && buffer_.size() == 0;
   }
 
   Task<Result<void>> SendHead(const RequestHead& head, Time deadline) override {
