--- a/src/runtime/tests/http_client_test.cc
+++ b/src/runtime/tests/http_client_test.cc
@@ -101,6 +101,7 @@
   RelayedServer server;
   server.response_time = Duration(50);
   std::vector<std::future<std::pair<int, std::error_code>>> calls;
+  calls.reserve(kIdle);
   for (int i = 0; i < kIdle; ++i) calls.push_back(server.Begin(false));
   for (auto& call : calls) REQUIRE(call.get().first == 200);
   server.relay->CloseConnections();
