Grant leases and send starts only while the ownership is confirmed

Callers' tasks ran twice around a take-over: two runs at once, or another start after an end as done that had been acknowledged.

Cause: an owner asked nobody whether it still owned the shard before it renewed leases or sent starts. An owner that is cut off from the store together with workers renewed their leases without limit; one that was paused after its intents were recorded sent the starts after the pause, with new leases. Workers that the new owner cannot reach have not seen its token and accept both. The new owner counted one lease from its own beginning and started the tasks elsewhere.

Change: the store confirms an owner by each join; from the time when that join was sent, the owner may act for its time to live. Renewals carry no lease after that, nothing is planned, recorded intents are not sent, and starts are not repeated; a start is checked once more when it leaves the queue of its worker, after any pause. A new owner waits for workers that do not answer it until the leases that its predecessor could grant have expired. Renewals without a lease wait at most 0.25 s at the worker, so that leases are granted soon after the ownership is confirmed again.

Why it works: the store passes a shard on after the time to live, or at once; in both cases the last lease ends at most time to live and lease, by the slowest clock, after the next owner has begun, and a start carries its lease with it.

Left: the predecessor is the one in the latest list of owners (up to 3.5 s old), so an owner that is cut off, replaced at once and followed by two others within that time is not waited for in full.

--- a/src/node/internal/node_module.cc
+++ b/src/node/internal/node_module.cc
@@ -147,7 +147,8 @@
                             .policy = CurrentPolicy(),
                             .on_fenced = [this](int) { membership_.Rejoin(); },
                             .last_confirmed = [this] { return membership_.last_confirmed(); },
-                            .time_to_live = membership_.time_to_live()},
+                            .time_to_live = membership_.time_to_live(),
+                            .earlier_owner = membership_.EarlierOwnerOf(shard)},
         shard, token);
     local_.SetOwner(shard, owner);
     pool_.Spawn(owner->Run());
--- a/src/node/internal/shard_membership.cc
+++ b/src/node/internal/shard_membership.cc
@@ -201,6 +201,7 @@
     std::vector<double> shares;
     for (const PartitionOwner& owner : owners.value()) {
       table.owners[owner->partition] = owner->member;
+      if (owner->member != table.member) table.earlier_owners[owner->partition] = owner->member;
       const auto member = ParseMemberName(owner->member);
       if (member && member.value().address != own_address_) {
         shares.push_back(member.value().processor_share);
@@ -237,6 +238,13 @@
   return parsed.value().address;
 }
 
+std::string ShardMembership::EarlierOwnerOf(int shard) {
+  return table_.With([&](Table& table) {
+    const auto found = table.earlier_owners.find(shard);
+    return found == table.earlier_owners.end() ? std::string() : found->second;
+  });
+}
+
 // The group assigns all partitions of the topic, including those that no shard uses,
 // so that the owner list contains every member.
 std::vector<Endpoint> ShardMembership::OtherMembers() {
--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -85,6 +85,22 @@
   co_await PlanLoop();
 }
 
+Task<Time> ShardOwner::EndOfEarlierOwner() {
+  auto owners = co_await context_.store.Owners(kOwnerGroup, kJobsTopic);
+  bool is_gone = false;
+  if (owners && !context_.earlier_owner.empty()) {
+    std::set<std::string> members;
+    for (const PartitionOwner& row : owners.value()) members.insert(row->member);
+    // With fewer partitions than members, a member may be missing from the list.
+    const bool complete = members.size() < owners.value().size();
+    is_gone = complete && members.count(context_.earlier_owner) == 0;
+  }
+  context_.log.Write("earlier-owner", std::to_string(shard_),
+                     "token=" + std::to_string(token_) + " member=" + context_.earlier_owner +
+                         " gone=" + (is_gone ? "yes" : "no"));
+  co_return Now() + (is_gone ? Duration(0) : context_.time_to_live);
+}
+
 Task<bool> ShardOwner::TakeOver() {
   // Fencing comes first: afterwards no earlier owner can change the progress that is
   // read next.
@@ -102,6 +118,8 @@
     }
     co_await SleepFor(kRetryPause);
   }
+  const Time earlier_owner_ends = co_await EndOfEarlierOwner();
+  table_.With([&](Table& table) { table.shard.ExpectEarlierOrders(earlier_owner_ends); });
   std::vector<StoreRecord> progress;
   while (active_) {
     auto newest = co_await context_.store.Newest(ProgressOf(shard_));
@@ -222,8 +240,33 @@
   return table_.With([&](Table& table) { return table.shard.ManagedWorker(worker); });
 }
 
+template <class Function>
+auto ShardOwner::WithOwned(Function&& function) {
+  const Time until = context_.last_confirmed() + context_.time_to_live;
+  return table_.With([&](Table& table) {
+    table.shard.OwnUntil(until);
+    return function(table);
+  });
+}
+
+void ShardOwner::ShowOwnership(Time now) {
+  const Time confirmed = context_.last_confirmed();
+  const bool owned = now < confirmed + context_.time_to_live;
+  if (owned == owned_) return;
+  owned_ = owned;
+  // An owner without a confirmation in its time to live may have been replaced.
+  context_.log.Write(owned ? "ownership-regained" : "ownership-run-out", std::to_string(shard_),
+                     "token=" + std::to_string(token_) +
+                         " confirmed_age_ms=" + std::to_string((now - confirmed).count()));
+}
+
 Renewal ShardOwner::NextRenewal(const WorkerId& worker) {
-  return table_.With([&](Table& table) { return table.shard.NextRenewal(worker, Now()); });
+  return WithOwned([&](Table& table) { return table.shard.NextRenewal(worker, Now()); });
+}
+
+bool ShardOwner::MayStart(const StartOrder& order) {
+  if (!active_) return false;
+  return WithOwned([&](Table& table) { return table.shard.MayStart(order, Now()); });
 }
 
 void ShardOwner::OnRenewalResponse(const WorkerId& worker, const OrderResponse& response,
@@ -236,7 +279,7 @@
 void ShardOwner::OnStartResponse(const StartOrder& order,
                                  const std::optional<OrderResponse>& response) {
   if (!active_) return;
-  table_.With([&](Table& table) { table.shard.StartAnswered(order, response, Now()); });
+  WithOwned([&](Table& table) { table.shard.StartAnswered(order, response, Now()); });
 }
 
 void ShardOwner::OnStopResponse(const StopOrder& order,
@@ -322,7 +365,8 @@
     const auto began = BootClock::now();
     const Time now = Now();
     const std::int64_t wall = WallMs();
-    auto [orders, decisions] = table_.With([&](Table& table) {
+    ShowOwnership(now);
+    auto [orders, decisions] = WithOwned([&](Table& table) {
       table.shard.Plan(now, wall);
       return std::make_pair(table.shard.TakeOrders(now), table.shard.TakeDecisions());
     });
@@ -406,7 +450,7 @@
       context_.metrics.RecordLatency(Latency::kRecord, Now() - started);
     }
     const Time now = Now();
-    const Orders orders = table_.With([&](Table& table) {
+    const Orders orders = WithOwned([&](Table& table) {
       table.shard.Recorded(batch, now);
       return table.shard.TakeOrders(now);
     });
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -25,6 +25,8 @@
     // Send time of the latest join by which the store confirmed the ownership.
     std::function<Time()> last_confirmed;
     Duration time_to_live;  // The ownership may expire this long after a join.
+    // Member of the group that is known to have owned the shard before; empty: none is known.
+    std::string earlier_owner;
   };
 
   ShardOwner(Context context, int shard, FencingToken token);
@@ -49,6 +51,7 @@
   // WorkerLinkDelegate:
   std::optional<WorkerEntry> EntryOf(const WorkerId& worker) override;
   Renewal NextRenewal(const WorkerId& worker) override;
+  bool MayStart(const StartOrder& order) override;
   void OnRenewalResponse(const WorkerId& worker, const OrderResponse& response, Time sent) override;
   void OnStartResponse(const StartOrder& order,
                        const std::optional<OrderResponse>& response) override;
@@ -65,10 +68,19 @@
     Links links;
   };
 
+  // Returns until when the earlier owner may act: if the store still lists it as a member, it may
+  // be unaware of its replacement for its time to live.
+  Task<Time> EndOfEarlierOwner();
   // Fences earlier owners and restores the shard from the store. Returns false if
   // the shard was dropped meanwhile.
   Task<bool> TakeOver();
   OwnerView View() const;
+  // Passes the end of the confirmed ownership to the shard and returns the result of `function`,
+  // which is called under the shard's lock.
+  template <class Function>
+  auto WithOwned(Function&& function);
+  // Writes to the log that the ownership has run out or is confirmed again.
+  void ShowOwnership(Time now);
   // Returns an error if the view is too old to be told, even after another read of the
   // submitted jobs.
   Task<Result<>> EnsureCurrentView(Time deadline);
@@ -113,6 +125,7 @@
   std::atomic<std::uint64_t> jobs_read_completed_{0};  // Latest read that reached the end.
   std::atomic<std::uint64_t> jobs_read_failed_{0};     // Latest read that failed.
   Notifier jobs_read_ended_;
+  bool owned_ = true;  // As last written to the log. Used only by PlanLoop.
   const std::shared_ptr<RecordWriter> progress_;
   const std::shared_ptr<RecordWriter> job_cleaner_;  // Deletes expired jobs.
   KeyedFollower jobs_;                               // Submitted jobs.
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -13,6 +13,9 @@
 constexpr std::int64_t kWaitMonitoredMs = 400;
 constexpr std::int64_t kWaitBusyMs = 1'000;
 constexpr std::int64_t kWaitIdleMs = 2'000;  // The platform's maximum.
+// Longest such wait of a renewal that grants no lease for want of a confirmed ownership: once that
+// is confirmed again, the leases have less than a second left.
+constexpr std::int64_t kWaitUnownedMs = 250;
 // Number of starts without a response after which the run is revoked.
 constexpr int kMaxStartAttempts = 3;
 // Period at which a stop is repeated until a report shows its effect: the platform's time limit for
@@ -92,11 +95,14 @@
   // A worker that does not respond gets no further lease, so that its runs are known to have ended
   // once the last lease has expired.
   std::optional<ClockReading> until;
-  if (now - worker->last_report < kReportTimeout) until = workers_.LeaseExpiry(*worker, now);
+  if (IsOwned(now) && now - worker->last_report < kReportTimeout) {
+    until = workers_.LeaseExpiry(*worker, now);
+  }
   if (until) workers_.LeaseGranted(*worker, now);
   std::int64_t wait = worker->tasks.empty() ? kWaitIdleMs : kWaitBusyMs;
   if (worker->best_effort_millicores > 0 && worker->latency_critical_millicores > 0)
     wait = kWaitMonitoredMs;
+  if (!IsOwned(now)) wait = std::min(wait, kWaitUnownedMs);
   return Renewal({.worker = id,
                   .lease_until = until.value_or(0),
                   .ends_seen = EndsToAcknowledge(*worker, now),
@@ -558,6 +564,7 @@
   const TaskRow& task = job.tasks[position];
   WorkerRow* worker = workers_.Find(task.worker);
   if (worker == nullptr) return std::nullopt;
+  if (!IsOwned(now)) return std::nullopt;
   // The worker may have given notice since the start was planned or sent before.
   if (worker->entry->draining) return std::nullopt;
   // A worker that does not respond gets no further lease; see NextRenewal().
@@ -574,6 +581,11 @@
                      .token = token_});
 }
 
+bool Shard::MayStart(const StartOrder& order, Time now) const {
+  const WorkerRow* worker = workers_.Find(order->worker);
+  return IsOwned(now) && worker != nullptr && !worker->entry->draining;
+}
+
 Orders Shard::TakeOrders(Time now) {
   Orders orders{.starts = std::exchange(starts_, {}),
                 .stops = std::exchange(orphaned_run_stops_, {}),
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -98,6 +98,15 @@
     return interference_.Export(jobs_.images());
   }
 
+  // Permits new starts and leases until `until`, which is after any earlier such time: no other
+  // instance owns the shard before then, or it waits for what this owner may have ordered. Without
+  // a call there is no limit.
+  void OwnUntil(Time until) { owned_until_ = until; }
+
+  // Earlier owners may have granted leases and sent starts until `until`. Called before the first
+  // worker is listed; without a call, they have ended by then.
+  void ExpectEarlierOrders(Time until) { workers_.ExpectEarlierOrders(until); }
+
   void WorkerListed(const WorkerEntry& entry, Time now);
   void WorkerUnlisted(const WorkerId& id, Time now);
 
@@ -106,7 +115,8 @@
   std::vector<WorkerEntry> ManagedWorkers() const;
   // Returns the entry of a managed worker; nothing if the worker is not managed.
   std::optional<WorkerEntry> ManagedWorker(const WorkerId& id);
-  // Returns the renewal to send to a worker now. The renewal may grant a lease.
+  // Returns the renewal to send to a worker now. The renewal may grant a lease, unless the
+  // ownership has run out.
   Renewal NextRenewal(const WorkerId& id, Time now);
   // Handles the response to a renewal that was sent at `sent`.
   void Reported(const WorkerId& id, const OrderResponse& response, Time sent, Time now);
@@ -137,6 +147,10 @@
   // or std::nullopt if the order cannot be sent.
   Orders TakeOrders(Time now);
 
+  // Returns whether a start that was taken may still be sent: the ownership has not run out, and
+  // its worker has not given notice.
+  bool MayStart(const StartOrder& order, Time now) const;
+
   // Returns the state of a job, as far as it is durable.
   JobState StateOf(JobId id) const;
   // Returns the number of open jobs of `queue` of which no worker has shown a run.
@@ -218,6 +232,8 @@
   // Rebuilds `open_jobs_` and finds the jobs past their retention period.
   void CollectOpenJobs(Time now);
   std::vector<Waiting> CollectWaiting(Time now, std::int64_t wall_ms);
+  // Places the tasks that are due on workers.
+  void PlaceWaiting(Time now, std::int64_t wall_ms);
   void PlaceStep(const Waiting& waiting, SearchMemo& memo, Time now);
   bool PlaceGang(const Waiting& waiting, Time now);
   // Updates the time since when the job has had no run; `ready`: a task of it is ready. A run that
@@ -261,12 +277,15 @@
   void MoveIfSlow(JobRow& job, std::size_t position, Time now);
   // Tries again to move tasks at speed 0: other workers may accept them by now.
   void MoveThrottled(Time now);
+  // Returns whether leases may be granted and starts sent.
+  bool IsOwned(Time now) const { return now < owned_until_; }
   // Returns the start of a placed task; nothing if its worker may not be sent a start now.
   std::optional<StartOrder> StartOf(const JobRow& job, std::size_t position, Time now);
   void Decide(std::string kind, std::string subject, std::string detail);
 
   const Policy policy_;
   const FencingToken token_;
+  Time owned_until_ = Time::max();  // The ownership may have passed to another instance then.
   JobTable jobs_;
   // Contains all jobs that have not ended; may contain others, until the next sweep.
   std::vector<JobRow*> open_jobs_;
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -37,6 +37,11 @@
     ClearSuspects(now);
     CollectOpenJobs(now);
   }
+  if (IsOwned(now)) PlaceWaiting(now, wall_ms);
+  ControlThrottling(now);
+}
+
+void Shard::PlaceWaiting(Time now, std::int64_t wall_ms) {
   HoldWorkers(now);
   SearchMemo memo;
   const std::vector<Waiting> all_waiting = CollectWaiting(now, wall_ms);
@@ -49,7 +54,6 @@
     }
   }
   PlaceReduced(all_waiting, now);
-  ControlThrottling(now);
 }
 
 void Shard::ReleaseLostWorkers(Time now) {
--- a/src/scheduling/internal/worker_table.cc
+++ b/src/scheduling/internal/worker_table.cc
@@ -50,14 +50,19 @@
   return found == workers_.end() ? nullptr : &found->second;
 }
 
+const WorkerRow* WorkerTable::Find(const WorkerId& id) const {
+  const auto found = workers_.find(id);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
 WorkerRow& WorkerTable::FindOrAdd(const WorkerId& id, Time now) {
   const auto [entry, added] = workers_.try_emplace(id);
   if (added) {
     entry->second.entry = WorkerEntry({.id = id});
     entry->second.unlisted_at = now;
     entry->second.added_at = now;
-    // An earlier owner may have granted a lease up to this moment.
-    LeaseGranted(entry->second, now);
+    if (!earlier_owners_until_) earlier_owners_until_ = now;
+    LeaseGranted(entry->second, *earlier_owners_until_);
   }
   return entry->second;
 }
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -72,12 +72,15 @@
  public:
   explicit WorkerTable(const Policy& policy) : policy_(policy) {}
 
+  // See Shard::ExpectEarlierOrders().
+  void ExpectEarlierOrders(Time until) { earlier_owners_until_ = until; }
   // Adds or updates the entry of a registered worker.
   void Listed(const WorkerEntry& entry, Time now);
   // Handles the end of a worker's registration.
   // Returns whether the worker was listed.
   bool Unlisted(const WorkerId& id, Time now);
   WorkerRow* Find(const WorkerId& id);
+  const WorkerRow* Find(const WorkerId& id) const;
   WorkerRow& FindOrAdd(const WorkerId& id, Time now);
   std::map<WorkerId, WorkerRow>& workers() { return workers_; }
   const std::map<WorkerId, WorkerRow>& workers() const { return workers_; }
@@ -102,6 +105,9 @@
  private:
   const Policy policy_;
   std::map<WorkerId, WorkerRow> workers_;
+  // Until when earlier owners may have granted leases. Unless it is told, they have ended when the
+  // first worker is added.
+  std::optional<Time> earlier_owners_until_;
 };
 
 }  // namespace dn
--- a/src/scheduling/tests/shard_interleavings_test.cc
+++ b/src/scheduling/tests/shard_interleavings_test.cc
@@ -29,6 +29,15 @@
 constexpr Duration kFaultsEnd{20'000};
 // How long a fault of a worker lasts: long enough for all leases on it to expire.
 constexpr Duration kWorkerFault{5'000};
+// Period of the joins by which the store confirms an owner.
+constexpr Duration kJoinPeriod{600};
+constexpr Duration kJoinTime{20};  // Until the response arrives.
+// Without a join for this long, the shard passes to another owner.
+constexpr Duration kTimeToLive{1'800};
+// Longer than the time to live of an ownership; the store still accepts the owner's records.
+constexpr Duration kJoinFailure{4'000};
+// How long a zone is cut off.
+constexpr std::pair<int, int> kZoneCut{3'000, 14'000};
 // When the fault of a worker that lasts to the end begins.
 constexpr Duration kLastingFaultBegins{8'000};
 // Time after the last fault by which each task that can run has a run: the longest lease by the
@@ -63,7 +72,11 @@
   int reassignments = 0;       // Per 100 ms; the old owner is not notified.
   int worker_crashes = 0;      // Per 100 ms.
   int worker_disconnects = 0;  // Per 100 ms; unreachable and unlisted for 5 s, but still running.
-  int slow_store = 0;          // Per append; delays it by 2 s.
+  // Per 100 ms. The owner and half of the workers are cut off from the store and from the others,
+  // not from each other, for 3 to 14 s.
+  int zone_cuts = 0;
+  int join_failures = 0;  // Per 100 ms; the store rejects the owner's joins for kJoinFailure.
+  int slow_store = 0;     // Per append; delays it by 2 s.
   // Per 100 ms; the worker stays listed and its runs go on. Each lasts kWorkerFault.
   int worker_unreachable = 0;
   int worker_mute = 0;
@@ -132,6 +145,8 @@
   bool open = false;
   bool appending = false;
   Time frozen_until{};
+  Time joins_fail_until{};
+  Time confirmed{};   // Send time of the latest join that the store answered.
   Time planned_at{};  // When the last plan began: jobs accepted by then are known.
   // Jobs of which a response, a report or a record has shown a run to this owner.
   std::set<JobId> shown_runs;
@@ -149,6 +164,7 @@
     }
     TakeOver();
     Every(Duration(100), [this] { InjectFaults(); });
+    Every(kJoinPeriod, [this] { ConfirmOwner(); });
     Every(Duration(10), [this] { AdvanceWorkers(); });
     Every(Duration(10), [this] { CheckBegun(); });
     if (faults_.lasting != WorkerFault::kNone) {
@@ -237,15 +253,54 @@
     if (owner_ && owner_->alive) former_owners_.push_back(owner_);
     owner_ = std::make_shared<Owner>(++last_token_, PolicyFields());
     const auto owner = owner_;
+    owner->confirmed = now_;
     RunInOwner(owner, now_ + Duration(Pick(5, 300)), [this, owner] { Open(owner); });
   }
 
+  bool IsCutOff(const std::shared_ptr<Owner>& owner) const { return owner == cut_off_owner_; }
+  bool IsCutOff(int index) const { return cut_off_owner_ != nullptr && index < kWorkers / 2; }
+
+  // Lets the current owner join the group once more, unless that fails.
+  void ConfirmOwner() {
+    const auto owner = owner_;
+    if (IsCutOff(owner) || owner->joins_fail_until > now_) return;
+    const Time sent = now_;
+    if (owner->frozen_until > now_) return;
+    RunInOwner(owner, now_ + kJoinTime, [owner, sent] { owner->confirmed = sent; });
+  }
+
+  // The shard of the owner as it may act now.
+  Shard& OwnedShard(Owner& owner) {
+    owner.shard.OwnUntil(owner.confirmed + kTimeToLive);
+    return owner.shard;
+  }
+
+  // Until when an earlier owner, by its last join, may be unaware of its replacement.
+  Time EndOfEarlierOwners() const {
+    Time end = now_;
+    for (const auto& earlier : former_owners_) {
+      if (earlier->alive && earlier->confirmed + kTimeToLive > now_) end = now_ + kTimeToLive;
+    }
+    return end;
+  }
+
+  void CutZone() {
+    if (cut_off_owner_ != nullptr || !owner_->open) return;
+    cut_off_owner_ = owner_;
+    const auto owner = owner_;
+    After(kTimeToLive, [this, owner] {
+      if (owner == owner_) TakeOver();
+    });
+    After(Duration(Pick(kZoneCut.first, kZoneCut.second)), [this] { cut_off_owner_ = nullptr; });
+  }
+
   void Open(const std::shared_ptr<Owner>& owner) {
     if (owner->shard.token() < fence_) {
       owner->alive = false;
       return;
     }
     fence_ = owner->shard.token();
+    owner->shard.ExpectEarlierOrders(EndOfEarlierOwners());
     for (const AcceptedJob& job : accepted_) owner->shard.Accept(job, now_);
     for (const auto& [id, progress] : progress_) {
       const auto decoded = DecodeJobProgress(progress);
@@ -272,7 +327,10 @@
     for (const AcceptedJob& job : accepted_) owner->shard.Accept(job, now_);
     for (int i = 0; i < kWorkers; ++i) {
       const SimWorker& worker = workers_[i];
-      if (!worker.up || worker.disconnected) {
+      // An owner that is cut off reads no registrations, and the entries of workers that are cut
+      // off lapse.
+      if (IsCutOff(owner)) continue;
+      if (!worker.up || worker.disconnected || IsCutOff(i)) {
         owner->shard.WorkerUnlisted(IdOf(i), now_);
         continue;
       }
@@ -283,7 +341,7 @@
                                              .capacity = ListedCapacity(i, now_ - kListingDelay)}),
                                 now_);
     }
-    owner->shard.Plan(now_, now_.time_since_epoch().count());
+    OwnedShard(*owner).Plan(now_, now_.time_since_epoch().count());
     owner->shard.TakeDecisions();
     Send(owner);
     if (!owner->appending) Append(owner);
@@ -295,8 +353,18 @@
     if (batch->empty()) return;
     owner->appending = true;
     const Duration delay(CallFails(faults_.slow_store) ? 2'000 : Pick(3, 40));
-    // The append takes effect at the store even if the owner dies meanwhile.
+    Store(owner, batch, delay);
+  }
+
+  // The append takes effect at the store after `delay`, even if the owner dies meanwhile, and not
+  // before the owner reaches the store.
+  void Store(const std::shared_ptr<Owner>& owner, const std::shared_ptr<RecordBatch>& batch,
+             Duration delay) {
     After(delay, [this, owner, batch] {
+      if (IsCutOff(owner)) {
+        Store(owner, batch, Duration(100));
+        return;
+      }
       if (owner->shard.token() < fence_) {
         owner->alive = false;
         return;
@@ -309,7 +377,7 @@
       }
       RunInOwner(owner, now_ + Duration(2), [this, owner, batch] {
         owner->appending = false;
-        owner->shard.Recorded(*batch, now_);
+        OwnedShard(*owner).Recorded(*batch, now_);
         Send(owner);
       });
     });
@@ -324,7 +392,7 @@
             if (response && (*response)->refusal == OrderRefusal::kNone) {
               owner->shown_runs.insert(order->task.job);
             }
-            owner->shard.StartAnswered(order, response, now_);
+            OwnedShard(*owner).StartAnswered(order, response, now_);
           });
     }
     for (const StopOrder& order : orders.stops) {
@@ -338,7 +406,7 @@
 
   void Renew(const std::shared_ptr<Owner>& owner, int index) {
     const Time sent = now_;
-    const Renewal renewal = owner->shard.NextRenewal(IdOf(index), now_);
+    const Renewal renewal = OwnedShard(*owner).NextRenewal(IdOf(index), now_);
     Call(
         owner, index, [this, renewal, index] { return HandleRenewal(renewal, index); },
         [this, owner, index, sent](const auto& response) {
@@ -384,9 +452,9 @@
     After(Duration(Pick(1, 20)),
           [this, owner, index, effect, on_response, lose_response, time_out] {
             const SimWorker& worker = workers_[index];
-            if (!worker.up || worker.disconnected || worker.fault == WorkerFault::kUnreachable) {
-              return time_out();
-            }
+            const bool unreachable =
+                worker.fault == WorkerFault::kUnreachable || IsCutOff(owner) != IsCutOff(index);
+            if (!worker.up || worker.disconnected || unreachable) return time_out();
             const OrderResponse response = CanHear(worker) ? effect() : RefuseAll(worker);
             if (lose_response || worker.fault == WorkerFault::kMute) return time_out();
             RunInOwner(owner, now_ + Duration(Pick(1, 20)),
@@ -529,6 +597,14 @@
       After(Duration(1'800), [this] { TakeOver(); });
     }
     if (Chance(faults_.reassignments)) TakeOver();
+    if (faults_.zone_cuts > 0 && Chance(faults_.zone_cuts)) CutZone();
+    if (faults_.join_failures > 0 && Chance(faults_.join_failures)) {
+      const auto owner = owner_;
+      owner->joins_fail_until = now_ + kJoinFailure;
+      After(kTimeToLive, [this, owner] {
+        if (owner == owner_) TakeOver();
+      });
+    }
     for (SimWorker& worker : workers_) {
       if (worker.up && Chance(faults_.worker_crashes)) Crash(worker);
       if (worker.up && !worker.disconnected && Chance(faults_.worker_disconnects)) {
@@ -704,6 +780,7 @@
   FencingToken last_token_ = 0;
   std::shared_ptr<Owner> owner_;
   std::vector<std::shared_ptr<Owner>> former_owners_;
+  std::shared_ptr<Owner> cut_off_owner_;  // With the first half of the workers; none: no cut.
   std::set<std::string> begun_findings_;
   // Tasks that can run and have no run, and since when.
   std::map<TaskKey, Time> without_run_since_;
@@ -883,6 +960,15 @@
      .slow_store = 200,
      .worker_unreachable = 3,
      .worker_mute = 3},
+    // Owners whose membership ends unnoticed.
+    {.name = "zone cut off", .zone_cuts = 15},
+    {.name = "zone cut off, shard reassigned", .reassignments = 20, .zone_cuts = 15},
+    {.name = "zone cut off, late orders, lost responses",
+     .lost_responses = 60,
+     .late_orders = 40,
+     .zone_cuts = 15},
+    {.name = "joins fail", .join_failures = 15},
+    {.name = "joins fail, lost responses", .lost_responses = 60, .join_failures = 15},
     // Reports that do not list all ends.
     {.name = "few ends in a report, owner killed", .owner_kills = 15, .listed_ends = 1},
     {.name = "few ends in a report, slow store, shard reassigned, lost responses",
--- a/src/task_worker/internal/worker_link.cc
+++ b/src/task_worker/internal/worker_link.cc
@@ -116,9 +116,7 @@
 Task<> WorkerLink::SendOne(QueuedOrder queued) {
   const Order& order = queued.order;
   if (const auto* start = std::get_if<StartOrder>(&order)) {
-    const auto entry = delegate_->EntryOf(worker_);
-    const bool leaving = entry && (*entry)->draining;
-    if (leaving || Now() - queued.queued_at >= kMaxStartAge) {
+    if (Now() - queued.queued_at >= kMaxStartAge || !delegate_->MayStart(*start)) {
       delegate_->OnStartResponse(*start, OrderResponse({.refusal = OrderRefusal::kWithdrawn}));
       co_return;
     }
--- a/src/task_worker/internal/worker_link.h
+++ b/src/task_worker/internal/worker_link.h
@@ -18,6 +18,8 @@
   virtual ~WorkerLinkDelegate() = default;
   // Current registration of the worker; nullopt ends the link.
   virtual std::optional<WorkerEntry> EntryOf(const WorkerId& worker) = 0;
+  // Whether the start may still be sent: conditions may have changed since it was decided.
+  virtual bool MayStart(const StartOrder& order) = 0;
   // Renewal to send next.
   virtual Renewal NextRenewal(const WorkerId& worker) = 0;
   // The worker responded to the renewal that was sent at `sent`.
@@ -44,8 +46,8 @@
   // Sends renewals until the delegate has no registration for the worker.
   Task<> Run();
   // Queues an order. It is sent at once unless the maximum number of orders is in
-  // flight; stops go before other orders. A start that has waited for kMaxStartAge, or whose worker
-  // is draining by then, is not sent any more: the delegate learns that it is withdrawn.
+  // flight; stops go before other orders. A start that has waited for kMaxStartAge, or that the
+  // delegate does not permit any more, is not sent: the delegate learns that it is withdrawn.
   void Send(Order order);
 
  private:
--- a/src/task_worker/tests/worker_link_test.cc
+++ b/src/task_worker/tests/worker_link_test.cc
@@ -19,6 +19,7 @@
   std::optional<WorkerEntry> EntryOf(const WorkerId& worker) override {
     return WorkerEntry({.id = worker, .service = "s", .address = address_, .draining = draining});
   }
+  bool MayStart(const StartOrder& /*order*/) override { return !draining; }
   Renewal NextRenewal(const WorkerId& worker) override { return Renewal({.worker = worker}); }
   void OnRenewalResponse(const WorkerId& /*worker*/, const OrderResponse& /*response*/,
                          Time /*sent*/) override {}
