Log which append recorded each run, and sequence conflicts

Callers saw tasks that must run once run twice after take-overs. The logs did not tell which owner's append had recorded a run or the end of one, under which sequence number and at which offset, nor that the store and a writer disagreed about a number.

RecordWriter::Append returns the number of the last call and the offsets of the records; they are unknown if only a later conflict showed that a lost attempt was stored. The owner writes one line for each append that holds runs or ends (`records-stored`): epoch, sequence, offsets, the runs it will start with their workers, and the last end of each worker that it will acknowledge. A conflict is logged with both numbers, the epoch, whether an earlier attempt may be stored, and what the writer makes of it (`sequence-conflict`), and is thereby counted in `dn_decisions_total`. No decision changes.

--- a/src/node/internal/node_module.cc
+++ b/src/node/internal/node_module.cc
@@ -41,7 +41,7 @@
         exchanges_(ExchangeCapacity(
             {.processor_share = settings->processor_share, .link_mbps = settings->link_mbps})),
         store_(settings->store, adapter.store, http_),
-        local_(store_, settings->id),
+        local_(store_, settings->id, log_),
         membership_(
             store_, settings->instances, settings->processor_share,
             std::max(kTimeToLive, settings->min_time_to_live),
--- a/src/node/internal/node_service.cc
+++ b/src/node/internal/node_service.cc
@@ -27,10 +27,11 @@
 
 }  // namespace
 
-LocalService::LocalService(StoreClient& store, const std::string& node) : store_(store) {
+LocalService::LocalService(StoreClient& store, const std::string& node, DecisionLog& log)
+    : store_(store) {
   const std::string producer = node + "-" + std::to_string(NewIncarnation());
   for (int shard = 0; shard < kShardCount; ++shard) {
-    writers_.push_back(std::make_shared<RecordWriter>(store, JobsOf(shard), producer, 0));
+    writers_.push_back(std::make_shared<RecordWriter>(store, JobsOf(shard), producer, 0, log));
   }
   table_.With([](Table& table) { table.view = std::make_shared<const QueueConfigurationView>(); });
 }
--- a/src/node/internal/node_service.h
+++ b/src/node/internal/node_service.h
@@ -12,7 +12,7 @@
 // Handles requests from local state only; never calls another instance.
 class LocalService final : public JobService {
  public:
-  LocalService(StoreClient& store, const std::string& node);
+  LocalService(StoreClient& store, const std::string& node, DecisionLog& log);
 
   std::shared_ptr<const QueueConfigurationView> CurrentConfiguration() override;
   Task<SubmitOutcome> Submit(AcceptedJob job, Time deadline) override;
--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -44,9 +44,10 @@
       shard_(shard),
       token_(token),
       table_(Table{.shard = Shard(context_.policy, token), .links = {}}),
-      progress_(std::make_shared<RecordWriter>(context_.store, ProgressOf(shard), "owner", token)),
-      job_cleaner_(std::make_shared<RecordWriter>(context_.store, JobsOf(shard),
-                                                  "cleaner-" + std::to_string(token), 0)),
+      progress_(std::make_shared<RecordWriter>(context_.store, ProgressOf(shard), "owner", token,
+                                               context_.log)),
+      job_cleaner_(std::make_shared<RecordWriter>(
+          context_.store, JobsOf(shard), "cleaner-" + std::to_string(token), 0, context_.log)),
       jobs_(context_.store, JobsOf(shard), {.wait = kJobsWait, .pause = Duration(0)}, context_.log,
             [this](const auto& records, bool) { HandleJobs(records); }),
       registrations_(context_.adapter.registry, context_.log),
@@ -355,6 +356,15 @@
   context_.metrics.Set(Gauge::kLinkWaitMs, 0);
 }
 
+void ShardOwner::LogStored(const StoredAppend& stored, const RecordBatch& batch) {
+  if (batch.intents.empty() && batch.ends.empty()) return;
+  context_.log.Write("records-stored", std::to_string(shard_),
+                     "epoch=" + std::to_string(token_) +
+                         " sequence=" + std::to_string(stored->sequence) +
+                         " first=" + std::to_string(stored->first) +
+                         " end=" + std::to_string(stored->end) + " " + ToText(batch));
+}
+
 Task<> ShardOwner::RecordLoop() {
   const auto self = shared_from_this();
   Time interference_recorded = Now();
@@ -404,6 +414,7 @@
         co_return;
       }
       context_.metrics.RecordLatency(Latency::kRecord, Now() - started);
+      LogStored(stored.value(), batch);
     }
     const Time now = Now();
     const Orders orders = table_.With([&](Table& table) {
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -84,6 +84,8 @@
   Task<> PlanLoop();
   // Records the progress of jobs and deletes expired jobs.
   Task<> RecordLoop();
+  // Logs the runs and ends of `batch`, which is durable, and where the store placed it.
+  void LogStored(const StoredAppend& stored, const RecordBatch& batch);
   Task<> RunLink(std::shared_ptr<WorkerLink> link, WorkerId worker);
   // Opens a link to each worker of the shard that has none yet.
   void OpenLinks();
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -504,6 +504,7 @@
     if (task == nullptr) continue;
     batch.intents.push_back(key);
     batch.runs.push_back(task->run);
+    batch.workers.push_back(task->worker);
   }
   for (const JobId id : std::exchange(expired_, {})) {
     JobRow& job = *jobs_.Find(id);
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -43,6 +43,7 @@
   std::vector<JobCrashes> crashes;  // Of jobs in `records`.
   std::vector<TaskKey> intents;     // Tasks whose start was planned.
   std::vector<int> runs;            // Run numbers, parallel to `intents`.
+  std::vector<WorkerId> workers;    // Where the runs start, parallel to `intents`.
   // By worker: start time of its incarnation, and number of the last end.
   std::map<WorkerId, std::pair<std::int64_t, std::int64_t>> ends;
   std::vector<JobId> expired;  // Jobs past their retention period, whose records are deleted.
@@ -51,6 +52,10 @@
   bool empty() const { return records.empty() && ends.empty() && expired.empty(); }
 };
 
+// Returns the intended runs (JOB.OCCURRENCE.STEP.INDEX/RUN@WORKER) and the last end of each worker
+// (WORKER:NUMBER) as they are logged. What does not fit into a line of the log is counted.
+std::string ToText(const RecordBatch& batch);
+
 // Orders that are due.
 struct Orders {
   std::vector<StartOrder> starts;
--- a/src/store/internal/record_writer.cc
+++ b/src/store/internal/record_writer.cc
@@ -45,11 +45,12 @@
 }  // namespace
 
 RecordWriter::RecordWriter(StoreClient& store, Partition partition, std::string producer,
-                           std::int64_t epoch)
+                           std::int64_t epoch, DecisionLog& log)
     : store_(store),
       partition_(std::move(partition)),
       producer_(std::move(producer)),
-      epoch_(epoch) {}
+      epoch_(epoch),
+      log_(log) {}
 
 Task<Result<std::int64_t>> RecordWriter::Fence() {
   Producer producer({.name = producer_, .epoch = epoch_, .sequence = 0});
@@ -64,7 +65,7 @@
   return queue_.With([&](Queue& queue) { return std::erase(queue.waiting, entry) > 0; });
 }
 
-Task<Result<>> RecordWriter::Append(std::vector<StoreRecord> records, Limits limits) {
+Task<Result<StoredAppend>> RecordWriter::Append(std::vector<StoreRecord> records, Limits limits) {
   auto entry = std::make_shared<Entry>();
   entry->records = std::move(records);
   const bool start = queue_.With([&](Queue& queue) {
@@ -111,10 +112,15 @@
     });
     if (!more) co_return;
     // Only a single entry can need several calls.
-    Result<> outcome = boost::outcome_v2::success();
+    Result<StoredAppend> outcome = StoredAppend();
+    std::optional<std::int64_t> first;
     for (const std::vector<StoreRecord>& call : SplitIntoCalls(std::move(records))) {
       outcome = co_await AppendCall(call, epoch_ > 0);
       if (!outcome) break;
+      if (!first) first = outcome.value()->first;
+    }
+    if (outcome && first) {
+      outcome = outcome.value().With([&](StoredAppendFields& calls) { calls.first = *first; });
     }
     queue_.With([&](Queue&) {
       for (const auto& entry : taken) entry->outcome = outcome;
@@ -123,8 +129,15 @@
   }
 }
 
-Task<Result<>> RecordWriter::AppendCall(const std::vector<StoreRecord>& records,
-                                        bool retry_rejections) {
+void RecordWriter::LogConflict(std::int64_t expected, bool may_be_stored, const char* outcome) {
+  log_.Write("sequence-conflict", partition_->topic + "/" + std::to_string(partition_->number),
+             "producer=" + producer_ + " epoch=" + std::to_string(epoch_) + " sent=" +
+                 std::to_string(next_sequence_) + " expected=" + std::to_string(expected) +
+                 " may_be_stored=" + (may_be_stored ? "1" : "0") + " outcome=" + outcome);
+}
+
+Task<Result<StoredAppend>> RecordWriter::AppendCall(const std::vector<StoreRecord>& records,
+                                                    bool retry_rejections) {
   bool may_be_stored = false;
   int rejections = 0;
   Duration pause = kRetryPause;
@@ -134,8 +147,9 @@
     if (response) {
       const AppendOutcome outcome = response.value()->outcome;
       if (outcome == AppendOutcome::kStored) {
-        ++next_sequence_;
-        co_return boost::outcome_v2::success();
+        co_return StoredAppend({.sequence = next_sequence_++,
+                                .first = response.value()->first,
+                                .end = response.value()->end});
       }
       if (outcome == AppendOutcome::kFenced) co_return Errc::kConflict;
       if (outcome == AppendOutcome::kWrongSequence) {
@@ -143,9 +157,12 @@
         if (may_be_stored && expected > next_sequence_) {
           // An earlier attempt stored the records and its response was lost. The
           // store no longer remembers that response and so cannot repeat it.
+          LogConflict(expected, may_be_stored, "stored-earlier");
+          const StoredAppend stored({.sequence = next_sequence_});
           next_sequence_ = expected;
-          co_return boost::outcome_v2::success();
+          co_return stored;
         }
+        LogConflict(expected, may_be_stored, "sent-again");
         next_sequence_ = expected;
         continue;
       }
--- a/src/store/internal/record_writer.h
+++ b/src/store/internal/record_writer.h
@@ -10,12 +10,27 @@
 
 namespace dn {
 
+// Where the store placed the records of an append. The calls that stored them may also hold records
+// of concurrent callers.
+struct StoredAppendFields {
+  std::int64_t sequence = 0;  // Number of the last call.
+  // Offset of the first record of the calls, and offset after the last one; -1: unknown, since the
+  // response was lost.
+  std::int64_t first = -1;
+  std::int64_t end = -1;
+
+  friend auto operator<=>(const StoredAppendFields&, const StoredAppendFields&) = default;
+};
+using StoredAppend = Immutable<StoredAppendFields>;
+
 class RecordWriter : public std::enable_shared_from_this<RecordWriter> {
  public:
   // `epoch`: fencing token of the producer, or 0 for none. Calls with an epoch are
   // retried until they are stored or fenced, since state of the owner must not be
   // lost; calls without one fail after a few rejected attempts.
-  RecordWriter(StoreClient& store, Partition partition, std::string producer, std::int64_t epoch);
+  // Sequence conflicts are written to `log`.
+  RecordWriter(StoreClient& store, Partition partition, std::string producer, std::int64_t epoch,
+               DecisionLog& log);
 
   // Time limits of an append.
   struct Limits {
@@ -23,13 +38,13 @@
     Time deadline;  // Latest time at which Append returns.
   };
 
-  // Waits until `records` are durable or a limit has passed. More records than fit into a call
-  // are stored in several, in order, so that the first of them may be durable after an error; only
-  // producers with an epoch append that many. Errors:
-  // kUnavailable: the records are not stored and never will be; kTimeout: the
-  // outcome is unknown, the records may still become durable; kConflict: a higher
-  // epoch has fenced this producer, which can store nothing more.
-  Task<Result<>> Append(std::vector<StoreRecord> records, Limits limits);
+  // Waits until `records` are durable or a limit has passed, and returns where they are. More
+  // records than fit into a call are stored in several, in order, so that the first of them may be
+  // durable after an error; only producers with an epoch append that many. Errors: kUnavailable:
+  // the records are not stored and never will be; kTimeout: the outcome is unknown, the records may
+  // still become durable; kConflict: a higher epoch has fenced this producer, which can store
+  // nothing more.
+  Task<Result<StoredAppend>> Append(std::vector<StoreRecord> records, Limits limits);
   // Makes the store reject lower epochs, without appending a record. Returns the
   // end offset of the partition. Errors: kConflict if this epoch is fenced itself,
   // otherwise those of StoreClient.
@@ -38,7 +53,7 @@
  private:
   struct Entry {
     std::vector<StoreRecord> records;
-    std::optional<Result<>> outcome;
+    std::optional<Result<StoredAppend>> outcome;
   };
   struct Queue {
     std::deque<std::shared_ptr<Entry>> waiting;
@@ -52,12 +67,17 @@
   // Appends `records` in one call, retried until the outcome is known. If
   // `retry_rejections` is false, it fails with kUnavailable after a few attempts
   // that stored nothing.
-  Task<Result<>> AppendCall(const std::vector<StoreRecord>& records, bool retry_rejections);
+  Task<Result<StoredAppend>> AppendCall(const std::vector<StoreRecord>& records,
+                                        bool retry_rejections);
+  // Logs that the store expected another sequence number than the one sent. `outcome`: what the
+  // writer makes of it.
+  void LogConflict(std::int64_t expected, bool may_be_stored, const char* outcome);
 
   StoreClient& store_;
   const Partition partition_;
   const std::string producer_;
   const std::int64_t epoch_;
+  DecisionLog& log_;
   std::int64_t next_sequence_ = 1;  // Used only by the Drain coroutine.
   Shared<Queue, LockRank::kRecords> queue_;
   Notifier done_;  // The outcome of some entries is known.
--- a/src/store/tests/record_writer_test.cc
+++ b/src/store/tests/record_writer_test.cc
@@ -1,4 +1,4 @@
-// Outcomes of RecordWriter::Append while the store is unavailable.
+// Outcomes of RecordWriter::Append, also while the store is unavailable.
 #include <catch2/catch.hpp>
 
 #include "platform/platform.h"
@@ -44,7 +44,8 @@
   REQUIRE(standin.Start());
   HttpClient http;
   StoreClient store(standin.address(), platform::MakeStoreProtocol(), http);
-  const auto writer = std::make_shared<RecordWriter>(store, kJobs, "node", 0);
+  DecisionLog log("node");
+  const auto writer = std::make_shared<RecordWriter>(store, kJobs, "node", 0, log);
   standin.SetFault(c.fault);
   auto first = runner.Begin(Append(writer, "first"));
   std::this_thread::sleep_for(Duration(50));
@@ -88,7 +89,8 @@
   REQUIRE(relay);
   HttpClient http;
   StoreClient store(relay.value()->address(), platform::MakeStoreProtocol(), http);
-  const auto writer = std::make_shared<RecordWriter>(store, kJobs, "node", 0);
+  DecisionLog log("node");
+  const auto writer = std::make_shared<RecordWriter>(store, kJobs, "node", 0, log);
   REQUIRE_FALSE(runner.Wait(Append(writer, "before")));
   relay.value()->BreakAtNextResponse([&] {
     standin.SetFault({.busy = c.busy});
@@ -128,7 +130,8 @@
   REQUIRE(standin.Start());
   HttpClient http;
   StoreClient store(standin.address(), platform::MakeStoreProtocol(), http);
-  const auto writer = std::make_shared<RecordWriter>(store, kJobs, "owner", 7);
+  DecisionLog log("node");
+  const auto writer = std::make_shared<RecordWriter>(store, kJobs, "owner", 7, log);
   std::vector<StoreRecord> records;
   records.reserve(static_cast<std::size_t>(c.records));
   for (int i = 0; i < c.records; ++i) {
@@ -139,5 +142,124 @@
   CHECK(runner.Wait(CountKeys(store)) == records.size());
 }
 
+// Responds to appends as scripted, and keeps their producers and sequence numbers.
+class ScriptedStore {
+ public:
+  struct Response {
+    int status = 200;
+    std::string body = {};
+    // Set: a sequence conflict; the store expects a number that is so much higher than the sent
+    // one.
+    std::optional<std::int64_t> expects_ahead = {};
+  };
+  struct Sent {
+    std::string producer;
+    std::int64_t sequence = 0;
+
+    friend auto operator<=>(const Sent&, const Sent&) = default;
+  };
+
+  // After the last of `responses`, calls are refused.
+  ScriptedStore(WorkerPool& pool, std::vector<Response> responses)
+      : state_(State{.responses = std::move(responses), .sent = {}}) {
+    server_ = HttpServer::Start(pool, {.host = "127.0.0.1", .port = 0}, [this](HttpCall call) {
+                return Respond(std::move(call));
+              }).value();
+  }
+  Endpoint address() const { return server_->address(); }
+  std::vector<Sent> sent() {
+    return state_.With([](State& state) { return state.sent; });
+  }
+
+ private:
+  struct State {
+    std::vector<Response> responses;
+    std::vector<Sent> sent;
+  };
+
+  Task<HttpReply> Respond(HttpCall call) {
+    co_return state_.With([&](State& state) {
+      const std::size_t number = state.sent.size();
+      state.sent.push_back(
+          {.producer = call.query["Producer"], .sequence = std::stoll(call.query["Sequence"])});
+      if (number >= state.responses.size()) return HttpReply{.status = 503, .body = {}};
+      const Response& response = state.responses[number];
+      if (!response.expects_ahead)
+        return HttpReply{.status = response.status, .body = response.body};
+      const std::int64_t expected = state.sent.back().sequence + *response.expects_ahead;
+      return HttpReply{.status = 409,
+                       .body = R"({"Reason":"seq","Sequence":)" + std::to_string(expected) + "}"};
+    });
+  }
+
+  Shared<State, LockRank::kMembers> state_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+// Status by which the outcome of an append stays unknown.
+constexpr int kOutcomeUnknown = 500;
+
+std::string StoredAt(std::int64_t first, std::int64_t end) {
+  return R"({"Offset":)" + std::to_string(first) + R"(,"End":)" + std::to_string(end) + "}";
+}
+
+// Returns the number of sequence conflicts that were logged.
+int LoggedConflicts(const DecisionLog& log) {
+  const std::string counters = log.Prometheus();
+  const std::string name = R"(dn_decisions_total{kind="sequence-conflict"} )";
+  const std::size_t found = counters.find(name);
+  return found == std::string::npos ? 0 : std::stoi(counters.substr(found + name.size()));
+}
+
+struct PairOutcome {
+  std::error_code error;  // None if the records were stored.
+  StoredAppend stored;
+};
+
+Task<PairOutcome> AppendPair(std::shared_ptr<RecordWriter> writer) {
+  std::vector<StoreRecord> records = {StoreRecord({.key = "a", .value = "v"}),
+                                      StoreRecord({.key = "b", .value = "v"})};
+  const Time limit = Now() + kAppendTimeout;
+  const RecordWriter::Limits limits{.send_by = limit, .deadline = limit};
+  auto stored = co_await writer->Append(std::move(records), limits);
+  if (!stored) co_return PairOutcome{.error = stored.error(), .stored = {}};
+  co_return PairOutcome{.error = {}, .stored = stored.value()};
+}
+
+// Tasks ran twice, and no log told which append had recorded a run, or that the store and the owner
+// disagreed about numbers. Guards against appends that do not tell where their records are and
+// against conflicts that leave no trace.
+TEST_CASE("an append tells its number and offsets, and a sequence conflict is counted", "[store]") {
+  struct Case {
+    std::string name;
+    std::vector<ScriptedStore::Response> responses;
+    StoredAppendFields stored;
+    int conflicts;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"stored", {{200, StoredAt(30, 32)}}, {.sequence = 1, .first = 30, .end = 32}, 0},
+      {"response lost, then repeated",
+       {{kOutcomeUnknown}, {200, StoredAt(30, 32)}},
+       {.sequence = 1, .first = 30, .end = 32},
+       0},
+      {"response lost and forgotten",
+       {{kOutcomeUnknown}, {.expects_ahead = 1}},
+       {.sequence = 1, .first = -1, .end = -1},
+       1},
+  }));
+  CAPTURE(c.name);
+  testing::Runner runner;
+  ScriptedStore scripted(runner.pool(), c.responses);
+  HttpClient http;
+  StoreClient store(scripted.address(), platform::MakeStoreProtocol(), http);
+  DecisionLog log("node");
+  const auto writer = std::make_shared<RecordWriter>(store, kJobs, "node", 0, log);
+  const PairOutcome outcome = runner.Wait(AppendPair(writer));
+  CHECK_FALSE(outcome.error);
+  CHECK(outcome.stored == StoredAppend(c.stored));
+  CHECK(LoggedConflicts(log) == c.conflicts);
+  runner.Stop();
+}
+
 }  // namespace
 }  // namespace dn
