Stand-in of the store: settings for what it takes for a repeat of an append

The store's page says that a repeat of one of the last five appends receives its first response again. It leaves open whether a higher epoch forgets the appends of the one before, and whether repeats are looked up before the epoch is raised. The stand-in knew only the first reading, so that no test could meet an owner whose first appends are answered like those of its predecessor.

`repeat_memory` selects the reading from a table: `of_epoch` (default, as before), `across_epochs`, `before_epoch`.

Test: "the store takes the first append of a higher epoch for a repeat, if set so", one row for each reading. It needs the setting and does not compile before; it passes.

--- a/standins/internal/store_standin.cc
+++ b/standins/internal/store_standin.cc
@@ -38,6 +38,21 @@
   out.append(bytes.begin(), bytes.end());
 }
 
+// What a RepeatMemory means for an append.
+struct MemoryRule {
+  RepeatMemory memory;
+  bool keeps_responses;     // A higher epoch does not forget the responses to earlier appends.
+  bool looks_before_epoch;  // Repeats are looked up before the epoch is checked or raised.
+};
+constexpr std::array<MemoryRule, 3> kMemoryRules = {{{RepeatMemory::kOfEpoch, false, false},
+                                                     {RepeatMemory::kAcrossEpochs, true, false},
+                                                     {RepeatMemory::kBeforeEpoch, true, true}}};
+
+const MemoryRule& RuleOf(RepeatMemory memory) {
+  return *std::find_if(kMemoryRules.begin(), kMemoryRules.end(),
+                       [&](const MemoryRule& rule) { return rule.memory == memory; });
+}
+
 std::string Base64(const std::string& text) {
   namespace base64 = boost::beast::detail::base64;
   std::string out(base64::encoded_size(text.size()), '\0');
@@ -214,6 +229,34 @@
   co_return response_lost ? HttpReply{.status = 500} : reply;
 }
 
+const HttpReply* StoreStandin::Producer::ResponseTo(std::int64_t sequence_number) const {
+  for (const auto& [number, response] : responses) {
+    if (number == sequence_number && number >= 0) return &response;
+  }
+  return nullptr;
+}
+
+std::optional<HttpReply> StoreStandin::CheckProducer(Producer& producer,
+                                                     const HttpCall& call) const {
+  const MemoryRule& rule = RuleOf(settings_->repeat_memory);
+  const std::int64_t epoch = NumberParameter(call, "epoch", 0);
+  const std::int64_t sequence = NumberParameter(call, "Sequence", -1);
+  const HttpReply* known = producer.ResponseTo(sequence);
+  if (rule.looks_before_epoch && known != nullptr) return *known;
+  if (epoch < producer.epoch) return JsonReply(409, {{"Reason", "fenced"}});
+  if (epoch > producer.epoch) {
+    producer.epoch = epoch;
+    producer.sequence = -1;
+    if (!rule.keeps_responses) producer.responses.clear();
+  }
+  known = producer.ResponseTo(sequence);
+  if (known != nullptr) return *known;
+  if (!call.body.empty() && producer.sequence >= 0 && sequence != producer.sequence + 1) {
+    return JsonReply(409, {{"Reason", "seq"}, {"Sequence", producer.sequence + 1}});
+  }
+  return std::nullopt;
+}
+
 HttpReply StoreStandin::Append(State& state, const HttpCall& call) {
   if (!AdmitAppend(state)) return JsonReply(429, {});
   const bool has_keys = PartitionIdOf(call).first.starts_with("keyed.");
@@ -224,16 +267,7 @@
   const auto name = call.query.find("Producer");
   if (name != call.query.end()) {
     producer = &log.producers[name->second];
-    const std::int64_t epoch = NumberParameter(call, "epoch", 0);
-    if (epoch < producer->epoch) return JsonReply(409, {{"Reason", "fenced"}});
-    if (epoch > producer->epoch)
-      *producer = Producer{.epoch = epoch, .sequence = -1, .responses = {}};
-    for (const auto& [number, response] : producer->responses) {
-      if (number == sequence && sequence >= 0) return response;
-    }
-    if (!call.body.empty() && producer->sequence >= 0 && sequence != producer->sequence + 1) {
-      return JsonReply(409, {{"Reason", "seq"}, {"Sequence", producer->sequence + 1}});
-    }
+    if (auto response = CheckProducer(*producer, call)) return *std::move(response);
   }
   if (call.body.size() > kMaxCallBytes) return JsonReply(413, {});
   const std::int64_t offset = log.end();
--- a/standins/internal/store_standin.h
+++ b/standins/internal/store_standin.h
@@ -15,19 +15,42 @@
 
 namespace dn::standins {
 
+// Which appends of a producer the store takes for repeats of an earlier one with the same number.
+enum class RepeatMemory {
+  kOfEpoch,       // Those of the same epoch.
+  kAcrossEpochs,  // Also those of a higher epoch. The epoch is raised all the same.
+  kBeforeEpoch,   // Those of any epoch; a repeat does not raise the epoch.
+};
+}  // namespace dn::standins
+
+namespace dn {
+template <>
+struct EnumNames<standins::RepeatMemory> {
+  using Memory = standins::RepeatMemory;
+  static constexpr std::array<EnumName<Memory>, 3> kNames = {
+      {{Memory::kOfEpoch, "of_epoch"},
+       {Memory::kAcrossEpochs, "across_epochs"},
+       {Memory::kBeforeEpoch, "before_epoch"}}};
+};
+}  // namespace dn
+
+namespace dn::standins {
+
 // Settings of the store.
 struct StoreStandinSettingsFields {
   Endpoint address{.host = "127.0.0.1", .port = 0};  // Port 0: any free port.
   // How long records stay readable, in ms. The newest record of each key does not expire.
   Duration retention{3'600'000};
   int max_appends_per_second = 100'000;  // Further appends are rejected with status 429.
+  RepeatMemory repeat_memory = RepeatMemory::kOfEpoch;
 
   auto operator<=>(const StoreStandinSettingsFields&) const = default;
   static constexpr auto Describe() {
     return std::make_tuple(
         Required("address", &StoreStandinSettingsFields::address),
         Optional("retention_ms", &StoreStandinSettingsFields::retention, 100),
-        Optional("max_appends_per_second", &StoreStandinSettingsFields::max_appends_per_second, 1));
+        Optional("max_appends_per_second", &StoreStandinSettingsFields::max_appends_per_second, 1),
+        Optional("repeat_memory", &StoreStandinSettingsFields::repeat_memory));
   }
 };
 using StoreStandinSettings = Immutable<StoreStandinSettingsFields>;
@@ -71,6 +94,9 @@
     std::int64_t sequence = -1;  // Number of the last append; -1: none in this epoch.
     // Responses to the last appends, by sequence number; repeated when an append is retried.
     std::deque<std::pair<std::int64_t, HttpReply>> responses;
+
+    // Response to the append `sequence_number`; null if it is not remembered.
+    const HttpReply* ResponseTo(std::int64_t sequence_number) const;
   };
   struct PartitionLog {
     std::int64_t first = 0;  // Oldest readable offset.
@@ -112,6 +138,9 @@
   // Counts an append. Returns false if the rate limit of the current second is reached.
   bool AdmitAppend(State& state) const;
   HttpReply Append(State& state, const HttpCall& call);
+  // Checks the epoch and the sequence number of an append. Returns the response if the append is
+  // rejected or repeated; nullopt: it is to be stored.
+  std::optional<HttpReply> CheckProducer(Producer& producer, const HttpCall& call) const;
   HttpReply Newest(State& state, const HttpCall& call);
   HttpReply Join(State& state, const HttpCall& call);
   HttpReply Leave(State& state, const HttpCall& call);
--- a/tests/store_standin_test.cc
+++ b/tests/store_standin_test.cc
@@ -52,5 +52,48 @@
   CHECK(memberships[1]->generation > memberships[0]->generation);
 }
 
+const Partition kKeyed({.topic = "keyed.t", .number = 0});
+
+// Appends a record with the given key under the number 1 of `epoch`.
+Task<std::optional<AppendResponse>> AppendFirst(StoreClient& store, std::int64_t epoch,
+                                                std::string key) {
+  const Producer producer({.name = "owner", .epoch = epoch, .sequence = 1});
+  std::vector<StoreRecord> records = {StoreRecord({.key = std::move(key), .value = "v"})};
+  auto response = co_await store.Append(kKeyed, producer, std::move(records));
+  if (!response) co_return std::nullopt;
+  co_return response.value();
+}
+
+// Tasks ran twice since an owner numbered its appends like the one before it. Guards against tests
+// that know only the store that forgets the earlier owner.
+TEST_CASE("the store takes the first append of a higher epoch for a repeat, if set so", "[store]") {
+  struct Case {
+    standins::RepeatMemory memory;
+    std::int64_t first;     // Offset that the response to the second owner tells.
+    AppendOutcome earlier;  // Of the first owner's next append.
+  };
+  const auto c = GENERATE(values<Case>({
+      {standins::RepeatMemory::kOfEpoch, 1, AppendOutcome::kFenced},
+      {standins::RepeatMemory::kAcrossEpochs, 0, AppendOutcome::kFenced},
+      {standins::RepeatMemory::kBeforeEpoch, 0, AppendOutcome::kStored},
+  }));
+  CAPTURE(NameOf(c.memory));
+  Runner runner;
+  standins::StoreStandin standin(runner.pool(),
+                                 standins::StoreStandinSettings({.repeat_memory = c.memory}));
+  REQUIRE(standin.Start());
+  HttpClient http;
+  StoreClient store(standin.address(), platform::MakeStoreProtocol(), http);
+  REQUIRE(runner.Wait(AppendFirst(store, 7, "a")));
+  const auto second = runner.Wait(AppendFirst(store, 8, "b"));
+  REQUIRE(second);
+  CHECK((*second)->outcome == AppendOutcome::kStored);
+  CHECK((*second)->first == c.first);
+  const auto late = runner.Wait(AppendFirst(store, 7, "c"));
+  REQUIRE(late);
+  CHECK((*late)->outcome == c.earlier);
+  runner.Stop();
+}
+
 }  // namespace
 }  // namespace dn::testing
