Number each owner's appends on its own, and fence by a record

Cause: every owner appended under the producer "owner" from number 1. If the store knows the last five responses of a producer across epochs, or looks for repeats before it looks at the epoch, it answers the first appends of an owner with those of its predecessor and stores nothing.

An owner now starts at a random number up to 2^52; 2^52 more stay below the limit of exact JSON numbers. It fences earlier owners by a record under that number, in place of an append without records, so that the fence cannot be taken for a repeat either. A fence that is repeated since its response was lost has the same number and is stored once. The record (key `owner`) tells which instance owns the shard, under which token and since when. A take-over skips the key. A fence that meets a sequence conflict fails: another producer has appended with its token. `shard-fenced` tells number and offsets.

--- a/src/node/internal/node_module.cc
+++ b/src/node/internal/node_module.cc
@@ -137,7 +137,8 @@
 
   void OnShardGained(int shard, FencingToken token) {
     auto owner = std::make_shared<ShardOwner>(
-        ShardOwner::Context{.pool = pool_,
+        ShardOwner::Context{.instance = settings_->id,
+                            .pool = pool_,
                             .http = http_,
                             .exchanges = exchanges_,
                             .store = store_,
--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -89,11 +89,18 @@
 Task<bool> ShardOwner::TakeOver() {
   // Fencing comes first: afterwards no earlier owner can change the progress that is
   // read next.
+  const Ownership ownership({.instance = context_.instance, .token = token_, .since_ms = WallMs()});
+  const StoreRecord fence({.key = kOwnershipKey, .value = EncodeText(ownership)});
   std::int64_t fence_end = 0;
   while (active_) {
-    auto fenced = co_await progress_->Fence();
+    auto fenced = co_await progress_->Fence(fence);
     if (fenced) {
-      fence_end = fenced.value();
+      fence_end = fenced.value()->end;
+      context_.log.Write("shard-fenced", std::to_string(shard_),
+                         "epoch=" + std::to_string(token_) +
+                             " sequence=" + std::to_string(fenced.value()->sequence) +
+                             " first=" + std::to_string(fenced.value()->first) +
+                             " end=" + std::to_string(fence_end));
       break;
     }
     if (fenced.error() == Errc::kConflict) {
@@ -118,7 +125,7 @@
   const Time now = Now();
   std::vector<JobCrashes> crashes;
   for (const StoreRecord& record : progress) {
-    if (!record->value) continue;
+    if (!record->value || record->key == kOwnershipKey) continue;
     if (const auto decoded = DecodeJobCrashes(*record->value)) {
       crashes.push_back(decoded.value());
       continue;
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -5,6 +5,7 @@
 #include <atomic>
 
 #include "node/internal/node_adapter.h"
+#include "node/internal/ownership.h"
 #include "node/internal/shards.h"
 
 namespace dn {
@@ -13,6 +14,7 @@
                          public std::enable_shared_from_this<ShardOwner> {
  public:
   struct Context {
+    std::string instance;  // Identifier of this instance.
     WorkerPool& pool;
     HttpClient& http;
     SharedExchangeBudget& exchanges;  // With workers; all shards of this node share it.
--- a/src/node/internal/shards.h
+++ b/src/node/internal/shards.h
@@ -19,6 +19,8 @@
 
 // Key of the learned interference, which is stored among the progress of jobs.
 inline constexpr const char* kInterferenceKey = "harm";
+// Key of the record by which an owner fences earlier ones, stored among the progress of jobs too.
+inline constexpr const char* kOwnershipKey = "owner";
 
 inline int ShardOf(JobId id) { return static_cast<int>(id % kShardCount); }
 inline Partition JobsOf(int shard) { return Partition({.topic = kJobsTopic, .number = shard}); }
--- a/src/store/internal/record_writer.cc
+++ b/src/store/internal/record_writer.cc
@@ -2,6 +2,7 @@
 #include "store/internal/record_writer.h"
 
 #include <boost/asio.hpp>
+#include <random>
 
 namespace dn {
 namespace {
@@ -16,6 +17,19 @@
 // store rejected or that did not reach it.
 constexpr int kMaxRejections = 3;
 
+// Maximum number of the first append of an epoch. It leaves as many numbers below 2^53, up to which
+// JSON numbers are exact.
+constexpr std::int64_t kMaxFirstSequence = std::int64_t{1} << 52;
+
+// Producers with an epoch share their name with those of earlier epochs, and the store may take an
+// append for a repeat of one of theirs with the same number. A random first number keeps them
+// apart.
+std::int64_t FirstSequence(std::int64_t epoch) {
+  if (epoch == 0) return 1;
+  std::random_device device;
+  return std::uniform_int_distribution<std::int64_t>(1, kMaxFirstSequence)(device);
+}
+
 std::size_t SizeOf(const StoreRecord& record) {
   return record->key.size() + (record->value ? record->value->size() : 0);
 }
@@ -50,15 +64,23 @@
       partition_(std::move(partition)),
       producer_(std::move(producer)),
       epoch_(epoch),
-      log_(log) {}
+      log_(log),
+      next_sequence_(FirstSequence(epoch)) {}
 
-Task<Result<std::int64_t>> RecordWriter::Fence() {
-  Producer producer({.name = producer_, .epoch = epoch_, .sequence = 0});
-  auto response = co_await store_.Append(partition_, producer, {});
+Task<Result<StoredAppend>> RecordWriter::Fence(StoreRecord record) {
+  const Producer producer({.name = producer_, .epoch = epoch_, .sequence = next_sequence_});
+  const std::vector<StoreRecord> records(1, std::move(record));
+  auto response = co_await store_.Append(partition_, producer, records);
   if (!response) co_return response.error();
-  if (response.value()->outcome == AppendOutcome::kFenced) co_return Errc::kConflict;
-  if (response.value()->outcome != AppendOutcome::kStored) co_return Errc::kUnavailable;
-  co_return response.value()->end;
+  const AppendResponse& answer = response.value();
+  if (answer->outcome == AppendOutcome::kWrongSequence) {
+    LogConflict(answer->expected_sequence, false, "given-up");
+    co_return Errc::kConflict;
+  }
+  if (answer->outcome == AppendOutcome::kFenced) co_return Errc::kConflict;
+  if (answer->outcome != AppendOutcome::kStored) co_return Errc::kUnavailable;
+  co_return StoredAppend(
+      {.sequence = next_sequence_++, .first = answer->first, .end = answer->end});
 }
 
 bool RecordWriter::Withdraw(const std::shared_ptr<Entry>& entry) {
--- a/src/store/internal/record_writer.h
+++ b/src/store/internal/record_writer.h
@@ -45,10 +45,12 @@
   // still become durable; kConflict: a higher epoch has fenced this producer, which can store
   // nothing more.
   Task<Result<StoredAppend>> Append(std::vector<StoreRecord> records, Limits limits);
-  // Makes the store reject lower epochs, without appending a record. Returns the
-  // end offset of the partition. Errors: kConflict if this epoch is fenced itself,
-  // otherwise those of StoreClient.
-  Task<Result<std::int64_t>> Fence();
+  // Appends `record` in one call as the first of this epoch, after which the store rejects lower
+  // epochs. A call that failed may be repeated with the same record, which is then stored once.
+  // Must not be called again, or while another call runs, once it has succeeded; comes before
+  // Append. Errors: kConflict if the epoch is fenced itself or another producer has appended with
+  // it, otherwise those of StoreClient.
+  Task<Result<StoredAppend>> Fence(StoreRecord record);
 
  private:
   struct Entry {
@@ -78,7 +80,7 @@
   const std::string producer_;
   const std::int64_t epoch_;
   DecisionLog& log_;
-  std::int64_t next_sequence_ = 1;  // Used only by the Drain coroutine.
+  std::int64_t next_sequence_;  // Used only by Fence, and afterwards by the Drain coroutine.
   Shared<Queue, LockRank::kRecords> queue_;
   Notifier done_;  // The outcome of some entries is known.
 };
--- a/src/store/tests/record_writer_test.cc
+++ b/src/store/tests/record_writer_test.cc
@@ -261,5 +261,92 @@
   runner.Stop();
 }
 
+// Fences as the owner of `epoch`; returns whether that succeeded.
+Task<bool> Fence(std::shared_ptr<RecordWriter> writer, std::int64_t epoch) {
+  const StoreRecord record({.key = "owner", .value = std::to_string(epoch)});
+  auto fenced = co_await writer->Fence(record);
+  co_return fenced.has_value();
+}
+
+// Returns the keys of the partition.
+Task<std::set<std::string>> Keys(StoreClient& store) {
+  std::set<std::string> keys;
+  auto newest = co_await store.Newest(kJobs);
+  if (newest) {
+    for (const StoreRecord& record : newest.value()->records) keys.insert(record->key);
+  }
+  co_return keys;
+}
+
+// An owner is replaced after a few appends, and so is the next one. Guards against records that are
+// reported as stored and are not, since the store took them for repeats of the earlier owner's, so
+// that the next owner starts their tasks again; and against a fence that is taken for a repeat.
+TEST_CASE("the records of owners in series are stored, and the earlier owners are fenced",
+          "[store]") {
+  struct Case {
+    standins::RepeatMemory memory;
+    int appends;  // Of each owner, one after the other.
+  };
+  using Memory = standins::RepeatMemory;
+  const auto c = GENERATE(values<Case>({{Memory::kOfEpoch, 1},
+                                        {Memory::kOfEpoch, 6},
+                                        {Memory::kAcrossEpochs, 1},
+                                        {Memory::kAcrossEpochs, 3},
+                                        {Memory::kAcrossEpochs, 6},
+                                        {Memory::kBeforeEpoch, 1},
+                                        {Memory::kBeforeEpoch, 3},
+                                        {Memory::kBeforeEpoch, 6}}));
+  CAPTURE(NameOf(c.memory), c.appends);
+  testing::Runner runner;
+  standins::StoreStandin standin(runner.pool(),
+                                 standins::StoreStandinSettings({.repeat_memory = c.memory}));
+  REQUIRE(standin.Start());
+  HttpClient http;
+  StoreClient store(standin.address(), platform::MakeStoreProtocol(), http);
+  DecisionLog log("node");
+  std::shared_ptr<RecordWriter> earlier;
+  std::set<std::string> expected = {"owner"};
+  for (const std::int64_t epoch : {7, 8, 9}) {
+    const auto owner = std::make_shared<RecordWriter>(store, kJobs, "owner", epoch, log);
+    REQUIRE(runner.Wait(Fence(owner, epoch)));
+    if (earlier != nullptr) CHECK(runner.Wait(Append(earlier, "late")) == Errc::kConflict);
+    for (int i = 0; i < c.appends; ++i) {
+      const std::string key = std::to_string(epoch) + "." + std::to_string(i);
+      expected.insert(key);
+      CHECK_FALSE(runner.Wait(Append(owner, key)));
+    }
+    earlier = owner;
+  }
+  CHECK(runner.Wait(Keys(store)) == expected);
+  runner.Stop();
+}
+
+// The store carries a fence out and the response is lost. Guards against an owner that cannot take
+// over since its repeated fence is refused, and against two records of it.
+TEST_CASE("a fence whose response was lost can be repeated", "[store]") {
+  const auto memory = GENERATE(values<standins::RepeatMemory>(
+      {standins::RepeatMemory::kOfEpoch, standins::RepeatMemory::kAcrossEpochs,
+       standins::RepeatMemory::kBeforeEpoch}));
+  CAPTURE(NameOf(memory));
+  testing::Runner runner;
+  standins::StoreStandin standin(runner.pool(),
+                                 standins::StoreStandinSettings({.repeat_memory = memory}));
+  REQUIRE(standin.Start());
+  const auto relay = standins::TcpRelay::Start(runner.pool(), {.host = "127.0.0.1", .port = 0},
+                                               standin.address(), Duration(0));
+  REQUIRE(relay);
+  HttpClient http;
+  StoreClient store(relay.value()->address(), platform::MakeStoreProtocol(), http);
+  DecisionLog log("node");
+  const auto owner = std::make_shared<RecordWriter>(store, kJobs, "owner", 7, log);
+  relay.value()->BreakAtNextResponse([] {});
+  CHECK_FALSE(runner.Wait(Fence(owner, 7)));
+  CHECK(runner.Wait(Fence(owner, 7)));
+  const PairOutcome outcome = runner.Wait(AppendPair(owner));
+  CHECK_FALSE(outcome.error);
+  CHECK(outcome.stored->first == 1);
+  runner.Stop();
+}
+
 }  // namespace
 }  // namespace dn
