Follow a sequence conflict only if a lost attempt explains it

Cause of possible wrong answers: when the store expected another number, the writer took any higher one for the trace of a lost response, although at most one append of its own can have been stored without a response, and sent its records again under any other, also under a number that it had used before, whose first response the store may repeat. Records could be told stored that were not, and the owner's log said "fenced" whatever had happened.

A conflict now shows that the records are stored only if an earlier attempt of this very append may have been stored and the store expects exactly the next number (MeaningOfConflict). Otherwise an owner gives up: Append fails with kConflict, the shard is dropped with the cause `sequence-conflict` or `fenced`, and the instance joins again under a new token. A producer without an epoch goes on under a new name, under which no number can have been used. The records of the conflict are sent again if no attempt can have been stored, three times at most; otherwise their outcome is unknown and told so.

Tests by table: "a sequence conflict shows a stored append only by the next number" is new with its function.

--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -55,11 +55,11 @@
                {.wait = kFollowWait, .pause = kWorkerPause}, context_.log,
                [this](const auto& records, bool complete) { HandleWorkers(records, complete); }) {}
 
-void ShardOwner::Drop(const char* cause) {
+void ShardOwner::Drop(std::string_view cause) {
   if (!active_.exchange(false)) return;
   open_ = false;
   context_.log.Write("shard-dropped", std::to_string(shard_),
-                     "token=" + std::to_string(token_) + " cause=" + cause);
+                     "token=" + std::to_string(token_) + " cause=" + std::string(cause));
   changed_.NotifyAll();
   recorded_.NotifyAll();
   jobs_read_ended_.NotifyAll();
@@ -104,7 +104,7 @@
       break;
     }
     if (fenced.error() == Errc::kConflict) {
-      Drop("fenced");
+      Drop(NameOf(progress_->give_up_cause()));
       context_.on_fenced(shard_);
       co_return false;
     }
@@ -416,7 +416,7 @@
       auto stored = co_await progress_->Append(std::move(records), NoLimits());
       if (!active_) co_return;
       if (!stored) {
-        Drop("fenced");
+        Drop(NameOf(progress_->give_up_cause()));
         context_.on_fenced(shard_);
         co_return;
       }
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -23,7 +23,8 @@
     DecisionLog& log;
     Metrics& metrics;
     Policy policy;
-    std::function<void(int shard)> on_fenced;  // A later owner has fenced this one.
+    // A later owner has fenced this one, or this one does not know what the store holds.
+    std::function<void(int shard)> on_fenced;
     // Send time of the latest join by which the store confirmed the ownership.
     std::function<Time()> last_confirmed;
     Duration time_to_live;  // The ownership may expire this long after a join.
@@ -34,7 +35,7 @@
   // Takes the shard over and owns it until Drop.
   Task<> Run();
   // Ends all loops and logs `cause`. No further order or record is sent.
-  void Drop(const char* cause);
+  void Drop(std::string_view cause);
 
   // The following functions return kUnavailable before the take-over is complete and
   // after Drop, and kOutdated if what this owner knows is too old to be told.
--- a/src/store/internal/record_writer.cc
+++ b/src/store/internal/record_writer.cc
@@ -58,13 +58,19 @@
 
 }  // namespace
 
+ConflictMeaning MeaningOfConflict(std::int64_t sent, std::int64_t expected, bool may_be_stored) {
+  if (!may_be_stored) return ConflictMeaning::kNotStored;
+  return expected == sent + 1 ? ConflictMeaning::kStoredEarlier : ConflictMeaning::kOutcomeUnknown;
+}
+
 RecordWriter::RecordWriter(StoreClient& store, Partition partition, std::string producer,
                            std::int64_t epoch, DecisionLog& log)
     : store_(store),
       partition_(std::move(partition)),
-      producer_(std::move(producer)),
+      name_(std::move(producer)),
       epoch_(epoch),
       log_(log),
+      producer_(name_),
       next_sequence_(FirstSequence(epoch)) {}
 
 Task<Result<StoredAppend>> RecordWriter::Fence(StoreRecord record) {
@@ -75,9 +81,9 @@
   const AppendResponse& answer = response.value();
   if (answer->outcome == AppendOutcome::kWrongSequence) {
     LogConflict(answer->expected_sequence, false, "given-up");
-    co_return Errc::kConflict;
+    co_return GiveUp(GiveUpCause::kSequenceConflict);
   }
-  if (answer->outcome == AppendOutcome::kFenced) co_return Errc::kConflict;
+  if (answer->outcome == AppendOutcome::kFenced) co_return GiveUp(GiveUpCause::kFenced);
   if (answer->outcome != AppendOutcome::kStored) co_return Errc::kUnavailable;
   co_return StoredAppend(
       {.sequence = next_sequence_++, .first = answer->first, .end = answer->end});
@@ -158,8 +164,28 @@
                  " may_be_stored=" + (may_be_stored ? "1" : "0") + " outcome=" + outcome);
 }
 
+Errc RecordWriter::GiveUp(GiveUpCause cause) {
+  give_up_cause_ = cause;
+  return Errc::kConflict;
+}
+
+Result<> RecordWriter::HandleConflict(std::int64_t expected, bool may_be_stored) {
+  if (epoch_ > 0) {
+    LogConflict(expected, may_be_stored, "given-up");
+    return GiveUp(GiveUpCause::kSequenceConflict);
+  }
+  LogConflict(expected, may_be_stored, may_be_stored ? "outcome-unknown" : "sent-again");
+  // The store remembers other appends of this producer than the writer does. Under another name, no
+  // number can have been used.
+  producer_ = name_ + "." + std::to_string(++conflicts_);
+  next_sequence_ = FirstSequence(epoch_);
+  if (may_be_stored) return Errc::kTimeout;
+  return boost::outcome_v2::success();
+}
+
 Task<Result<StoredAppend>> RecordWriter::AppendCall(const std::vector<StoreRecord>& records,
                                                     bool retry_rejections) {
+  if (give_up_cause_ != GiveUpCause::kNone) co_return Errc::kConflict;
   bool may_be_stored = false;
   int rejections = 0;
   Duration pause = kRetryPause;
@@ -173,20 +199,16 @@
                                 .first = response.value()->first,
                                 .end = response.value()->end});
       }
-      if (outcome == AppendOutcome::kFenced) co_return Errc::kConflict;
+      if (outcome == AppendOutcome::kFenced) co_return GiveUp(GiveUpCause::kFenced);
       if (outcome == AppendOutcome::kWrongSequence) {
         const std::int64_t expected = response.value()->expected_sequence;
-        if (may_be_stored && expected > next_sequence_) {
-          // An earlier attempt stored the records and its response was lost. The
-          // store no longer remembers that response and so cannot repeat it.
+        if (MeaningOfConflict(next_sequence_, expected, may_be_stored) ==
+            ConflictMeaning::kStoredEarlier) {
           LogConflict(expected, may_be_stored, "stored-earlier");
-          const StoredAppend stored({.sequence = next_sequence_});
-          next_sequence_ = expected;
-          co_return stored;
+          co_return StoredAppend({.sequence = next_sequence_++});
         }
-        LogConflict(expected, may_be_stored, "sent-again");
-        next_sequence_ = expected;
-        continue;
+        const Result<> again = HandleConflict(expected, may_be_stored);
+        if (!again) co_return again.error();
       }
     } else if (response.error() != Errc::kUnavailable && response.error() != Errc::kUnreachable) {
       may_be_stored = true;
--- a/src/store/internal/record_writer.h
+++ b/src/store/internal/record_writer.h
@@ -10,6 +10,30 @@
 
 namespace dn {
 
+// What a sequence conflict tells about the records of the call.
+enum class ConflictMeaning {
+  kStoredEarlier,   // An earlier attempt stored them; the store has forgotten its response.
+  kOutcomeUnknown,  // They may be stored, and the store's number does not tell.
+  kNotStored,       // No earlier attempt can have stored them.
+};
+// `sent`: number of the call, whose earlier attempts had the same; `expected`: number that the
+// store expects; `may_be_stored`: whether the outcome of an earlier attempt is unknown.
+ConflictMeaning MeaningOfConflict(std::int64_t sent, std::int64_t expected, bool may_be_stored);
+
+// Why a writer with an epoch has given up and stores nothing more.
+enum class GiveUpCause {
+  kNone,              // It has not.
+  kFenced,            // By a higher epoch.
+  kSequenceConflict,  // It does not know what the store holds.
+};
+template <>
+struct EnumNames<GiveUpCause> {
+  static constexpr std::array<EnumName<GiveUpCause>, 3> kNames = {
+      {{GiveUpCause::kNone, "none"},
+       {GiveUpCause::kFenced, "fenced"},
+       {GiveUpCause::kSequenceConflict, "sequence-conflict"}}};
+};
+
 // Where the store placed the records of an append. The calls that stored them may also hold records
 // of concurrent callers.
 struct StoredAppendFields {
@@ -26,8 +50,9 @@
 class RecordWriter : public std::enable_shared_from_this<RecordWriter> {
  public:
   // `epoch`: fencing token of the producer, or 0 for none. Calls with an epoch are
-  // retried until they are stored or fenced, since state of the owner must not be
-  // lost; calls without one fail after a few rejected attempts.
+  // retried until they are stored or the writer gives up, since state of the owner must
+  // not be lost. Calls without one fail after a few rejected attempts, and after an unexplained
+  // sequence conflict the writer goes on as a new producer.
   // Sequence conflicts are written to `log`.
   RecordWriter(StoreClient& store, Partition partition, std::string producer, std::int64_t epoch,
                DecisionLog& log);
@@ -42,8 +67,8 @@
   // records than fit into a call are stored in several, in order, so that the first of them may be
   // durable after an error; only producers with an epoch append that many. Errors: kUnavailable:
   // the records are not stored and never will be; kTimeout: the outcome is unknown, the records may
-  // still become durable; kConflict: a higher epoch has fenced this producer, which can store
-  // nothing more.
+  // still become durable; kConflict: the writer has given up (give_up_cause), and the outcome is
+  // unknown.
   Task<Result<StoredAppend>> Append(std::vector<StoreRecord> records, Limits limits);
   // Appends `record` in one call as the first of this epoch, after which the store rejects lower
   // epochs. A call that failed may be repeated with the same record, which is then stored once.
@@ -51,6 +76,7 @@
   // Append. Errors: kConflict if the epoch is fenced itself or another producer has appended with
   // it, otherwise those of StoreClient.
   Task<Result<StoredAppend>> Fence(StoreRecord record);
+  GiveUpCause give_up_cause() const { return give_up_cause_; }
 
  private:
   struct Entry {
@@ -71,16 +97,24 @@
   // that stored nothing.
   Task<Result<StoredAppend>> AppendCall(const std::vector<StoreRecord>& records,
                                         bool retry_rejections);
+  // Handles a sequence conflict that does not show that the records are stored. Returns whether
+  // they may be sent again.
+  Result<> HandleConflict(std::int64_t expected, bool may_be_stored);
+  Errc GiveUp(GiveUpCause cause);
   // Logs that the store expected another sequence number than the one sent. `outcome`: what the
   // writer makes of it.
   void LogConflict(std::int64_t expected, bool may_be_stored, const char* outcome);
 
   StoreClient& store_;
   const Partition partition_;
-  const std::string producer_;
+  const std::string name_;
   const std::int64_t epoch_;
   DecisionLog& log_;
-  std::int64_t next_sequence_;  // Used only by Fence, and afterwards by the Drain coroutine.
+  // Used only by Fence, and afterwards by the Drain coroutine.
+  std::string producer_;  // `name_`, with a number from the first conflict on.
+  std::int64_t next_sequence_;
+  int conflicts_ = 0;
+  std::atomic<GiveUpCause> give_up_cause_{GiveUpCause::kNone};
   Shared<Queue, LockRank::kRecords> queue_;
   Notifier done_;  // The outcome of some entries is known.
 };
--- a/src/store/tests/record_writer_test.cc
+++ b/src/store/tests/record_writer_test.cc
@@ -348,5 +348,146 @@
   runner.Stop();
 }
 
+// Guards against any number that the store expects being taken for a lost response, or used again.
+TEST_CASE("a sequence conflict shows a stored append only by the next number", "[store]") {
+  struct Case {
+    std::int64_t expected;  // The call had the number 40.
+    bool may_be_stored;
+    ConflictMeaning meaning;
+  };
+  const auto c = GENERATE(values<Case>({{41, true, ConflictMeaning::kStoredEarlier},
+                                        {41, false, ConflictMeaning::kNotStored},
+                                        {42, true, ConflictMeaning::kOutcomeUnknown},
+                                        {42, false, ConflictMeaning::kNotStored},
+                                        {40, true, ConflictMeaning::kOutcomeUnknown},
+                                        {39, true, ConflictMeaning::kOutcomeUnknown},
+                                        {39, false, ConflictMeaning::kNotStored},
+                                        {0, true, ConflictMeaning::kOutcomeUnknown}}));
+  CAPTURE(c.expected, c.may_be_stored);
+  CHECK(MeaningOfConflict(40, c.expected, c.may_be_stored) == c.meaning);
+}
+
+// The store and a writer disagree about the writer's numbers. Guards against records that are
+// reported as stored and are not, against an owner that goes on without knowing what is stored, and
+// against an instance that can accept no further job.
+TEST_CASE("a writer does not follow a sequence conflict that it cannot explain", "[store]") {
+  using Responses = std::vector<ScriptedStore::Response>;
+  struct Case {
+    std::string name;
+    std::int64_t epoch;
+    Responses responses;
+    std::error_code first;   // Error of the append that meets the conflict.
+    std::error_code second;  // Error of the next append.
+    GiveUpCause cause;
+    // Producers of the calls, and their numbers less that of the first call, or less 1 for a
+    // producer that is not the first one.
+    std::vector<ScriptedStore::Sent> sent;
+  };
+  const ScriptedStore::Response lost{kOutcomeUnknown};
+  const ScriptedStore::Response stored{200, StoredAt(0, 2)};
+  const auto ahead = [](std::int64_t by) { return ScriptedStore::Response{.expects_ahead = by}; };
+  const auto c = GENERATE_COPY(values<Case>({
+      {"owner, stored by a lost attempt",
+       7,
+       {lost, ahead(1), stored},
+       {},
+       {},
+       GiveUpCause::kNone,
+       {{"p", 0}, {"p", 0}, {"p", 1}}},
+      {"owner, far ahead after a lost attempt",
+       7,
+       {lost, ahead(2), stored},
+       Errc::kConflict,
+       Errc::kConflict,
+       GiveUpCause::kSequenceConflict,
+       {{"p", 0}, {"p", 0}}},
+      {"owner, behind after a lost attempt",
+       7,
+       {lost, ahead(-1), stored},
+       Errc::kConflict,
+       Errc::kConflict,
+       GiveUpCause::kSequenceConflict,
+       {{"p", 0}, {"p", 0}}},
+      {"owner, one ahead, nothing lost",
+       7,
+       {ahead(1), stored},
+       Errc::kConflict,
+       Errc::kConflict,
+       GiveUpCause::kSequenceConflict,
+       {{"p", 0}}},
+      {"owner, behind",
+       7,
+       {ahead(-1), stored},
+       Errc::kConflict,
+       Errc::kConflict,
+       GiveUpCause::kSequenceConflict,
+       {{"p", 0}}},
+      {"owner, fenced",
+       7,
+       {{409, R"({"Reason":"fenced"})"}, stored},
+       Errc::kConflict,
+       Errc::kConflict,
+       GiveUpCause::kFenced,
+       {{"p", 0}}},
+      {"instance, stored by a lost attempt",
+       0,
+       {lost, ahead(1), stored},
+       {},
+       {},
+       GiveUpCause::kNone,
+       {{"p", 0}, {"p", 0}, {"p", 1}}},
+      {"instance, far ahead after a lost attempt",
+       0,
+       {lost, ahead(2), stored},
+       Errc::kTimeout,
+       {},
+       GiveUpCause::kNone,
+       {{"p", 0}, {"p", 0}, {"p.1", 0}}},
+      {"instance, behind after a lost attempt",
+       0,
+       {lost, ahead(-1), stored},
+       Errc::kTimeout,
+       {},
+       GiveUpCause::kNone,
+       {{"p", 0}, {"p", 0}, {"p.1", 0}}},
+      {"instance, ahead",
+       0,
+       {ahead(3), stored, stored},
+       {},
+       {},
+       GiveUpCause::kNone,
+       {{"p", 0}, {"p.1", 0}, {"p.1", 1}}},
+      {"instance, behind",
+       0,
+       {ahead(-1), stored, stored},
+       {},
+       {},
+       GiveUpCause::kNone,
+       {{"p", 0}, {"p.1", 0}, {"p.1", 1}}},
+      {"instance, always",
+       0,
+       {ahead(3), ahead(3), ahead(3), stored},
+       Errc::kUnavailable,
+       {},
+       GiveUpCause::kNone,
+       {{"p", 0}, {"p.1", 0}, {"p.2", 0}, {"p.3", 0}}},
+  }));
+  CAPTURE(c.name);
+  testing::Runner runner;
+  ScriptedStore scripted(runner.pool(), c.responses);
+  HttpClient http;
+  StoreClient store(scripted.address(), platform::MakeStoreProtocol(), http);
+  DecisionLog log("node");
+  const auto writer = std::make_shared<RecordWriter>(store, kJobs, "p", c.epoch, log);
+  CHECK(runner.Wait(AppendPair(writer)).error == c.first);
+  CHECK(runner.Wait(AppendPair(writer)).error == c.second);
+  CHECK(writer->give_up_cause() == c.cause);
+  std::vector<ScriptedStore::Sent> sent = scripted.sent();
+  const std::int64_t first = sent.front().sequence;
+  for (ScriptedStore::Sent& call : sent) call.sequence -= call.producer == "p" ? first : 1;
+  CHECK(sent == c.sent);
+  runner.Stop();
+}
+
 }  // namespace
 }  // namespace dn
