--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -44,9 +44,10 @@
       shard_(shard),
       token_(token),
       table_(Table{.shard = Shard(context_.policy, token), .links = {}}),
-      progress_(std::make_shared<RecordWriter>(context_.store, ProgressOf(shard), "owner", token)),
-      job_cleaner_(std::make_shared<RecordWriter>(context_.store, JobsOf(shard),
-                                                  "cleaner-" + std::to_string(token), 0)),
+      progress_(std::make_shared<RecordWriter>(context_.store, ProgressOf(shard), "owner", token,
+                                               context_.log)),
+      job_cleaner_(std::make_shared<RecordWriter>(
+          context_.store, JobsOf(shard), "cleaner-" + std::to_string(token), 0, context_.log)),
       jobs_(context_.store, JobsOf(shard), {.wait = kJobsWait, .pause = Duration(0)}, context_.log,
             [this](const auto& records, bool) { HandleJobs(records); }),
       registrations_(context_.adapter.registry, context_.log),
@@ -54,11 +55,11 @@
                {.wait = kFollowWait, .pause = kWorkerPause}, context_.log,
                [this](const auto& records, bool complete) { HandleWorkers(records, complete); }) {}
 
-void ShardOwner::Drop(const char* cause) {
+void ShardOwner::Drop(std::string_view cause) {
   if (!active_.exchange(false)) return;
   open_ = false;
   context_.log.Write("shard-dropped", std::to_string(shard_),
-                     "token=" + std::to_string(token_) + " cause=" + cause);
+                     "token=" + std::to_string(token_) + " cause=" + std::string(cause));
   changed_.NotifyAll();
   recorded_.NotifyAll();
   jobs_read_ended_.NotifyAll();
@@ -104,15 +105,22 @@
 Task<bool> ShardOwner::TakeOver() {
   // Fencing comes first: afterwards no earlier owner can change the progress that is
   // read next.
+  const Ownership ownership({.instance = context_.instance, .token = token_, .since_ms = WallMs()});
+  const StoreRecord fence({.key = kOwnershipKey, .value = EncodeText(ownership)});
   std::int64_t fence_end = 0;
   while (active_) {
-    auto fenced = co_await progress_->Fence();
+    auto fenced = co_await progress_->Fence(fence);
     if (fenced) {
-      fence_end = fenced.value();
+      fence_end = fenced.value()->end;
+      context_.log.Write("shard-fenced", std::to_string(shard_),
+                         "epoch=" + std::to_string(token_) +
+                             " sequence=" + std::to_string(fenced.value()->sequence) +
+                             " first=" + std::to_string(fenced.value()->first) +
+                             " end=" + std::to_string(fence_end));
       break;
     }
     if (fenced.error() == Errc::kConflict) {
-      Drop("fenced");
+      Drop(NameOf(progress_->give_up_cause()));
       context_.on_fenced(shard_);
       co_return false;
     }
@@ -135,7 +143,7 @@
   const Time now = Now();
   std::vector<JobCrashes> crashes;
   for (const StoreRecord& record : progress) {
-    if (!record->value) continue;
+    if (!record->value || record->key == kOwnershipKey) continue;
     if (const auto decoded = DecodeJobCrashes(*record->value)) {
       crashes.push_back(decoded.value());
       continue;
@@ -399,6 +407,15 @@
   context_.metrics.Set(Gauge::kLinkWaitMs, 0);
 }
 
+void ShardOwner::LogStored(const StoredAppend& stored, const RecordBatch& batch) {
+  if (batch.intents.empty() && batch.ends.empty()) return;
+  context_.log.Write("records-stored", std::to_string(shard_),
+                     "epoch=" + std::to_string(token_) +
+                         " sequence=" + std::to_string(stored->sequence) +
+                         " first=" + std::to_string(stored->first) +
+                         " end=" + std::to_string(stored->end) + " " + ToText(batch));
+}
+
 Task<> ShardOwner::RecordLoop() {
   const auto self = shared_from_this();
   Time interference_recorded = Now();
@@ -443,11 +460,12 @@
       auto stored = co_await progress_->Append(std::move(records), NoLimits());
       if (!active_) co_return;
       if (!stored) {
-        Drop("fenced");
+        Drop(NameOf(progress_->give_up_cause()));
         context_.on_fenced(shard_);
         co_return;
       }
       context_.metrics.RecordLatency(Latency::kRecord, Now() - started);
+      LogStored(stored.value(), batch);
     }
     const Time now = Now();
     const Orders orders = WithOwned([&](Table& table) {
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -5,6 +5,7 @@
 #include <atomic>
 
 #include "node/internal/node_adapter.h"
+#include "node/internal/ownership.h"
 #include "node/internal/shards.h"
 
 namespace dn {
@@ -13,6 +14,7 @@
                          public std::enable_shared_from_this<ShardOwner> {
  public:
   struct Context {
+    std::string instance;  // Identifier of this instance.
     WorkerPool& pool;
     HttpClient& http;
     SharedExchangeBudget& exchanges;  // With workers; all shards of this node share it.
@@ -21,7 +23,8 @@
     DecisionLog& log;
     Metrics& metrics;
     Policy policy;
-    std::function<void(int shard)> on_fenced;  // A later owner has fenced this one.
+    // A later owner has fenced this one, or this one does not know what the store holds.
+    std::function<void(int shard)> on_fenced;
     // Send time of the latest join by which the store confirmed the ownership.
     std::function<Time()> last_confirmed;
     Duration time_to_live;  // The ownership may expire this long after a join.
@@ -34,7 +37,7 @@
   // Takes the shard over and owns it until Drop.
   Task<> Run();
   // Ends all loops and logs `cause`. No further order or record is sent.
-  void Drop(const char* cause);
+  void Drop(std::string_view cause);
 
   // The following functions return kUnavailable before the take-over is complete and
   // after Drop, and kOutdated if what this owner knows is too old to be told.
@@ -96,6 +99,8 @@
   Task<> PlanLoop();
   // Records the progress of jobs and deletes expired jobs.
   Task<> RecordLoop();
+  // Logs the runs and ends of `batch`, which is durable, and where the store placed it.
+  void LogStored(const StoredAppend& stored, const RecordBatch& batch);
   Task<> RunLink(std::shared_ptr<WorkerLink> link, WorkerId worker);
   // Opens a link to each worker of the shard that has none yet.
   void OpenLinks();
--- a/src/store/internal/record_writer.cc
+++ b/src/store/internal/record_writer.cc
@@ -2,6 +2,7 @@
 #include "store/internal/record_writer.h"
 
 #include <boost/asio.hpp>
+#include <random>
 
 namespace dn {
 namespace {
@@ -16,6 +17,19 @@
 // store rejected or that did not reach it.
 constexpr int kMaxRejections = 3;
 
+// Maximum number of the first append of an epoch. It leaves as many numbers below 2^53, up to which
+// JSON numbers are exact.
+constexpr std::int64_t kMaxFirstSequence = std::int64_t{1} << 52;
+
+// Producers with an epoch share their name with those of earlier epochs, and the store may take an
+// append for a repeat of one of theirs with the same number. A random first number keeps them
+// apart.
+std::int64_t FirstSequence(std::int64_t epoch) {
+  if (epoch == 0) return 1;
+  std::random_device device;
+  return std::uniform_int_distribution<std::int64_t>(1, kMaxFirstSequence)(device);
+}
+
 std::size_t SizeOf(const StoreRecord& record) {
   return record->key.size() + (record->value ? record->value->size() : 0);
 }
@@ -44,27 +58,42 @@
 
 }  // namespace
 
+ConflictMeaning MeaningOfConflict(std::int64_t sent, std::int64_t expected, bool may_be_stored) {
+  if (!may_be_stored) return ConflictMeaning::kNotStored;
+  return expected == sent + 1 ? ConflictMeaning::kStoredEarlier : ConflictMeaning::kOutcomeUnknown;
+}
+
 RecordWriter::RecordWriter(StoreClient& store, Partition partition, std::string producer,
-                           std::int64_t epoch)
+                           std::int64_t epoch, DecisionLog& log)
     : store_(store),
       partition_(std::move(partition)),
-      producer_(std::move(producer)),
-      epoch_(epoch) {}
+      name_(std::move(producer)),
+      epoch_(epoch),
+      log_(log),
+      producer_(name_),
+      next_sequence_(FirstSequence(epoch)) {}
 
-Task<Result<std::int64_t>> RecordWriter::Fence() {
-  Producer producer({.name = producer_, .epoch = epoch_, .sequence = 0});
-  auto response = co_await store_.Append(partition_, producer, {});
+Task<Result<StoredAppend>> RecordWriter::Fence(StoreRecord record) {
+  const Producer producer({.name = producer_, .epoch = epoch_, .sequence = next_sequence_});
+  const std::vector<StoreRecord> records(1, std::move(record));
+  auto response = co_await store_.Append(partition_, producer, records);
   if (!response) co_return response.error();
-  if (response.value()->outcome == AppendOutcome::kFenced) co_return Errc::kConflict;
-  if (response.value()->outcome != AppendOutcome::kStored) co_return Errc::kUnavailable;
-  co_return response.value()->end;
+  const AppendResponse& answer = response.value();
+  if (answer->outcome == AppendOutcome::kWrongSequence) {
+    LogConflict(answer->expected_sequence, false, "given-up");
+    co_return GiveUp(GiveUpCause::kSequenceConflict);
+  }
+  if (answer->outcome == AppendOutcome::kFenced) co_return GiveUp(GiveUpCause::kFenced);
+  if (answer->outcome != AppendOutcome::kStored) co_return Errc::kUnavailable;
+  co_return StoredAppend(
+      {.sequence = next_sequence_++, .first = answer->first, .end = answer->end});
 }
 
 bool RecordWriter::Withdraw(const std::shared_ptr<Entry>& entry) {
   return queue_.With([&](Queue& queue) { return std::erase(queue.waiting, entry) > 0; });
 }
 
-Task<Result<>> RecordWriter::Append(std::vector<StoreRecord> records, Limits limits) {
+Task<Result<StoredAppend>> RecordWriter::Append(std::vector<StoreRecord> records, Limits limits) {
   auto entry = std::make_shared<Entry>();
   entry->records = std::move(records);
   const bool start = queue_.With([&](Queue& queue) {
@@ -111,10 +140,15 @@
     });
     if (!more) co_return;
     // Only a single entry can need several calls.
-    Result<> outcome = boost::outcome_v2::success();
+    Result<StoredAppend> outcome = StoredAppend();
+    std::optional<std::int64_t> first;
     for (const std::vector<StoreRecord>& call : SplitIntoCalls(std::move(records))) {
       outcome = co_await AppendCall(call, epoch_ > 0);
       if (!outcome) break;
+      if (!first) first = outcome.value()->first;
+    }
+    if (outcome && first) {
+      outcome = outcome.value().With([&](StoredAppendFields& calls) { calls.first = *first; });
     }
     queue_.With([&](Queue&) {
       for (const auto& entry : taken) entry->outcome = outcome;
@@ -123,8 +157,35 @@
   }
 }
 
-Task<Result<>> RecordWriter::AppendCall(const std::vector<StoreRecord>& records,
-                                        bool retry_rejections) {
+void RecordWriter::LogConflict(std::int64_t expected, bool may_be_stored, const char* outcome) {
+  log_.Write("sequence-conflict", partition_->topic + "/" + std::to_string(partition_->number),
+             "producer=" + producer_ + " epoch=" + std::to_string(epoch_) + " sent=" +
+                 std::to_string(next_sequence_) + " expected=" + std::to_string(expected) +
+                 " may_be_stored=" + (may_be_stored ? "1" : "0") + " outcome=" + outcome);
+}
+
+Errc RecordWriter::GiveUp(GiveUpCause cause) {
+  give_up_cause_ = cause;
+  return Errc::kConflict;
+}
+
+Result<> RecordWriter::HandleConflict(std::int64_t expected, bool may_be_stored) {
+  if (epoch_ > 0) {
+    LogConflict(expected, may_be_stored, "given-up");
+    return GiveUp(GiveUpCause::kSequenceConflict);
+  }
+  LogConflict(expected, may_be_stored, may_be_stored ? "outcome-unknown" : "sent-again");
+  // The store remembers other appends of this producer than the writer does. Under another name, no
+  // number can have been used.
+  producer_ = name_ + "." + std::to_string(++conflicts_);
+  next_sequence_ = FirstSequence(epoch_);
+  if (may_be_stored) return Errc::kTimeout;
+  return boost::outcome_v2::success();
+}
+
+Task<Result<StoredAppend>> RecordWriter::AppendCall(const std::vector<StoreRecord>& records,
+                                                    bool retry_rejections) {
+  if (give_up_cause_ != GiveUpCause::kNone) co_return Errc::kConflict;
   bool may_be_stored = false;
   int rejections = 0;
   Duration pause = kRetryPause;
@@ -134,20 +195,20 @@
     if (response) {
       const AppendOutcome outcome = response.value()->outcome;
       if (outcome == AppendOutcome::kStored) {
-        ++next_sequence_;
-        co_return boost::outcome_v2::success();
+        co_return StoredAppend({.sequence = next_sequence_++,
+                                .first = response.value()->first,
+                                .end = response.value()->end});
       }
-      if (outcome == AppendOutcome::kFenced) co_return Errc::kConflict;
+      if (outcome == AppendOutcome::kFenced) co_return GiveUp(GiveUpCause::kFenced);
       if (outcome == AppendOutcome::kWrongSequence) {
         const std::int64_t expected = response.value()->expected_sequence;
-        if (may_be_stored && expected > next_sequence_) {
-          // An earlier attempt stored the records and its response was lost. The
-          // store no longer remembers that response and so cannot repeat it.
-          next_sequence_ = expected;
-          co_return boost::outcome_v2::success();
+        if (MeaningOfConflict(next_sequence_, expected, may_be_stored) ==
+            ConflictMeaning::kStoredEarlier) {
+          LogConflict(expected, may_be_stored, "stored-earlier");
+          co_return StoredAppend({.sequence = next_sequence_++});
         }
-        next_sequence_ = expected;
-        continue;
+        const Result<> again = HandleConflict(expected, may_be_stored);
+        if (!again) co_return again.error();
       }
     } else if (response.error() != Errc::kUnavailable && response.error() != Errc::kUnreachable) {
       may_be_stored = true;
