Log what a take-over read and on what a run was given up

After the incident of tasks that ran twice, the logs could not tell which record an owner had missed: not how far it had read, not in which incarnation a worker had reported, not whose run an ignored end belonged to.

- take-over-read: end at the fence and end that was read, records, jobs, tasks by phase.
- task-lost: both incarnations, age of the report, inherited, token.
- end-ignored and stray-run: worker, number of the end, the owner's own run, its phase and worker.

The records of progress are decoded into a value apart from the owner, so that the counts are tested by table.

--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -102,11 +102,13 @@
     }
     co_await SleepFor(kRetryPause);
   }
-  std::vector<StoreRecord> progress;
+  std::vector<StoreRecord> records;
+  std::int64_t progress_end = 0;
   while (active_) {
     auto newest = co_await context_.store.Newest(ProgressOf(shard_));
     if (newest && newest.value()->end >= fence_end) {
-      progress = newest.value()->records;
+      records = newest.value()->records;
+      progress_end = newest.value()->end;
       break;
     }
     co_await SleepFor(kRetryPause);
@@ -114,32 +116,37 @@
   while (active_ && !co_await jobs_.Load()) co_await SleepFor(kRetryPause);
   while (active_ && !co_await workers_.Load()) co_await SleepFor(kRetryPause);
   if (!active_) co_return false;
+  const RecordedProgress progress = DecodeProgress(records);
+  const auto [jobs, workers] = table_.With(
+      [](Table& table) { return std::make_pair(table.shard.jobs(), table.shard.workers()); });
+  context_.log.Write("take-over-read", std::to_string(shard_),
+                     ToText(CountProgress({.token = token_,
+                                           .fence_end = fence_end,
+                                           .progress_end = progress_end,
+                                           .progress_records = records.size(),
+                                           .jobs_end = jobs_.position(),
+                                           .jobs = jobs,
+                                           .workers = workers},
+                                          progress)));
+  RestoreProgress(progress);
+  co_return true;
+}
+
+void ShardOwner::RestoreProgress(const RecordedProgress& progress) {
   const Time now = Now();
-  std::vector<JobCrashes> crashes;
-  for (const StoreRecord& record : progress) {
-    if (!record->value) continue;
-    if (const auto decoded = DecodeJobCrashes(*record->value)) {
-      crashes.push_back(decoded.value());
-      continue;
-    }
-    if (record->key == kInterferenceKey) {
-      const auto interference = DecodeInterference(*record->value);
-      if (interference)
-        table_.With([&](Table& table) { table.shard.RestoreInterference(interference.value()); });
-      if (!interference) context_.log.Write("record-skipped", record->key, "topic=progress");
-      continue;
-    }
-    const auto decoded = DecodeJobProgress(*record->value);
-    if (!decoded) {
-      context_.log.Write("record-skipped", record->key, "topic=progress");
-      continue;
-    }
-    table_.With([&](Table& table) { table.shard.Restore(decoded.value(), now); });
+  for (const std::string& key : progress->unreadable) {
+    context_.log.Write("record-skipped", key, "topic=progress");
   }
-  for (const JobCrashes& job : crashes) {
+  if (progress->interference) {
+    table_.With([&](Table& table) { table.shard.RestoreInterference(*progress->interference); });
+  }
+  // One call a job: with many jobs, the table would be locked for too long.
+  for (const JobProgress& job : progress->jobs) {
+    table_.With([&](Table& table) { table.shard.Restore(job, now); });
+  }
+  for (const JobCrashes& job : progress->crashes) {
     table_.With([&](Table& table) { table.shard.RestoreCrashes(job, now); });
   }
-  co_return true;
 }
 
 void ShardOwner::HandleJobs(const std::vector<StoreRecord>& records) {
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -6,6 +6,7 @@
 
 #include "node/internal/node_adapter.h"
 #include "node/internal/shards.h"
+#include "node/internal/take_over_read.h"
 
 namespace dn {
 
@@ -68,6 +69,7 @@
   // Fences earlier owners and restores the shard from the store. Returns false if
   // the shard was dropped meanwhile.
   Task<bool> TakeOver();
+  void RestoreProgress(const RecordedProgress& progress);
   OwnerView View() const;
   // Returns an error if the view is too old to be told, even after another read of the
   // submitted jobs.
--- a/src/scheduling/internal/record_codec.h
+++ b/src/scheduling/internal/record_codec.h
@@ -27,6 +27,12 @@
   kPlaced,   // The intent is recorded; the task runs or may run on a worker.
   kDone,
 };
+template <>
+struct EnumNames<TaskPhase> {
+  static constexpr std::array<EnumName<TaskPhase>, 3> kNames = {{{TaskPhase::kWaiting, "waiting"},
+                                                                 {TaskPhase::kPlaced, "placed"},
+                                                                 {TaskPhase::kDone, "done"}}};
+};
 
 struct TaskProgressFields {
   TaskPhase phase = TaskPhase::kWaiting;
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -159,7 +159,9 @@
   if (task != nullptr) MarkBegun(*jobs_.Find(end->task.job), worker.entry->id, now);
   if (task == nullptr || task->phase == TaskPhase::kDone || end->run != task->run) {
     Decide("end-ignored", FormatTaskKey(end->task),
-           "run=" + std::to_string(end->run) + " how=" + std::string(NameOf(end->kind)));
+           "run=" + std::to_string(end->run) + " how=" + std::string(NameOf(end->kind)) +
+               " worker=" + worker.entry->id.value + " number=" + std::to_string(end->number) +
+               " " + OwnRunText(task) + " token=" + std::to_string(token_));
     if (task != nullptr) task->other_run = std::max(task->other_run, end->run);
     return;
   }
@@ -279,7 +281,8 @@
                              task->worker == worker.entry->id && task->run == running->run;
   if (!accounted_for) {
     Decide("stray-run", FormatTaskKey(running->task),
-           "run=" + std::to_string(running->run) + " worker=" + worker.entry->id.value);
+           "run=" + std::to_string(running->run) + " worker=" + worker.entry->id.value + " " +
+               OwnRunText(task) + " token=" + std::to_string(token_));
     orphaned_run_stops_.emplace_back(StopOrderFields{
         .worker = worker.entry->id, .task = running->task, .run = running->run, .token = token_});
     return;
@@ -340,8 +343,7 @@
     }
     if (cause == nullptr) continue;
     Decide("task-lost", FormatTaskKey(job.KeyOf(ref.position)),
-           "run=" + std::to_string(task.run) + " worker=" + worker.entry->id.value +
-               " cause=" + cause);
+           ToText(MakeLostRun(task, worker, cause, token_, now - sent)));
     Unplace(job, ref.position, TaskPhase::kWaiting, now);
   }
 }
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -15,6 +15,7 @@
 #include "scheduling/internal/interference.h"
 #include "scheduling/internal/pace_control.h"
 #include "scheduling/internal/placement_policy.h"
+#include "scheduling/internal/run_evidence.h"
 #include "scheduling/internal/run_gaps.h"
 #include "scheduling/internal/search_memo.h"
 #include "scheduling/internal/shard_load.h"
--- a/src/scheduling/internal/shard_liveness.cc
+++ b/src/scheduling/internal/shard_liveness.cc
@@ -14,8 +14,8 @@
       if (now - job.tasks[ref.position].start_sent_at < kLateOrderLimit) continue;
       ++released;
       Decide("task-lost", FormatTaskKey(job.KeyOf(ref.position)),
-             "run=" + std::to_string(job.tasks[ref.position].run) + " worker=" + id.value +
-                 " cause=silent");
+             ToText(MakeLostRun(job.tasks[ref.position], worker, "silent", token_,
+                                ReportAge(worker, now))));
       Unplace(job, ref.position, TaskPhase::kWaiting, now);
     }
     if (released == 0) continue;
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -75,8 +75,8 @@
       JobRow& job = *row;
       if (job.tasks[ref.position].phase != TaskPhase::kPlaced) continue;
       Decide("task-lost", FormatTaskKey(job.KeyOf(ref.position)),
-             "run=" + std::to_string(job.tasks[ref.position].run) +
-                 " worker=" + entry->first.value + " cause=lease-over");
+             ToText(MakeLostRun(job.tasks[ref.position], worker, "lease-over", token_,
+                                ReportAge(worker, now))));
       Unplace(job, ref.position, TaskPhase::kWaiting, now);
     }
     Decide("worker-gone", entry->first.value, "tasks=" + std::to_string(placed.size()));
--- a/src/store/internal/keyed_follower.h
+++ b/src/store/internal/keyed_follower.h
@@ -38,6 +38,8 @@
   // Send time of the last read that reached the end of the partition; Time() if there
   // was none. All records that were stored until then have been handled.
   Time last_complete() const { return Time(Duration(last_complete_ms_.load())); }
+  // Offset of the next read; after Load, the end of the partition as of that read.
+  std::int64_t position() const { return position_; }
   // Whether the last read succeeded.
   bool reachable() const { return reachable_; }
 
