Keep recorded progress until its job arrives

A job whose submission a take-over had not read started from nothing when it arrived later: done tasks ran again, running ones were stopped as orphaned, and ends of its runs were acknowledged without a record. Shard::Restore and RestoreCrashes ignored progress without a job (progress-without-job).

HeldJobs keeps the progress and the record of crashes until Accept() adds the job, or its deletion is read. Meanwhile runs that the progress mentions are not stopped, and their ends are held: they are applied with the job, and the worker may forget them once the job's record covers them. The state of such an open job is refused rather than denied.

--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -152,7 +152,12 @@
 void ShardOwner::HandleJobs(const std::vector<StoreRecord>& records) {
   const Time now = Now();
   for (const StoreRecord& record : records) {
-    if (!record->value) continue;
+    if (!record->value) {
+      if (const auto id = ParseJobId(record->key)) {
+        table_.With([&](Table& table) { table.shard.Deleted(id.value()); });
+      }
+      continue;
+    }
     const auto job = DecodeAcceptedJob(*record->value);
     if (!job) {
       context_.log.Write("record-skipped", record->key, "topic=jobs");
@@ -482,6 +487,10 @@
   // Later submissions do not change the state of a known job, but a later owner may have.
   if (StatusOf(View(), Now()) == ViewStatus::kUnconfirmed) co_return RefuseOutdated();
   if (!open_) co_return Errc::kUnavailable;
+  // The job exists, but this owner cannot tell its state.
+  if (table_.With([&](Table& table) { return table.shard.IsHeld(id); })) {
+    co_return Errc::kOutdated;
+  }
   co_return read_state();
 }
 
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -48,16 +48,36 @@
 
 void Shard::Accept(const AcceptedJob& job, Time now) {
   if (deleted_.count(job->id) > 0) return;
-  if (jobs_.Accept(job, now)) open_jobs_.push_back(jobs_.Find(job->id));
+  if (!jobs_.Accept(job, now)) return;
+  open_jobs_.push_back(jobs_.Find(job->id));
+  ApplyHeld(job->id, now);
+}
+
+void Shard::ApplyHeld(JobId id, Time now) {
+  const HeldJob held = held_jobs_.Take(id);
+  if (!held->progress) return;
+  Restore(*held->progress, now);
+  if (held->crashes) RestoreCrashes(*held->crashes, now);
+  // The next record of the job covers its ends, which are acknowledged then.
+  jobs_.MarkDirty(*jobs_.Find(id));
+  const std::vector<HeldEnd> ends = held_jobs_.EndsOf(id);
+  for (const HeldEnd& end : ends) ApplyEnd(workers_.FindOrAdd(end->worker, now), end->end, now);
+  Decide("progress-applied", FormatJobId(id),
+         "tasks=" + std::to_string((*held->progress)->tasks.size()) +
+             " ends=" + std::to_string(ends.size()) + " token=" + std::to_string(token_));
 }
 
 void Shard::Restore(const JobProgress& progress, Time now) {
-  jobs_.Restore(progress, now);
   JobRow* job = jobs_.Find(progress->id);
   if (job == nullptr) {
-    Decide("progress-without-job", FormatJobId(progress->id), "ignored");
+    held_jobs_.Keep(progress);
+    Decide("progress-without-job", FormatJobId(progress->id),
+           std::string("kept open=") + (progress->phase == JobPhase::kOpen ? "1" : "0") +
+               " tasks=" + std::to_string(progress->tasks.size()) +
+               " token=" + std::to_string(token_));
     return;
   }
+  jobs_.Restore(progress, now);
   for (std::size_t i = 0; i < job->tasks.size(); ++i) {
     TaskRow& task = job->tasks[i];
     if (task.phase != TaskPhase::kPlaced) continue;
@@ -121,6 +141,7 @@
     worker->start_time_ms = report->start_time_ms;
     MarkRunsOfIncarnation(*worker, report);
     WithdrawStarts(*worker, now);
+    held_jobs_.WorkerRestarted(id);
     HandleRestart(*worker, report->start_time_ms, now);
     worker->ends_seen = 0;
     worker->ends_recorded = 0;
@@ -133,10 +154,19 @@
   worker->headroom.reset();
   for (const ReportedEnd& end : report->ended) {
     if (end->number <= worker->ends_seen) continue;
-    ApplyEnd(*worker, end, now);
     worker->ends_seen = end->number;
+    if (held_jobs_.Covers(end->task, end->run, id)) {
+      held_jobs_.AddEnd(id, end);
+      Decide("end-held", FormatTaskKey(end->task),
+             "run=" + std::to_string(end->run) + " worker=" + id.value +
+                 " number=" + std::to_string(end->number) + " token=" + std::to_string(token_));
+      continue;
+    }
+    ApplyEnd(*worker, end, now);
+  }
+  for (const ReportedRun& running : report->running) {
+    if (!held_jobs_.Covers(running->task, running->run, id)) ApplyRunning(*worker, running, now);
   }
-  for (const ReportedRun& running : report->running) ApplyRunning(*worker, running, now);
   Reconcile(*worker, report, sent, now);
   ObserveInterference(*worker);
 }
@@ -526,6 +556,7 @@
   for (const JobProgress& record : batch.records) {
     JobRow* job = jobs_.Find(record->id);
     if (job != nullptr) job->recorded_phase = record->phase;
+    held_jobs_.ForgetEnds(record->id);
   }
   for (const auto& [id, ends] : batch.ends) {
     WorkerRow* worker = workers_.Find(id);
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "scheduling/internal/crash_blame.h"
+#include "scheduling/internal/held_jobs.h"
 #include "scheduling/internal/idle_jobs.h"
 #include "scheduling/internal/interference.h"
 #include "scheduling/internal/pace_control.h"
@@ -86,10 +87,13 @@
   // Restores a shard after a take-over: first the jobs, then their progress, each in any number of
   // calls. Accept() also adds new jobs later; it ignores a job that this owner has just deleted,
   // since a read of the submitted jobs may have begun before. RestoreCrashes() follows the job's
-  // progress.
+  // progress. Progress whose job is not there yet is kept and applied when Accept() adds the job;
+  // until then, the ends of its runs are not acknowledged and its runs are not stopped.
   void Accept(const AcceptedJob& job, Time now);
   void Restore(const JobProgress& progress, Time now);
   void RestoreCrashes(const JobCrashes& crashes, Time now);
+  // Handles the deletion of a submitted job, by which its progress is forgotten.
+  void Deleted(JobId id) { held_jobs_.Forget(id); }
 
   // Import and export the interference estimates, which one owner passes to the next.
   void RestoreInterference(const std::vector<InterferenceEstimate>& estimates) {
@@ -140,6 +144,8 @@
 
   // Returns the state of a job, as far as it is durable.
   JobState StateOf(JobId id) const;
+  // Returns whether the job exists although this owner does not know its state.
+  bool IsHeld(JobId id) const { return held_jobs_.IsOpen(id); }
   // Returns the number of open jobs of `queue` of which no worker has shown a run.
   std::int64_t WaitingOf(const std::string& queue) const;
   // Returns the numbers of open jobs of `queue` by the evidence of their start, for the log.
@@ -173,6 +179,8 @@
     friend bool operator<(const Waiting& a, const Waiting& b) { return a.urgency < b.urgency; }
   };
 
+  // Applies what was kept of a job that has just been accepted.
+  void ApplyHeld(JobId id, Time now);
   // Notes that `worker` has shown a run of the job.
   void MarkBegun(JobRow& job, const WorkerId& worker, Time now);
   void ApplyEnd(WorkerRow& worker, const ReportedEnd& end, Time now);
@@ -298,6 +306,7 @@
   std::int64_t placements_ = 0;
   bool advice_reported_ = false;  // Whether the log already contains advice-not-supported.
   std::vector<Decision> decisions_;
+  HeldJobs held_jobs_;  // Only jobs that are not in `jobs_`.
 };
 
 }  // namespace dn
--- a/src/scheduling/internal/shard_crashes.cc
+++ b/src/scheduling/internal/shard_crashes.cc
@@ -132,7 +132,7 @@
 void Shard::RestoreCrashes(const JobCrashes& crashes, Time now) {
   JobRow* const job = jobs_.Find(crashes->id);
   if (job == nullptr) {
-    Decide("progress-without-job", FormatJobId(crashes->id), "crashes ignored");
+    held_jobs_.Keep(crashes);
     return;
   }
   job->has_crash_record = true;
--- a/src/scheduling/internal/shard_liveness.cc
+++ b/src/scheduling/internal/shard_liveness.cc
@@ -45,7 +45,9 @@
 std::int64_t Shard::EndsToAcknowledge(const WorkerRow& worker, Time now) const {
   // A renewal follows a report at once. If the report is older, a renewal got no response: the
   // worker may have restarted, and its numbers of ends may have started anew.
-  return now - worker.last_report < policy_->slow_response ? worker.ends_recorded : 0;
+  if (now - worker.last_report >= policy_->slow_response) return 0;
+  const auto held = held_jobs_.FirstEndOf(worker.entry->id);
+  return held ? std::min(worker.ends_recorded, *held - 1) : worker.ends_recorded;
 }
 
 }  // namespace dn
