Hold a job back whose recorded progress cannot be decoded

A record of progress in another format was skipped at a take-over (record-skipped), and its job started from nothing: tasks that were done or running ran a second time. That happens in a rolling update whose later version changes the format, when an instance of the earlier version takes over.

The job is held back instead: not started, not recorded, not counted, its state and cancellation are refused, its runs are left to their workers and their ends are not acknowledged, until an instance takes over that can read the record, or the job is deleted. Line job-held-back.

--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -136,6 +136,10 @@
   const Time now = Now();
   for (const std::string& key : progress->unreadable) {
     context_.log.Write("record-skipped", key, "topic=progress");
+    // A record of a later format, if an instance of a later version owned the shard before.
+    if (const auto id = ParseJobId(key)) {
+      table_.With([&](Table& table) { table.shard.HoldBack(id.value()); });
+    }
   }
   if (progress->interference) {
     table_.With([&](Table& table) { table.shard.RestoreInterference(*progress->interference); });
--- a/src/scheduling/internal/held_jobs.cc
+++ b/src/scheduling/internal/held_jobs.cc
@@ -1,4 +1,4 @@
-// Keeps recorded progress until its job arrives.
+// Keeps recorded progress until its job arrives, and the jobs that are held back.
 #include "scheduling/internal/held_jobs.h"
 
 #include <algorithm>
@@ -19,16 +19,19 @@
 
 void HeldJobs::Forget(JobId id) {
   jobs_.erase(id);
+  unreadable_.erase(id);
   ForgetEnds(id);
 }
 
 bool HeldJobs::IsOpen(JobId id) const {
+  if (IsHeldBack(id)) return true;
   const auto found = jobs_.find(id);
   if (found == jobs_.end() || !found->second.progress) return false;
   return (*found->second.progress)->phase == JobPhase::kOpen;
 }
 
 bool HeldJobs::Covers(const TaskKey& task, int run, const WorkerId& worker) const {
+  if (IsHeldBack(task.job)) return true;
   const auto found = jobs_.find(task.job);
   if (found == jobs_.end() || !found->second.progress) return false;
   // The position of a task follows from the submission, so any task of the job may be meant.
--- a/src/scheduling/internal/held_jobs.h
+++ b/src/scheduling/internal/held_jobs.h
@@ -1,10 +1,12 @@
-// Recorded progress of jobs whose submission this owner has not read. The progress waits for its
-// job, so that the job does not start from nothing when it arrives.
+// Recorded progress that this owner cannot apply: the submission of its job was not read, or the
+// record cannot be decoded. The first kind waits for its job; jobs of the second kind are held
+// back. Neither job starts from nothing.
 #pragma once
 
 #include <compare>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "scheduling/internal/orders.h"
@@ -37,14 +39,19 @@
  public:
   void Keep(const JobProgress& progress);
   void Keep(const JobCrashes& crashes);
+  // Notes that the progress of `id` cannot be decoded: the job may have runs that go on, or be
+  // done.
+  void HoldBack(JobId id) { unreadable_.insert(id); }
+  bool IsHeldBack(JobId id) const { return unreadable_.count(id) > 0; }
   // Returns what is kept of `id`, and forgets it except for its ends.
   HeldJob Take(JobId id);
   // Forgets all of a job that was deleted.
   void Forget(JobId id);
 
-  // Returns whether the job is kept and open: it exists, and this owner does not know its state.
+  // Returns whether this owner does not know the state of a job that exists: the job is held back,
+  // or its progress is kept and open.
   bool IsOpen(JobId id) const;
-  // Returns whether the run may be the current one of a task that is kept.
+  // Returns whether the run may be the current one of a task whose progress is kept or unreadable.
   bool Covers(const TaskKey& task, int run, const WorkerId& worker) const;
 
   void AddEnd(const WorkerId& worker, const ReportedEnd& end);
@@ -60,7 +67,9 @@
 
  private:
   std::map<JobId, HeldJobFields> jobs_;
-  std::vector<HeldEndFields> ends_;  // Of jobs in `jobs_`, or taken and not recorded yet.
+  std::set<JobId> unreadable_;
+  std::vector<HeldEndFields>
+      ends_;  // Of jobs in `jobs_` or `unreadable_`, or taken and not recorded yet.
 };
 
 }  // namespace dn
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -48,11 +48,21 @@
 
 void Shard::Accept(const AcceptedJob& job, Time now) {
   if (deleted_.count(job->id) > 0) return;
-  if (!jobs_.Accept(job, now)) return;
+  if (held_jobs_.IsHeldBack(job->id) || !jobs_.Accept(job, now)) return;
   open_jobs_.push_back(jobs_.Find(job->id));
   ApplyHeld(job->id, now);
 }
 
+void Shard::HoldBack(JobId id) {
+  held_jobs_.HoldBack(id);
+  if (JobRow* const job = jobs_.Find(id)) {
+    std::erase(open_jobs_, job);
+    jobs_.Erase(id);
+  }
+  Decide("job-held-back", FormatJobId(id),
+         "reason=unreadable-progress token=" + std::to_string(token_));
+}
+
 void Shard::ApplyHeld(JobId id, Time now) {
   const HeldJob held = held_jobs_.Take(id);
   if (!held->progress) return;
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -92,6 +92,9 @@
   void Accept(const AcceptedJob& job, Time now);
   void Restore(const JobProgress& progress, Time now);
   void RestoreCrashes(const JobCrashes& crashes, Time now);
+  // Holds a job back whose recorded progress cannot be decoded: it is not started, and runs of it
+  // are left to the workers. Call it before Restore().
+  void HoldBack(JobId id);
   // Handles the deletion of a submitted job, by which its progress is forgotten.
   void Deleted(JobId id) { held_jobs_.Forget(id); }
 
--- a/src/scheduling/tests/held_jobs_test.cc
+++ b/src/scheduling/tests/held_jobs_test.cc
@@ -161,6 +161,37 @@
   CHECK(batch.crashes == std::vector<JobCrashes>{crashes});
 }
 
+// Guards against a task that runs a second time because an instance of an earlier version cannot
+// read its progress.
+TEST_CASE("a job whose progress cannot be read is held back", "[scheduling][held]") {
+  struct Case {
+    std::string name;
+    bool submitted_before;  // The job was read before its progress.
+    bool deleted;           // The job is deleted and submitted anew.
+  };
+  const auto c = GENERATE(values<Case>(
+      {{"known", true, false}, {"arrives later", false, false}, {"deleted", true, true}}));
+  CAPTURE(c.name);
+  Owner owner;
+  owner.Report({});
+  if (c.submitted_before) owner.Submit();
+  owner.shard.HoldBack(kJob);
+  owner.Submit();
+  owner.Report({.running = {Running(3)}, .ended = {Done(2)}});
+  owner.PlanAndRecord();
+  CHECK(owner.shard.IsHeld(kJob));
+  CHECK(owner.shard.StateOf(kJob) == JobState::kUnknown);
+  CHECK(owner.orders.empty());
+  CHECK(owner.batch.records.empty());
+  CHECK(owner.EndsAcknowledged() == 0);
+  if (!c.deleted) return;
+  owner.shard.Deleted(kJob);
+  owner.Submit();
+  owner.PlanAndRecord();
+  CHECK_FALSE(owner.shard.IsHeld(kJob));
+  CHECK(owner.orders.starts.size() == 1);
+}
+
 // Guards against progress without a job that leaves no trace in the log.
 TEST_CASE("the log shows progress that waits for its job", "[scheduling][held]") {
   Owner owner;
