--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -7,6 +7,7 @@
 #include "node/internal/node_adapter.h"
 #include "node/internal/ownership.h"
 #include "node/internal/shards.h"
+#include "node/internal/take_over_read.h"
 
 namespace dn {
 
@@ -77,6 +78,7 @@
   // Fences earlier owners and restores the shard from the store. Returns false if
   // the shard was dropped meanwhile.
   Task<bool> TakeOver();
+  void RestoreProgress(const RecordedProgress& progress);
   OwnerView View() const;
   // Passes the end of the confirmed ownership to the shard and returns the result of `function`,
   // which is called under the shard's lock.
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -51,16 +51,46 @@
 
 void Shard::Accept(const AcceptedJob& job, Time now) {
   if (deleted_.count(job->id) > 0) return;
-  if (jobs_.Accept(job, now)) open_jobs_.push_back(jobs_.Find(job->id));
+  if (held_jobs_.IsHeldBack(job->id) || !jobs_.Accept(job, now)) return;
+  open_jobs_.push_back(jobs_.Find(job->id));
+  ApplyHeld(job->id, now);
+}
+
+void Shard::HoldBack(JobId id) {
+  held_jobs_.HoldBack(id);
+  if (JobRow* const job = jobs_.Find(id)) {
+    std::erase(open_jobs_, job);
+    jobs_.Erase(id);
+  }
+  Decide("job-held-back", FormatJobId(id),
+         "reason=unreadable-progress token=" + std::to_string(token_));
+}
+
+void Shard::ApplyHeld(JobId id, Time now) {
+  const HeldJob held = held_jobs_.Take(id);
+  if (!held->progress) return;
+  Restore(*held->progress, now);
+  if (held->crashes) RestoreCrashes(*held->crashes, now);
+  // The next record of the job covers its ends, which are acknowledged then.
+  jobs_.MarkDirty(*jobs_.Find(id));
+  const std::vector<HeldEnd> ends = held_jobs_.EndsOf(id);
+  for (const HeldEnd& end : ends) ApplyEnd(workers_.FindOrAdd(end->worker, now), end->end, now);
+  Decide("progress-applied", FormatJobId(id),
+         "tasks=" + std::to_string((*held->progress)->tasks.size()) +
+             " ends=" + std::to_string(ends.size()) + " token=" + std::to_string(token_));
 }
 
 void Shard::Restore(const JobProgress& progress, Time now) {
-  jobs_.Restore(progress, now);
   JobRow* job = jobs_.Find(progress->id);
   if (job == nullptr) {
-    Decide("progress-without-job", FormatJobId(progress->id), "ignored");
+    held_jobs_.Keep(progress);
+    Decide("progress-without-job", FormatJobId(progress->id),
+           std::string("kept open=") + (progress->phase == JobPhase::kOpen ? "1" : "0") +
+               " tasks=" + std::to_string(progress->tasks.size()) +
+               " token=" + std::to_string(token_));
     return;
   }
+  jobs_.Restore(progress, now);
   for (std::size_t i = 0; i < job->tasks.size(); ++i) {
     TaskRow& task = job->tasks[i];
     if (task.phase != TaskPhase::kPlaced) continue;
@@ -127,6 +157,7 @@
     worker->start_time_ms = report->start_time_ms;
     MarkRunsOfIncarnation(*worker, report);
     WithdrawStarts(*worker, now);
+    held_jobs_.WorkerRestarted(id);
     HandleRestart(*worker, report->start_time_ms, now);
     worker->ends_seen = 0;
     worker->ends_recorded = 0;
@@ -139,10 +170,19 @@
   worker->headroom.reset();
   for (const ReportedEnd& end : report->ended) {
     if (end->number <= worker->ends_seen) continue;
-    ApplyEnd(*worker, end, now);
     worker->ends_seen = end->number;
+    if (held_jobs_.Covers(end->task, end->run, id)) {
+      held_jobs_.AddEnd(id, end);
+      Decide("end-held", FormatTaskKey(end->task),
+             "run=" + std::to_string(end->run) + " worker=" + id.value +
+                 " number=" + std::to_string(end->number) + " token=" + std::to_string(token_));
+      continue;
+    }
+    ApplyEnd(*worker, end, now);
+  }
+  for (const ReportedRun& running : report->running) {
+    if (!held_jobs_.Covers(running->task, running->run, id)) ApplyRunning(*worker, running, now);
   }
-  for (const ReportedRun& running : report->running) ApplyRunning(*worker, running, now);
   Reconcile(*worker, report, sent, now);
   ObserveInterference(*worker);
 }
@@ -165,7 +205,9 @@
   if (task != nullptr) MarkBegun(*jobs_.Find(end->task.job), worker.entry->id, now);
   if (task == nullptr || task->phase == TaskPhase::kDone || end->run != task->run) {
     Decide("end-ignored", FormatTaskKey(end->task),
-           "run=" + std::to_string(end->run) + " how=" + std::string(NameOf(end->kind)));
+           "run=" + std::to_string(end->run) + " how=" + std::string(NameOf(end->kind)) +
+               " worker=" + worker.entry->id.value + " number=" + std::to_string(end->number) +
+               " " + OwnRunText(task) + " token=" + std::to_string(token_));
     if (task != nullptr) task->other_run = std::max(task->other_run, end->run);
     return;
   }
@@ -285,7 +327,8 @@
                              task->worker == worker.entry->id && task->run == running->run;
   if (!accounted_for) {
     Decide("stray-run", FormatTaskKey(running->task),
-           "run=" + std::to_string(running->run) + " worker=" + worker.entry->id.value);
+           "run=" + std::to_string(running->run) + " worker=" + worker.entry->id.value + " " +
+               OwnRunText(task) + " token=" + std::to_string(token_));
     orphaned_run_stops_.emplace_back(StopOrderFields{
         .worker = worker.entry->id, .task = running->task, .run = running->run, .token = token_});
     return;
@@ -346,8 +389,7 @@
     }
     if (cause == nullptr) continue;
     Decide("task-lost", FormatTaskKey(job.KeyOf(ref.position)),
-           "run=" + std::to_string(task.run) + " worker=" + worker.entry->id.value +
-               " cause=" + cause);
+           ToText(MakeLostRun(task, worker, cause, token_, now - sent)));
     Unplace(job, ref.position, TaskPhase::kWaiting, now);
   }
 }
@@ -531,6 +573,7 @@
   for (const JobProgress& record : batch.records) {
     JobRow* job = jobs_.Find(record->id);
     if (job != nullptr) job->recorded_phase = record->phase;
+    held_jobs_.ForgetEnds(record->id);
   }
   for (const auto& [id, ends] : batch.ends) {
     WorkerRow* worker = workers_.Find(id);
--- a/src/scheduling/internal/shard_liveness.cc
+++ b/src/scheduling/internal/shard_liveness.cc
@@ -14,8 +14,8 @@
       if (now - job.tasks[ref.position].start_sent_at < kLateOrderLimit) continue;
       ++released;
       Decide("task-lost", FormatTaskKey(job.KeyOf(ref.position)),
-             "run=" + std::to_string(job.tasks[ref.position].run) + " worker=" + id.value +
-                 " cause=silent");
+             ToText(MakeLostRun(job.tasks[ref.position], worker, "silent", token_,
+                                ReportAge(worker, now))));
       Unplace(job, ref.position, TaskPhase::kWaiting, now);
     }
     if (released == 0) continue;
@@ -45,7 +45,9 @@
 std::int64_t Shard::EndsToAcknowledge(const WorkerRow& worker, Time now) const {
   // A renewal follows a report at once. If the report is older, a renewal got no response: the
   // worker may have restarted, and its numbers of ends may have started anew.
-  return now - worker.last_report < policy_->slow_response ? worker.ends_recorded : 0;
+  if (now - worker.last_report >= policy_->slow_response) return 0;
+  const auto held = held_jobs_.FirstEndOf(worker.entry->id);
+  return held ? std::min(worker.ends_recorded, *held - 1) : worker.ends_recorded;
 }
 
 }  // namespace dn
