Let the stand-in of a task worker be cut off from some owners

Tests could cut a worker off from everybody or from nobody. A network that separates a former owner and some workers from the store, the other workers and later owners could not be set up.

- TaskWorkerFault has the range of fencing tokens whose owners reach the worker, and `unregistered` for a worker that does not reach the store.
A long poll that was under way when the fault was set gets no response either; without that, the refusal of another token still reached the owner that had been cut off, which gave up the shard.
- A run that lapses ends when its lease has expired.
It used to end at the next call, so a worker that nobody called seemed to run tasks for seconds more, and a test saw two concurrent runs where there was one.
- RunRecord says when an owner acknowledged the end.

--- a/standins/internal/task_worker_standin.cc
+++ b/standins/internal/task_worker_standin.cc
@@ -20,6 +20,13 @@
   return value == nullptr ? 0 : value->to_number<std::int64_t>();
 }
 
+// Returns the fencing token of an order; 0 if it has none.
+std::int64_t TokenOf(const HttpCall& call) {
+  boost::system::error_code error;
+  const json::value body = json::parse(call.body, error);
+  return !error && body.is_object() ? NumberField(body.as_object(), "FencingToken") : 0;
+}
+
 }  // namespace
 
 TaskWorkerStandin::TaskWorkerStandin(WorkerPool& pool, StoreStandin& store, std::string id,
@@ -47,7 +54,7 @@
   state_.With([&](State& state) {
     AdvanceToNow(state);
     if (fault.dead) {
-      while (!state.running.empty()) EndRun(state, state.running.begin()->first, "lost");
+      while (!state.running.empty()) EndRun(state, state.running.begin()->first, "lost", Now());
       state.unacknowledged_ends.clear();
     }
     state.fault = fault;
@@ -66,8 +73,9 @@
   bool registered = false;
   while (true) {
     const auto [unavailable, sequence, replaced] = state_.With([](State& state) {
-      return std::make_tuple(state.fault.dead || state.fault.disconnected, ++state.sequence,
-                             state.fault.registration);
+      const TaskWorkerFault& fault = state.fault;
+      return std::make_tuple(fault.dead || fault.disconnected || fault.unregistered,
+                             ++state.sequence, fault.registration);
     });
     if (!unavailable && !replaced.empty()) {
       store_.Put("keyed.servers", id_, replaced);
@@ -91,14 +99,14 @@
   }
 }
 
-void TaskWorkerStandin::EndRun(State& state, const std::string& task,
-                               const std::string& end_reason) {
+void TaskWorkerStandin::EndRun(State& state, const std::string& task, const std::string& end_reason,
+                               Time ended) {
   const auto found = state.running.find(task);
   RunRecord& record = state.runs[found->second.record];
-  record.ended = Now();
+  record.ended = ended;
   record.end_reason = end_reason;
   state.last_run[task] = std::max(state.last_run[task], record.run);
-  state.unacknowledged_ends.emplace_back(state.next_end_number++, task, record.run, end_reason);
+  state.unacknowledged_ends.emplace_back(state.next_end_number++, found->second.record);
   state.running.erase(found);
 }
 
@@ -109,9 +117,11 @@
     if (!run.long_running && Now() >= run.end_time) finished.push_back(task);
   }
   for (const std::string& task : finished)
-    EndRun(state, task, state.fault.fails_all ? "failed" : "done");
+    EndRun(state, task, state.fault.fails_all ? "failed" : "done", Now());
   if (LocalClockMs() <= state.lease_expiry_ms) return;
-  while (!state.running.empty()) EndRun(state, state.running.begin()->first, "lapsed");
+  // Nobody may have called for a while since then.
+  const Time expired = start_time_ + Duration(state.lease_expiry_ms);
+  while (!state.running.empty()) EndRun(state, state.running.begin()->first, "lapsed", expired);
 }
 
 Task<HttpReply> TaskWorkerStandin::Handle(HttpCall call) {
@@ -120,13 +130,23 @@
       {"/api/run-start", &TaskWorkerStandin::StartRun},
       {"/api/run-stop", &TaskWorkerStandin::StopRun},
       {"/api/pace", &TaskWorkerStandin::Throttle}};
-  const auto is_unavailable = [this] {
-    return state_.With([](State& state) { return state.fault.dead || state.fault.disconnected; });
+  const std::int64_t token = TokenOf(call);
+  const auto is_unavailable = [&] {
+    return state_.With([&](State& state) {
+      const TaskWorkerFault& fault = state.fault;
+      return fault.dead || fault.disconnected || token < fault.first_token ||
+             token > fault.last_token;
+    });
   };
   while (is_unavailable()) co_await SleepFor(kPollInterval);
   const auto intended = call.headers.find("expected-instance");
   if (intended != call.headers.end() && intended->second != id_) co_return HttpReply{.status = 421};
-  if (call.path == "/api/hold") co_return co_await RenewLease(std::move(call));
+  if (call.path == "/api/hold") {
+    const HttpReply reply = co_await RenewLease(std::move(call));
+    // The caller may have been cut off during the wait.
+    while (is_unavailable()) co_await SleepFor(kPollInterval);
+    co_return reply;
+  }
   const auto route = kRoutes.find(call.path);
   if (route == kRoutes.end()) co_return HttpReply{.status = 404};
   const auto [reply, response_lost] = state_.With([&](State& state) {
@@ -177,7 +197,8 @@
                                  .token = token,
                                  .started = Now(),
                                  .ended = {},
-                                 .end_reason = {}});
+                                 .end_reason = {},
+                                 .acknowledged = {}});
   return accepted;
 }
 
@@ -192,7 +213,7 @@
   }
   const auto running = state.running.find(task);
   if (running != state.running.end() && state.runs[running->second.record].run <= run) {
-    EndRun(state, task, "stopped");
+    EndRun(state, task, "stopped", Now());
   }
   state.last_run[task] = std::max(state.last_run[task], run);
   return {.status = 200, .body = json::serialize(json::object{{"ClockMs", LocalClockMs()}})};
@@ -219,17 +240,21 @@
       state.token = token;
       state.lease_expiry_ms = std::max(
           state.lease_expiry_ms, std::min(lease_expiry_ms, LocalClockMs() + kMaxLease.count()));
-      std::erase_if(state.unacknowledged_ends,
-                    [&](const auto& end) { return std::get<0>(end) <= acknowledged_end; });
+      std::erase_if(state.unacknowledged_ends, [&](const auto& end) {
+        if (end.first > acknowledged_end) return false;
+        state.runs[end.second].acknowledged = Now();
+        return true;
+      });
       if (state.unacknowledged_ends.empty() && Now() < deadline) return std::nullopt;
       json::array running;
       for (const auto& [task, run] : state.running) {
         running.emplace_back(json::array{task, state.runs[run.record].run, "", 100, 0});
       }
       json::array ended;
-      for (const auto& [number, task, run, end_reason] : state.unacknowledged_ends) {
+      for (const auto& [number, record] : state.unacknowledged_ends) {
         if (ended.size() == kMaxListedEnds) break;
-        ended.emplace_back(json::array{number, task, run, end_reason, ""});
+        const RunRecord& run = state.runs[record];
+        ended.emplace_back(json::array{number, run.task, run.run, run.end_reason, ""});
       }
       return HttpReply{.status = 200,
                        .body = json::serialize(json::object{{"ClockMs", LocalClockMs()},
--- a/standins/internal/task_worker_standin.h
+++ b/standins/internal/task_worker_standin.h
@@ -2,6 +2,7 @@
 // reports of ended runs, supports fault injection, and records all runs.
 #pragma once
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -19,7 +20,12 @@
   // Percentage of orders that are executed, but respond with status 500 after 2.5 s. Does not
   // affect renewals of the lease.
   int lost_answers_percent = 0;
-  bool fails_all = false;  // Every started task fails after 20 ms.
+  bool fails_all = false;     // Every started task fails after 20 ms.
+  bool unregistered = false;  // The worker does not reach the store.
+  // Range of the fencing tokens whose owners reach the worker. Calls of other owners are executed
+  // once the fault is cleared.
+  std::int64_t first_token = 0;
+  std::int64_t last_token = std::numeric_limits<std::int64_t>::max();
   // Text that is registered instead of the worker's own registration; empty: none.
   std::string registration;
 
@@ -35,6 +41,7 @@
   Time started{};
   std::optional<Time> ended;
   std::string end_reason;  // done, failed, stopped, lapsed or lost; empty while it is running.
+  std::optional<Time> acknowledged;  // When an owner acknowledged the end.
 };
 
 // A worker of availability zone z1. A run ends at the latest when the lease expires.
@@ -65,8 +72,8 @@
     std::map<std::string, Run> running;   // By task.
     std::map<std::string, int> last_run;  // Highest stopped or ended run, by task.
     std::vector<RunRecord> runs;
-    // Number, task, run and reason of each end that the owner has not acknowledged.
-    std::vector<std::tuple<std::int64_t, std::string, int, std::string>> unacknowledged_ends;
+    // Number and index into `runs` of each end that the owner has not acknowledged.
+    std::vector<std::pair<std::int64_t, std::size_t>> unacknowledged_ends;
     std::int64_t next_end_number = 1;
     std::int64_t token = 0;            // Highest fencing token received.
     std::int64_t lease_expiry_ms = 0;  // Of the lease of all runs, by LocalClockMs().
@@ -87,7 +94,8 @@
   HttpReply Throttle(State& state, const HttpCall& call);
   // Ends the runs whose time has elapsed, and all runs if the lease has expired.
   void AdvanceToNow(State& state) const;
-  static void EndRun(State& state, const std::string& task, const std::string& end_reason);
+  static void EndRun(State& state, const std::string& task, const std::string& end_reason,
+                     Time ended);
   // Heartbeat loop: keeps the registration in the store current.
   Task<> Register();
   // Milliseconds since the start of the worker, plus 1.
