--- a/tests/support/node_fleet.cc
+++ b/tests/support/node_fleet.cc
@@ -210,8 +210,7 @@
   co_return false;
 }
 
-std::vector<std::string> NodeFleet::Violations() const {
-  std::vector<std::string> violations;
+std::map<std::string, std::vector<standins::RunRecord>> NodeFleet::RunsByTask() const {
   std::map<std::string, std::vector<standins::RunRecord>> runs_by_task;
   for (const auto& worker : workers_) {
     for (standins::RunRecord& run : worker->Runs())
@@ -220,6 +219,13 @@
   for (auto& [task, runs] : runs_by_task) {
     std::sort(runs.begin(), runs.end(),
               [](const auto& a, const auto& b) { return a.started < b.started; });
+  }
+  return runs_by_task;
+}
+
+std::vector<std::string> NodeFleet::Violations() const {
+  std::vector<std::string> violations;
+  for (const auto& [task, runs] : RunsByTask()) {
     for (std::size_t i = 1; i < runs.size(); ++i) {
       const standins::RunRecord& before = runs[i - 1];
       if (!before.ended || *before.ended > runs[i].started) {
@@ -235,6 +241,47 @@
   return violations;
 }
 
+std::vector<std::string> NodeFleet::RunsTwice() const {
+  std::vector<std::string> found;
+  for (const auto& [task, runs] : RunsByTask()) {
+    for (std::size_t i = 0; i < runs.size(); ++i) {
+      for (std::size_t j = i + 1; j < runs.size(); ++j) {
+        const standins::RunRecord& first = runs[i];
+        const standins::RunRecord& second = runs[j];
+        const bool concurrent = !first.ended || *first.ended > second.started;
+        const bool repeated = first.end_reason == "done" && first.acknowledged &&
+                              *first.acknowledged <= second.started;
+        if (!concurrent && !repeated) continue;
+        found.push_back(
+            task + (concurrent ? " had two concurrent runs: " : " ran again after its end: ") +
+            std::to_string(first.run) + " under token " + std::to_string(first.token) + " on " +
+            first.worker + " and " + std::to_string((second.started - first.started).count()) +
+            " ms later " + std::to_string(second.run) + " under token " +
+            std::to_string(second.token) + " on " + second.worker);
+      }
+    }
+  }
+  return found;
+}
+
+std::int64_t NodeFleet::HighestToken() const {
+  std::int64_t highest = 0;
+  for (const auto& worker : workers_) {
+    for (const standins::RunRecord& run : worker->Runs()) highest = std::max(highest, run.token);
+  }
+  return highest;
+}
+
+int NodeFleet::CountLiveRuns(JobId id) const {
+  int live = 0;
+  for (const auto& worker : workers_) {
+    for (const standins::RunRecord& run : worker->Runs()) {
+      if (run.task.rfind(FormatJobId(id), 0) == 0 && !run.ended) ++live;
+    }
+  }
+  return live;
+}
+
 std::size_t NodeFleet::CountRuns(JobId id) const {
   std::size_t runs = 0;
   for (const auto& worker : workers_) {
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -61,6 +61,14 @@
   // Returns the violations in the runs of all workers: two concurrent runs of a task, or
   // a run of a task that was done before.
   std::vector<std::string> Violations() const;
+  // Returns the tasks that ran twice by the promise to callers, which also holds while workers are
+  // cut off: two concurrent runs of a task, or a start after an owner has acknowledged an earlier
+  // run of it as done.
+  std::vector<std::string> RunsTwice() const;
+  // Returns the highest fencing token of all starts; 0 if there was none.
+  std::int64_t HighestToken() const;
+  // Returns the number of runs of all tasks of a job that have not ended.
+  int CountLiveRuns(JobId id) const;
   // Returns the number of runs of all tasks of a job.
   std::size_t CountRuns(JobId id) const;
   // Returns the log that the node has written so far.
@@ -78,6 +86,8 @@
   };
 
   void PutConfiguration(int version);
+  // Returns the runs of each task, in order of their start.
+  std::map<std::string, std::vector<standins::RunRecord>> RunsByTask() const;
 
   Runner& runner_;
   const std::string bin_;
