Complete a task when any run of it ends as done

Callers saw a task run again after its end as done had been acknowledged. Shard::ApplyEnd ignored the end of each run that was not the newest one it had placed, acknowledged it all the same, and went on with another run. If another worker reported the end of a run with the same number, as happens when the records lose the first run of a task, the end was taken for that of the owner's own run: as done, it left that run going without an order to stop; as failed or stopped, it released the placed task, which was started a third time.

An end belongs to the placed run only if the worker is the same. An end as done of another run completes the task, and the placed run is stopped, or its start withdrawn if it was not sent. Gangs and latency-critical tasks are left out: members of a gang end together, and a latency-critical task is never done. Since the worker keeps an end until it is acknowledged, and it is acknowledged only once recorded, no start follows it.

The stop is sent once; if it is lost, the next report that shows the run has it stopped as an orphan.

--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -157,7 +157,10 @@
 void Shard::ApplyEnd(WorkerRow& worker, const ReportedEnd& end, Time now) {
   TaskRow* task = jobs_.Find(end->task);
   if (task != nullptr) MarkBegun(*jobs_.Find(end->task.job), worker.entry->id, now);
-  if (task == nullptr || task->phase == TaskPhase::kDone || end->run != task->run) {
+  const bool placed_elsewhere =
+      task != nullptr && task->phase == TaskPhase::kPlaced && task->worker != worker.entry->id;
+  const bool newest = task != nullptr && end->run == task->run && !placed_elsewhere;
+  if (task == nullptr || task->phase == TaskPhase::kDone || (!newest && !CompletesTask(end))) {
     Decide("end-ignored", FormatTaskKey(end->task),
            "run=" + std::to_string(end->run) + " how=" + std::string(NameOf(end->kind)));
     if (task != nullptr) task->other_run = std::max(task->other_run, end->run);
@@ -167,6 +170,7 @@
   JobRow& job = *jobs_.Find(end->task.job);
   const std::size_t position = job.PositionOf(end->task);
   const StepSpec& step = job.StepOf(position);
+  if (!newest) StopSupersededRun(worker, end);
   auto [first, last] = job.RangeOf(static_cast<std::size_t>(end->task.occurrence),
                                    static_cast<std::size_t>(end->task.step));
   if (!step->gang) {
@@ -193,6 +197,24 @@
   if (end->kind == EndKind::kFailed) CountFailure(worker, job, position, now);
 }
 
+bool Shard::CompletesTask(const ReportedEnd& end) const {
+  const StepSpec& step =
+      jobs_.Find(end->task.job)->accepted->spec->steps[static_cast<std::size_t>(end->task.step)];
+  return end->kind == EndKind::kDone && !step->gang && !step->long_running;
+}
+
+void Shard::StopSupersededRun(const WorkerRow& worker, const ReportedEnd& end) {
+  const TaskRow& task = *jobs_.Find(end->task);
+  Decide("unknown-run-done", FormatTaskKey(end->task),
+         "run=" + std::to_string(end->run) + " worker=" + worker.entry->id.value +
+             " own_run=" + std::to_string(task.run) + " own_worker=" + task.worker.value);
+  std::erase_if(starts_, [&](const StartOrder& start) { return start->task == end->task; });
+  if (task.phase != TaskPhase::kPlaced || task.stage == StartStage::kUnrecorded) return;
+  // If the stop is lost, the run is stopped as an orphan once a report shows it.
+  orphaned_run_stops_.emplace_back(
+      StopOrderFields{.worker = task.worker, .task = end->task, .run = task.run, .token = token_});
+}
+
 void Shard::CountFailure(WorkerRow& worker, JobRow& job, std::size_t position, Time now) {
   const StepSpec& step = job.StepOf(position);
   const TaskKey key = job.KeyOf(position);
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -175,6 +175,12 @@
   // Notes that `worker` has shown a run of the job.
   void MarkBegun(JobRow& job, const WorkerId& worker, Time now);
   void ApplyEnd(WorkerRow& worker, const ReportedEnd& end, Time now);
+  // Returns whether the end of any run of the task means that the task is done, also of a run that
+  // this owner does not know. The members of a gang end together, and a latency-critical task is
+  // never done. The job must exist.
+  bool CompletesTask(const ReportedEnd& end) const;
+  // Stops the run that this owner has placed, since `end` of another run completes the task.
+  void StopSupersededRun(const WorkerRow& worker, const ReportedEnd& end);
   void ApplyRunning(WorkerRow& worker, const ReportedRun& running, Time now);
   void Reconcile(WorkerRow& worker, const RunReport& report, Time sent, Time now);
   void ObserveInterference(const WorkerRow& worker);
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -1650,5 +1650,66 @@
   CHECK(harness.shard.NextRenewal(kWorker, harness.now)->ends_seen == 1);
 }
 
+constexpr TaskKey kFirstTask{.job = kJob, .occurrence = 0, .step = 0, .index = 0};
+
+// Guards against a second run of a done task: the end of a run that the owner's records lacked was
+// ignored and acknowledged.
+TEST_CASE("a task is done once any run of it has ended as done", "[scheduling][shard][unknown]") {
+  // How far the owner's own run has got when the end of another one is reported.
+  enum class OwnRun { kNone, kPlanned, kSent, kConfirmed };
+  struct Case {
+    std::string name;
+    OwnRun own;
+    int ended_run;
+    bool done;
+    bool own_stopped;
+    EndKind kind = EndKind::kDone;
+    bool gang = false;
+    bool long_running = false;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"waiting", OwnRun::kNone, 1, true, false},
+      {"planned, same number", OwnRun::kPlanned, 1, true, false},
+      {"planned, higher number", OwnRun::kPlanned, 2, true, false},
+      {"sent, same number", OwnRun::kSent, 1, true, true},
+      {"sent, higher number", OwnRun::kSent, 2, true, true},
+      {"confirmed, same number", OwnRun::kConfirmed, 1, true, true},
+      {"confirmed, higher number", OwnRun::kConfirmed, 2, true, true},
+      {"other run stopped", OwnRun::kConfirmed, 1, false, false, EndKind::kStopped},
+      {"other run failed", OwnRun::kConfirmed, 1, false, false, EndKind::kFailed},
+      {"gang", OwnRun::kConfirmed, 2, false, false, EndKind::kDone, true},
+      {"latency-critical", OwnRun::kConfirmed, 2, false, false, EndKind::kDone, false, true},
+  }));
+  CAPTURE(c.name);
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.AddWorker(kOtherWorker);
+  StepFields step = kTask;
+  step.gang = c.gang;
+  step.long_running = c.long_running;
+  harness.Submit(step);
+  const ReportedEnd end({.number = 1, .task = kFirstTask, .run = c.ended_run, .kind = c.kind});
+  if (c.own == OwnRun::kNone) harness.Report(kOtherWorker, {}, {end});
+  harness.now += Duration(10);
+  harness.shard.Plan(harness.now, 0);
+  const RecordBatch batch = harness.shard.TakeBatch();
+  if (c.own == OwnRun::kPlanned) harness.Report(kOtherWorker, {}, {end});
+  harness.shard.Recorded(batch, harness.now);
+  const auto starts = harness.shard.TakeOrders(harness.now).starts;
+  const bool sent = c.own == OwnRun::kSent || c.own == OwnRun::kConfirmed;
+  REQUIRE(starts.size() == (sent ? 1U : 0U));
+  if (sent) {
+    CHECK(starts[0]->worker == kWorker);
+    if (c.own == OwnRun::kConfirmed) harness.Respond(starts[0], OrderRefusal::kNone);
+    harness.Report(kOtherWorker, {}, {end});
+  }
+  CHECK(harness.PlanAndRecord().empty());
+  CHECK((harness.shard.StateOf(kJob) == JobState::kCompleted) == c.done);
+  REQUIRE(harness.orders.stops.size() == (c.own_stopped ? 1U : 0U));
+  if (!c.own_stopped) return;
+  CHECK(harness.orders.stops[0]->worker == kWorker);
+  CHECK(harness.orders.stops[0]->run == starts[0]->run);
+}
+
 }  // namespace
 }  // namespace dn
