Adopt a run that the records lack if its task waits

Callers saw two runs of a task at the same time after take-overs. If the record of a run is missing, the task waits for the new owner; a report that shows the run had it ordered to stop as an orphan, while the task was started on another worker in the same round, before the stop took effect.

A waiting task now adopts the run that a report shows: it is placed on that worker under its number, its resources are reserved and the placement is recorded. The speed of the run is ordered as for other inherited ones. Runs of gangs, of jobs that are not open, of steps that are not ready, and runs older than the recorded one are stopped as before.

--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -46,7 +46,7 @@
 
 struct TaskRow {
   TaskPhase phase = TaskPhase::kWaiting;
-  int run = 0;        // Number of the last placed run; only a placement raises it.
+  int run = 0;        // Number of the last run that was placed or adopted; nothing else raises it.
   int other_run = 0;  // Largest number of any other run whose end was reported.
   int failures = 0;
   WorkerId worker;                        // Set exactly while the phase is kPlaced.
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -297,6 +297,7 @@
 void Shard::ApplyRunning(WorkerRow& worker, const ReportedRun& running, Time now) {
   TaskRow* task = jobs_.Find(running->task);
   if (task != nullptr) MarkBegun(*jobs_.Find(running->task.job), worker.entry->id, now);
+  AdoptUnknownRun(worker, running, now);
   const bool accounted_for = task != nullptr && task->phase == TaskPhase::kPlaced &&
                              task->worker == worker.entry->id && task->run == running->run;
   if (!accounted_for) {
@@ -333,6 +334,33 @@
   if (over && !task->over_target_since) task->over_target_since = now;
 }
 
+void Shard::AdoptUnknownRun(WorkerRow& worker, const ReportedRun& running, Time now) {
+  TaskRow* const task = jobs_.Find(running->task);
+  if (task == nullptr || task->phase != TaskPhase::kWaiting || running->run < task->run) return;
+  JobRow& job = *jobs_.Find(running->task.job);
+  const std::size_t position = job.PositionOf(running->task);
+  if (job.phase != JobPhase::kOpen || job.StepOf(position)->gang) return;
+  if (!job.StepReady(static_cast<std::size_t>(running->task.occurrence),
+                     static_cast<std::size_t>(running->task.step))) {
+    return;
+  }
+  Decide("run-adopted", FormatTaskKey(running->task),
+         "run=" + std::to_string(running->run) + " worker=" + worker.entry->id.value +
+             " recorded_run=" + std::to_string(task->run));
+  task->run = running->run;
+  task->placement = 0;
+  task->worker = worker.entry->id;
+  task->stage = StartStage::kConfirmed;
+  task->confirmed_at = now;
+  task->inherited = true;
+  task->progress = 0;
+  task->last_progress_at = now;
+  task->normalised_load = 0;
+  task->speed_changed_at = Time();
+  WorkerTable::Reserve(worker, job, position);
+  jobs_.SetPhase(job, position, TaskPhase::kPlaced, now);
+}
+
 void Shard::Reconcile(WorkerRow& worker, const RunReport& report, Time sent, Time now) {
   // The other ends follow once those of this report are recorded and acknowledged.
   if (report->more_ends) return;
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -182,6 +182,10 @@
   // Stops the run that this owner has placed, since `end` of another run completes the task.
   void StopSupersededRun(const WorkerRow& worker, const ReportedEnd& end);
   void ApplyRunning(WorkerRow& worker, const ReportedRun& running, Time now);
+  // Places a waiting task on the worker that shows a run of it, so that it is not started elsewhere
+  // beside that run. Runs of gangs, of ended jobs and of steps that are not ready are not adopted,
+  // nor those older than the last known run.
+  void AdoptUnknownRun(WorkerRow& worker, const ReportedRun& running, Time now);
   void Reconcile(WorkerRow& worker, const RunReport& report, Time sent, Time now);
   void ObserveInterference(const WorkerRow& worker);
   void Unplace(JobRow& job, std::size_t position, TaskPhase phase, Time now);
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -1711,5 +1711,75 @@
   CHECK(harness.orders.stops[0]->run == starts[0]->run);
 }
 
+// Guards against two runs at the same time: a run that the records lacked was ordered to stop while
+// its task was started elsewhere.
+TEST_CASE("a run that the records lack is adopted by its waiting task",
+          "[scheduling][shard][unknown]") {
+  struct Case {
+    std::string name;
+    int recorded_run;  // 0: the job has no record.
+    int shown_run;
+    bool adopted;
+    bool gang = false;
+    bool cancelled = false;
+    int step = 0;  // Of the shown run; step 1 follows step 0.
+  };
+  const auto c = GENERATE(values<Case>({
+      {"no record", 0, 1, true},
+      {"an earlier run is recorded", 1, 2, true},
+      {"the run is recorded as over", 2, 2, true},
+      {"a later run is recorded", 3, 2, false},
+      {"gang", 0, 1, false, true},
+      {"cancelled job", 0, 1, false, false, true},
+      {"an earlier step is not done", 0, 1, false, false, false, 1},
+  }));
+  CAPTURE(c.name);
+  ShardHarness harness;
+  StepFields first = kTask;
+  first.gang = c.gang;
+  StepFields second = kTask;
+  second.after = {0};
+  harness.shard.Accept(
+      AcceptedJob(
+          {.id = kJob,
+           .queue = Queue({.name = "q", .service = "s", .max_attempts = 2}),
+           .accepted_ms = 0,
+           .spec = JobSpec({.payload = "p", .steps = {StepSpec(first), StepSpec(second)}})}),
+      harness.now);
+  if (c.recorded_run > 0) {
+    harness.shard.Restore(
+        JobProgress({.id = kJob,
+                     .phase = JobPhase::kOpen,
+                     .tasks = {TaskProgress({.phase = TaskPhase::kWaiting, .run = c.recorded_run}),
+                               TaskProgress()}}),
+        harness.now);
+  }
+  if (c.cancelled) harness.shard.Cancel(kJob, harness.now);
+  harness.AddWorker(kWorker);
+  harness.AddWorker(kOtherWorker);
+  const TaskKey key{.job = kJob, .occurrence = 0, .step = c.step, .index = 0};
+  const ReportedRun shown({.task = key, .run = c.shown_run, .progress_percent = 10});
+  harness.Report(kOtherWorker, {shown}, {});
+  harness.now += Duration(10);
+  harness.shard.Plan(harness.now, 0);
+  const RecordBatch batch = harness.shard.TakeBatch();
+  harness.shard.Recorded(batch, harness.now);
+  const Orders orders = harness.shard.TakeOrders(harness.now);
+  CHECK(orders.stops.size() == (c.adopted ? 0U : 1U));
+  if (!c.adopted) return;
+  CHECK(orders.starts.empty());
+  REQUIRE(batch.records.size() == 1);
+  const TaskProgress& recorded = batch.records[0]->tasks[0];
+  CHECK(recorded->phase == TaskPhase::kPlaced);
+  CHECK(recorded->run == c.shown_run);
+  CHECK(recorded->worker == kOtherWorker.value);
+  // Its end counts, and the next run has a number that no worker has seen.
+  const ReportedEnd end({.number = 1, .task = key, .run = c.shown_run, .kind = EndKind::kLapsed});
+  harness.Report(kOtherWorker, {}, {end});
+  const auto next = harness.PlanAndRecord();
+  REQUIRE(next.size() == 1);
+  CHECK(next[0]->run == c.shown_run + 1);
+}
+
 }  // namespace
 }  // namespace dn
