--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -203,7 +203,10 @@
 void Shard::ApplyEnd(WorkerRow& worker, const ReportedEnd& end, Time now) {
   TaskRow* task = jobs_.Find(end->task);
   if (task != nullptr) MarkBegun(*jobs_.Find(end->task.job), worker.entry->id, now);
-  if (task == nullptr || task->phase == TaskPhase::kDone || end->run != task->run) {
+  const bool placed_elsewhere =
+      task != nullptr && task->phase == TaskPhase::kPlaced && task->worker != worker.entry->id;
+  const bool newest = task != nullptr && end->run == task->run && !placed_elsewhere;
+  if (task == nullptr || task->phase == TaskPhase::kDone || (!newest && !CompletesTask(end))) {
     Decide("end-ignored", FormatTaskKey(end->task),
            "run=" + std::to_string(end->run) + " how=" + std::string(NameOf(end->kind)) +
                " worker=" + worker.entry->id.value + " number=" + std::to_string(end->number) +
@@ -215,6 +218,7 @@
   JobRow& job = *jobs_.Find(end->task.job);
   const std::size_t position = job.PositionOf(end->task);
   const StepSpec& step = job.StepOf(position);
+  if (!newest) StopSupersededRun(worker, end);
   auto [first, last] = job.RangeOf(static_cast<std::size_t>(end->task.occurrence),
                                    static_cast<std::size_t>(end->task.step));
   if (!step->gang) {
@@ -241,6 +245,24 @@
   if (end->kind == EndKind::kFailed) CountFailure(worker, job, position, now);
 }
 
+bool Shard::CompletesTask(const ReportedEnd& end) const {
+  const StepSpec& step =
+      jobs_.Find(end->task.job)->accepted->spec->steps[static_cast<std::size_t>(end->task.step)];
+  return end->kind == EndKind::kDone && !step->gang && !step->long_running;
+}
+
+void Shard::StopSupersededRun(const WorkerRow& worker, const ReportedEnd& end) {
+  const TaskRow& task = *jobs_.Find(end->task);
+  Decide("unknown-run-done", FormatTaskKey(end->task),
+         "run=" + std::to_string(end->run) + " worker=" + worker.entry->id.value +
+             " own_run=" + std::to_string(task.run) + " own_worker=" + task.worker.value);
+  std::erase_if(starts_, [&](const StartOrder& start) { return start->task == end->task; });
+  if (task.phase != TaskPhase::kPlaced || task.stage == StartStage::kUnrecorded) return;
+  // If the stop is lost, the run is stopped as an orphan once a report shows it.
+  orphaned_run_stops_.emplace_back(
+      StopOrderFields{.worker = task.worker, .task = end->task, .run = task.run, .token = token_});
+}
+
 void Shard::CountFailure(WorkerRow& worker, JobRow& job, std::size_t position, Time now) {
   const StepSpec& step = job.StepOf(position);
   const TaskKey key = job.KeyOf(position);
@@ -323,6 +345,7 @@
 void Shard::ApplyRunning(WorkerRow& worker, const ReportedRun& running, Time now) {
   TaskRow* task = jobs_.Find(running->task);
   if (task != nullptr) MarkBegun(*jobs_.Find(running->task.job), worker.entry->id, now);
+  AdoptUnknownRun(worker, running, now);
   const bool accounted_for = task != nullptr && task->phase == TaskPhase::kPlaced &&
                              task->worker == worker.entry->id && task->run == running->run;
   if (!accounted_for) {
@@ -360,6 +383,33 @@
   if (over && !task->over_target_since) task->over_target_since = now;
 }
 
+void Shard::AdoptUnknownRun(WorkerRow& worker, const ReportedRun& running, Time now) {
+  TaskRow* const task = jobs_.Find(running->task);
+  if (task == nullptr || task->phase != TaskPhase::kWaiting || running->run < task->run) return;
+  JobRow& job = *jobs_.Find(running->task.job);
+  const std::size_t position = job.PositionOf(running->task);
+  if (job.phase != JobPhase::kOpen || job.StepOf(position)->gang) return;
+  if (!job.StepReady(static_cast<std::size_t>(running->task.occurrence),
+                     static_cast<std::size_t>(running->task.step))) {
+    return;
+  }
+  Decide("run-adopted", FormatTaskKey(running->task),
+         "run=" + std::to_string(running->run) + " worker=" + worker.entry->id.value +
+             " recorded_run=" + std::to_string(task->run));
+  task->run = running->run;
+  task->placement = 0;
+  task->worker = worker.entry->id;
+  task->stage = StartStage::kConfirmed;
+  task->confirmed_at = now;
+  task->inherited = true;
+  task->progress = 0;
+  task->last_progress_at = now;
+  task->normalised_load = 0;
+  task->speed_changed_at = Time();
+  WorkerTable::Reserve(worker, job, position);
+  jobs_.SetPhase(job, position, TaskPhase::kPlaced, now);
+}
+
 void Shard::Reconcile(WorkerRow& worker, const RunReport& report, Time sent, Time now) {
   // The other ends follow once those of this report are recorded and acknowledged.
   if (report->more_ends) return;
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -1650,5 +1650,136 @@
   CHECK(harness.shard.NextRenewal(kWorker, harness.now)->ends_seen == 1);
 }
 
+constexpr TaskKey kFirstTask{.job = kJob, .occurrence = 0, .step = 0, .index = 0};
+
+// Guards against a second run of a done task: the end of a run that the owner's records lacked was
+// ignored and acknowledged.
+TEST_CASE("a task is done once any run of it has ended as done", "[scheduling][shard][unknown]") {
+  // How far the owner's own run has got when the end of another one is reported.
+  enum class OwnRun { kNone, kPlanned, kSent, kConfirmed };
+  struct Case {
+    std::string name;
+    OwnRun own;
+    int ended_run;
+    bool done;
+    bool own_stopped;
+    EndKind kind = EndKind::kDone;
+    bool gang = false;
+    bool long_running = false;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"waiting", OwnRun::kNone, 1, true, false},
+      {"planned, same number", OwnRun::kPlanned, 1, true, false},
+      {"planned, higher number", OwnRun::kPlanned, 2, true, false},
+      {"sent, same number", OwnRun::kSent, 1, true, true},
+      {"sent, higher number", OwnRun::kSent, 2, true, true},
+      {"confirmed, same number", OwnRun::kConfirmed, 1, true, true},
+      {"confirmed, higher number", OwnRun::kConfirmed, 2, true, true},
+      {"other run stopped", OwnRun::kConfirmed, 1, false, false, EndKind::kStopped},
+      {"other run failed", OwnRun::kConfirmed, 1, false, false, EndKind::kFailed},
+      {"gang", OwnRun::kConfirmed, 2, false, false, EndKind::kDone, true},
+      {"latency-critical", OwnRun::kConfirmed, 2, false, false, EndKind::kDone, false, true},
+  }));
+  CAPTURE(c.name);
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.AddWorker(kOtherWorker);
+  StepFields step = kTask;
+  step.gang = c.gang;
+  step.long_running = c.long_running;
+  harness.Submit(step);
+  const ReportedEnd end({.number = 1, .task = kFirstTask, .run = c.ended_run, .kind = c.kind});
+  if (c.own == OwnRun::kNone) harness.Report(kOtherWorker, {}, {end});
+  harness.now += Duration(10);
+  harness.shard.Plan(harness.now, 0);
+  const RecordBatch batch = harness.shard.TakeBatch();
+  if (c.own == OwnRun::kPlanned) harness.Report(kOtherWorker, {}, {end});
+  harness.shard.Recorded(batch, harness.now);
+  const auto starts = harness.shard.TakeOrders(harness.now).starts;
+  const bool sent = c.own == OwnRun::kSent || c.own == OwnRun::kConfirmed;
+  REQUIRE(starts.size() == (sent ? 1U : 0U));
+  if (sent) {
+    CHECK(starts[0]->worker == kWorker);
+    if (c.own == OwnRun::kConfirmed) harness.Respond(starts[0], OrderRefusal::kNone);
+    harness.Report(kOtherWorker, {}, {end});
+  }
+  CHECK(harness.PlanAndRecord().empty());
+  CHECK((harness.shard.StateOf(kJob) == JobState::kCompleted) == c.done);
+  REQUIRE(harness.orders.stops.size() == (c.own_stopped ? 1U : 0U));
+  if (!c.own_stopped) return;
+  CHECK(harness.orders.stops[0]->worker == kWorker);
+  CHECK(harness.orders.stops[0]->run == starts[0]->run);
+}
+
+// Guards against two runs at the same time: a run that the records lacked was ordered to stop while
+// its task was started elsewhere.
+TEST_CASE("a run that the records lack is adopted by its waiting task",
+          "[scheduling][shard][unknown]") {
+  struct Case {
+    std::string name;
+    int recorded_run;  // 0: the job has no record.
+    int shown_run;
+    bool adopted;
+    bool gang = false;
+    bool cancelled = false;
+    int step = 0;  // Of the shown run; step 1 follows step 0.
+  };
+  const auto c = GENERATE(values<Case>({
+      {"no record", 0, 1, true},
+      {"an earlier run is recorded", 1, 2, true},
+      {"the run is recorded as over", 2, 2, true},
+      {"a later run is recorded", 3, 2, false},
+      {"gang", 0, 1, false, true},
+      {"cancelled job", 0, 1, false, false, true},
+      {"an earlier step is not done", 0, 1, false, false, false, 1},
+  }));
+  CAPTURE(c.name);
+  ShardHarness harness;
+  StepFields first = kTask;
+  first.gang = c.gang;
+  StepFields second = kTask;
+  second.after = {0};
+  harness.shard.Accept(
+      AcceptedJob(
+          {.id = kJob,
+           .queue = Queue({.name = "q", .service = "s", .max_attempts = 2}),
+           .accepted_ms = 0,
+           .spec = JobSpec({.payload = "p", .steps = {StepSpec(first), StepSpec(second)}})}),
+      harness.now);
+  if (c.recorded_run > 0) {
+    harness.shard.Restore(
+        JobProgress({.id = kJob,
+                     .phase = JobPhase::kOpen,
+                     .tasks = {TaskProgress({.phase = TaskPhase::kWaiting, .run = c.recorded_run}),
+                               TaskProgress()}}),
+        harness.now);
+  }
+  if (c.cancelled) harness.shard.Cancel(kJob, harness.now);
+  harness.AddWorker(kWorker);
+  harness.AddWorker(kOtherWorker);
+  const TaskKey key{.job = kJob, .occurrence = 0, .step = c.step, .index = 0};
+  const ReportedRun shown({.task = key, .run = c.shown_run, .progress_percent = 10});
+  harness.Report(kOtherWorker, {shown}, {});
+  harness.now += Duration(10);
+  harness.shard.Plan(harness.now, 0);
+  const RecordBatch batch = harness.shard.TakeBatch();
+  harness.shard.Recorded(batch, harness.now);
+  const Orders orders = harness.shard.TakeOrders(harness.now);
+  CHECK(orders.stops.size() == (c.adopted ? 0U : 1U));
+  if (!c.adopted) return;
+  CHECK(orders.starts.empty());
+  REQUIRE(batch.records.size() == 1);
+  const TaskProgress& recorded = batch.records[0]->tasks[0];
+  CHECK(recorded->phase == TaskPhase::kPlaced);
+  CHECK(recorded->run == c.shown_run);
+  CHECK(recorded->worker == kOtherWorker.value);
+  // Its end counts, and the next run has a number that no worker has seen.
+  const ReportedEnd end({.number = 1, .task = key, .run = c.shown_run, .kind = EndKind::kLapsed});
+  harness.Report(kOtherWorker, {}, {end});
+  const auto next = harness.PlanAndRecord();
+  REQUIRE(next.size() == 1);
+  CHECK(next[0]->run == c.shown_run + 1);
+}
+
 }  // namespace
 }  // namespace dn
