Hear of the runs on all workers before starting tasks after a take-over

Callers saw two runs of a task at the same time, ordered by two owners less than a second or two apart. A new owner starts waiting tasks on each worker that has reported, as soon as it has. If the records lack a run, the worker that has it may report some round trips later; by then the task has been started elsewhere, and the run that it shows is stopped beside the new one.

A new owner now holds back the tasks of jobs that it received by its first plan until each listed worker of their service has reported, or for at most 500 ms, so that a silent worker does not hold up the shard. Jobs that arrive later cannot have earlier runs and start at once. The price is that starts after a take-over wait for the slowest of the first reports.

Test "a new owner starts no task before the workers can have shown its runs", 6 rows: 2 assertions of 2 rows fail with the code before, none now.

--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -228,6 +228,10 @@
   // Rebuilds `open_jobs_` and finds the jobs past their retention period.
   void CollectOpenJobs(Time now);
   std::vector<Waiting> CollectWaiting(Time now, std::int64_t wall_ms);
+  // Returns the services with a worker whose runs are not known yet, for a limited time after the
+  // first plan. Earlier owners may have started runs there that the records lack, so that tasks
+  // which were known by the first plan must wait.
+  std::set<std::string> UnreportedServices(Time now);
   void PlaceStep(const Waiting& waiting, SearchMemo& memo, Time now);
   bool PlaceGang(const Waiting& waiting, Time now);
   // Updates the time since when the job has had no run; `ready`: a task of it is ready. A run that
@@ -292,8 +296,9 @@
   std::map<WorkerId, TaskRef> held_;  // In this plan: workers held for suspects, by counted task.
   std::set<TaskRef> holders_;         // The tasks in `held_`.
   std::int64_t workers_evaluated_ = 0;
-  Time last_sweep_{};             // When Plan() last looked for stalled tasks and lost workers.
-  std::vector<TaskKey> planned_;  // Planned starts that are not in a batch yet.
+  Time last_sweep_{};              // When Plan() last looked for stalled tasks and lost workers.
+  Time first_plan_ = Time::max();  // Jobs that were received later are new.
+  std::vector<TaskKey> planned_;   // Planned starts that are not in a batch yet.
   // Starts that were not taken yet. None exceeds the capacity in its worker's registration.
   std::vector<StartOrder> starts_;
   std::vector<StopOrder> orphaned_run_stops_;  // Stops of orphaned runs.
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -24,6 +24,10 @@
 // How long after the deletion of a job a read of the submitted jobs may still return it: 20 pages
 // of 500 jobs, each with the timeout of a call to the store.
 constexpr Duration kLateReadLimit{20'000};
+// Longest time from its first plan for which a new owner waits for the first reports before it
+// starts tasks: three round trips of 100 ms between regions and a retry after 200 ms. A silent
+// worker delays the shard by no more than this.
+constexpr Duration kFirstReportsLimit{500};
 
 }  // namespace
 
@@ -166,10 +170,24 @@
     }
     UpdateIdleTime(job, out.size() > steps_before, now);
   }
+  std::erase_if(out, [&, unreported = UnreportedServices(now)](const Waiting& waiting) {
+    return waiting.job->received_at <= first_plan_ &&
+           unreported.count(waiting.job->accepted->queue->service) > 0;
+  });
   std::sort(out.begin(), out.end());
   return out;
 }
 
+std::set<std::string> Shard::UnreportedServices(Time now) {
+  std::set<std::string> services;
+  first_plan_ = std::min(first_plan_, now);
+  if (now - first_plan_ >= kFirstReportsLimit) return services;
+  for (const auto& [id, worker] : workers_.workers()) {
+    if (worker.listed && !worker.confirmed) services.insert(worker.entry->service);
+  }
+  return services;
+}
+
 std::string Shard::PreferredRack(const JobRow& job, std::size_t position) {
   const StepSpec& step = job.StepOf(position);
   if (!step->same_rack || !step->data_rack.empty()) return step->data_rack;
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -1781,5 +1781,43 @@
   CHECK(next[0]->run == c.shown_run + 1);
 }
 
+// Guards against two runs at the same time: a new owner started tasks on the workers that had
+// reported while another one was still running them.
+TEST_CASE("a new owner starts no task before the workers can have shown its runs",
+          "[scheduling][shard][unknown]") {
+  struct Case {
+    std::string name;
+    Duration after;        // Time since the first plan.
+    bool second_reported;  // Whether the second worker has reported.
+    std::string service;   // Of the second worker.
+    bool received_later;   // The job arrives after the first plan.
+    bool starts;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"all workers have reported", Duration(10), true, "s", false, true},
+      {"one worker has not reported", Duration(10), false, "s", false, false},
+      {"one worker is late", Duration(490), false, "s", false, false},
+      {"one worker is silent", Duration(500), false, "s", false, true},
+      {"a worker of another service has not reported", Duration(10), false, "t", false, true},
+      {"the job is new", Duration(10), false, "s", true, true},
+  }));
+  CAPTURE(c.name);
+  ShardHarness harness;
+  if (!c.received_later) harness.Submit(kTask);
+  harness.shard.WorkerListed(WorkerEntry({.id = kOtherWorker,
+                                          .service = c.service,
+                                          .address = {"127.0.0.1", 1},
+                                          .start_time_ms = 1,
+                                          .capacity = {.millicores = 4'000, .memory_mb = 64'000}}),
+                             harness.now);
+  harness.shard.Plan(harness.now, 0);
+  const Time first_plan = harness.now;
+  harness.AddWorker(kWorker);
+  if (c.received_later) harness.Submit(kTask);
+  if (c.second_reported) harness.Report(kOtherWorker, {}, {});
+  harness.now = first_plan + c.after - Duration(10);  // PlanAndRecord() adds 10 ms.
+  CHECK(harness.PlanAndRecord().size() == (c.starts ? 1U : 0U));
+}
+
 }  // namespace
 }  // namespace dn
