Count a former owner as gone only if the list shows all members

Cause: a list of the owners of all partitions lacks the members without a partition. The former owner was one, counted as gone, and granted leases for 0.7 s after its successor had stopped to count them.

A former owner counts as gone now only if several members share the partitions evenly and each of them could have more than one: then every member is listed. In all other cases the successor waits for the former owner's time to live as well.

--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -1,4 +1,5 @@
 // Take-over of a shard, and the loops of its owner.
+#include "node/internal/group_list.h"
 #include "node/internal/shard_owner.h"
 
 namespace dn {
@@ -88,14 +89,8 @@
 
 Task<Time> ShardOwner::EndOfEarlierOwner() {
   auto owners = co_await context_.store.Owners(kOwnerGroup, kJobsTopic);
-  bool is_gone = false;
-  if (owners && !context_.earlier_owner.empty()) {
-    std::set<std::string> members;
-    for (const PartitionOwner& row : owners.value()) members.insert(row->member);
-    // With fewer partitions than members, a member may be missing from the list.
-    const bool complete = members.size() < owners.value().size();
-    is_gone = complete && members.count(context_.earlier_owner) == 0;
-  }
+  const bool is_gone =
+      owners && !context_.earlier_owner.empty() && HasLeft(owners.value(), context_.earlier_owner);
   context_.log.Write("earlier-owner", std::to_string(shard_),
                      "token=" + std::to_string(token_) + " member=" + context_.earlier_owner +
                          " gone=" + (is_gone ? "yes" : "no"));
