Send starts only on recent registrations

Cause: nothing limited the age of the registrations that an owner planned with. A read without a response ended after 2 s (a wait of 1 s and a time limit of 1 s); two in a row, with the pauses between them, make the view 4.4 s old while records are still stored.

A start is sent only if the read that the owner's view is based on was sent less than 2 s before, by the check that also covers the ownership, at planning, after the record, before a repetition and when the start leaves its queue. Leases are renewed all the same. A read waits 0.3 s instead of 1 s, so that one read without a response leaves the view young enough.

--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -1,7 +1,8 @@
 // Take-over of a shard, and the loops of its owner.
-#include "node/internal/group_list.h"
 #include "node/internal/shard_owner.h"
 
+#include "node/internal/group_list.h"
+
 namespace dn {
 namespace {
 
@@ -16,7 +17,12 @@
 // read returns the registrations of many workers.
 constexpr Duration kWorkerPause{350};
 // Wait time of a long poll for worker registrations.
-constexpr Duration kFollowWait{1'000};
+constexpr Duration kFollowWait{300};
+// Maximum age of the registrations with which a start is sent: a worker may have given notice
+// since. The platform allows 2.5 s from the notice on; the difference covers the way of the start.
+// One read without a response stays below it: the pause, the wait, the timeout of a call (1 s)
+// and a retry.
+constexpr Duration kMaxRegistrationAge{2'000};
 // Wait time of a long poll for submitted jobs. Just before a poll ends, the latest
 // complete read is two polls old, which must be below kMaxViewAge.
 constexpr Duration kJobsWait{700};
@@ -259,9 +265,14 @@
   return table_.With([&](Table& table) { return table.shard.ManagedWorker(worker); });
 }
 
+Time ShardOwner::OwnedUntil() const { return context_.last_confirmed() + context_.time_to_live; }
+
+Time ShardOwner::StartsUntil() const {
+  return std::min(OwnedUntil(), workers_.last_complete() + kMaxRegistrationAge);
+}
+
 template <class Function>
-auto ShardOwner::WithOwned(Function&& function) {
-  const Time until = context_.last_confirmed() + context_.time_to_live;
+auto ShardOwner::WithOwned(Time until, Function&& function) {
   return table_.With([&](Table& table) {
     table.shard.OwnUntil(until);
     return function(table);
@@ -280,12 +291,13 @@
 }
 
 Renewal ShardOwner::NextRenewal(const WorkerId& worker) {
-  return WithOwned([&](Table& table) { return table.shard.NextRenewal(worker, Now()); });
+  return WithOwned(OwnedUntil(),
+                   [&](Table& table) { return table.shard.NextRenewal(worker, Now()); });
 }
 
 bool ShardOwner::MayStart(const StartOrder& order) {
   if (!active_) return false;
-  return WithOwned([&](Table& table) { return table.shard.MayStart(order, Now()); });
+  return WithOwned(StartsUntil(), [&](Table& table) { return table.shard.MayStart(order, Now()); });
 }
 
 void ShardOwner::OnRenewalResponse(const WorkerId& worker, const OrderResponse& response,
@@ -298,7 +310,8 @@
 void ShardOwner::OnStartResponse(const StartOrder& order,
                                  const std::optional<OrderResponse>& response) {
   if (!active_) return;
-  WithOwned([&](Table& table) { table.shard.StartAnswered(order, response, Now()); });
+  WithOwned(StartsUntil(),
+            [&](Table& table) { table.shard.StartAnswered(order, response, Now()); });
 }
 
 void ShardOwner::OnStopResponse(const StopOrder& order,
@@ -385,7 +398,7 @@
     const Time now = Now();
     const std::int64_t wall = WallMs();
     ShowOwnership(now);
-    auto [orders, decisions] = WithOwned([&](Table& table) {
+    auto [orders, decisions] = WithOwned(StartsUntil(), [&](Table& table) {
       table.shard.Plan(now, wall);
       return std::make_pair(table.shard.TakeOrders(now), table.shard.TakeDecisions());
     });
@@ -479,7 +492,7 @@
       LogStored(stored.value(), batch);
     }
     const Time now = Now();
-    const Orders orders = WithOwned([&](Table& table) {
+    const Orders orders = WithOwned(StartsUntil(), [&](Table& table) {
       table.shard.Recorded(batch, now);
       return table.shard.TakeOrders(now);
     });
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -80,10 +80,14 @@
   Task<bool> TakeOver();
   void RestoreProgress(const RecordedProgress& progress);
   OwnerView View() const;
-  // Passes the end of the confirmed ownership to the shard and returns the result of `function`,
+  // Until when the ownership is confirmed.
+  Time OwnedUntil() const;
+  // Until when starts may be sent: the registrations of the workers must be recent, too.
+  Time StartsUntil() const;
+  // Passes `until` to the shard as the end of its ownership and returns the result of `function`,
   // which is called under the shard's lock.
   template <class Function>
-  auto WithOwned(Function&& function);
+  auto WithOwned(Time until, Function&& function);
   // Writes to the log that the ownership has run out or is confirmed again.
   void ShowOwnership(Time now);
   // Returns an error if the view is too old to be told, even after another read of the
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -111,9 +111,9 @@
     return interference_.Export(jobs_.images());
   }
 
-  // Permits new starts and leases until `until`, which is after any earlier such time: no other
-  // instance owns the shard before then, or it waits for what this owner may have ordered. Without
-  // a call there is no limit.
+  // Permits starts and leases until `until`: no other instance owns the shard before then, or it
+  // waits for what this owner may have ordered. Each call replaces the limit of the one before;
+  // without a call there is none.
   void OwnUntil(Time until) { owned_until_ = until; }
 
   // Earlier owners may have granted leases and sent starts until `until`. Called before the first
--- a/standins/internal/task_worker_standin.cc
+++ b/standins/internal/task_worker_standin.cc
@@ -72,9 +72,9 @@
 Task<> TaskWorkerStandin::Register() {
   bool registered = false;
   while (true) {
-    const auto [unavailable, sequence, replaced] = state_.With([](State& state) {
+    const auto [unavailable, draining, sequence, replaced] = state_.With([](State& state) {
       const TaskWorkerFault& fault = state.fault;
-      return std::make_tuple(fault.dead || fault.disconnected || fault.unregistered,
+      return std::make_tuple(fault.dead || fault.disconnected || fault.unregistered, fault.draining,
                              ++state.sequence, fault.registration);
     });
     if (!unavailable && !replaced.empty()) {
@@ -84,7 +84,7 @@
           {"Service", service_},
           {"Address", server_->address().ToString()},
           {"Zone", "z1"},
-          {"State", "ready"},
+          {"State", draining ? "draining" : "ready"},
           {"Capacity", json::object{{"Cpu", kCpuMillicores}, {"MemMb", kMemoryMb}, {"Gpu", 0}}},
           {"Labels", json::array{"a", "r1"}},
           {"ClockMs", LocalClockMs()},
--- a/standins/internal/task_worker_standin.h
+++ b/standins/internal/task_worker_standin.h
@@ -22,6 +22,7 @@
   int lost_answers_percent = 0;
   bool fails_all = false;     // Every started task fails after 20 ms.
   bool unregistered = false;  // The worker does not reach the store.
+  bool draining = false;      // The worker has given notice in its registration.
   // Range of the fencing tokens whose owners reach the worker. Calls of other owners are executed
   // once the fault is cleared.
   std::int64_t first_token = 0;
