Confirm the ownership of a shard by its token

A join that took a shard away made the node's ownership appear confirmed, and the event followed after the lock was released: until the owner was dropped, a renewal or a start in another thread was permitted. And an owner that was cut off or paused for longer than its time to live, during which another member owned the shard and went away again, found the shard still listed and went on with its old token and state.

A confirmation belongs to a shard and the token with which it was gained, under one lock. A shard that was not confirmed for the time to live while the group's generation changed is lost and gained again, with a new token and a take-over. If the generation is the same, nobody else can have owned it.

A start is also checked against its task before it leaves the queue of its worker: it may have been cancelled, or done by another run, while the start waited.

--- a/src/node/internal/node_module.cc
+++ b/src/node/internal/node_module.cc
@@ -137,19 +137,21 @@
 
   void OnShardGained(int shard, FencingToken token) {
     auto owner = std::make_shared<ShardOwner>(
-        ShardOwner::Context{.instance = settings_->id,
-                            .pool = pool_,
-                            .http = http_,
-                            .exchanges = exchanges_,
-                            .store = store_,
-                            .adapter = adapter_,
-                            .log = log_,
-                            .metrics = metrics_,
-                            .policy = CurrentPolicy(),
-                            .on_fenced = [this](int) { membership_.Rejoin(); },
-                            .last_confirmed = [this] { return membership_.last_confirmed(); },
-                            .time_to_live = membership_.time_to_live(),
-                            .earlier_owner = membership_.EarlierOwnerOf(shard)},
+        ShardOwner::Context{
+            .instance = settings_->id,
+            .pool = pool_,
+            .http = http_,
+            .exchanges = exchanges_,
+            .store = store_,
+            .adapter = adapter_,
+            .log = log_,
+            .metrics = metrics_,
+            .policy = CurrentPolicy(),
+            .on_fenced = [this](int) { membership_.Rejoin(); },
+            .last_confirmed = [this, shard,
+                               token] { return membership_.last_confirmed(shard, token); },
+            .time_to_live = membership_.time_to_live(),
+            .earlier_owner = membership_.EarlierOwnerOf(shard)},
         shard, token);
     local_.SetOwner(shard, owner);
     pool_.Spawn(owner->Run());
--- a/src/node/internal/shard_membership.cc
+++ b/src/node/internal/shard_membership.cc
@@ -136,18 +136,20 @@
   std::vector<int> lost;
   table_.With([&](Table& table) {
     if (table.leaving) return;
-    table.generation = membership->generation;
-    std::set<int> now_owned;
+    const bool has_run_out = table.confirmed != Time() && sent - table.confirmed >= time_to_live_ &&
+                             membership->generation != table.generation;
+    const std::map<int, FencingToken> before = std::exchange(table.owned, {});
     for (const int shard : membership->partitions) {
-      if (shard < kShardCount) now_owned.insert(shard);
-    }
-    for (const int shard : now_owned) {
-      if (table.owned.count(shard) == 0) gained.push_back(shard);
+      if (shard >= kShardCount) continue;
+      const auto known = before.find(shard);
+      const bool kept = known != before.end() && !has_run_out;
+      table.owned[shard] = kept ? known->second : membership->generation;
+      if (!kept) gained.push_back(shard);
     }
-    for (const int shard : table.owned) {
-      if (now_owned.count(shard) == 0) lost.push_back(shard);
+    for (const auto& [shard, token] : before) {
+      if (table.owned.count(shard) == 0 || has_run_out) lost.push_back(shard);
     }
-    table.owned = std::move(now_owned);
+    table.generation = membership->generation;
     table.confirmed = sent;
   });
   for (const int shard : lost) events_.lost(shard);
@@ -159,7 +161,7 @@
     table.leaving = true;
     return std::make_pair(MakeJoin(table), std::exchange(table.owned, {}));
   });
-  for (const int shard : owned) events_.lost(shard);
+  for (const auto& entry : owned) events_.lost(entry.first);
   co_await store_.LeaveGroup(join);
 }
 
@@ -171,8 +173,12 @@
   table_.With([](Table& table) { table.owners_read = Time(); });
 }
 
-Time ShardMembership::last_confirmed() {
-  return table_.With([](Table& table) { return table.confirmed; });
+Time ShardMembership::last_confirmed(int shard, FencingToken token) {
+  return table_.With([&](Table& table) {
+    const auto found = table.owned.find(shard);
+    const bool owned = found != table.owned.end() && found->second == token;
+    return owned ? table.confirmed : Time();
+  });
 }
 
 Task<Result<Endpoint>> ShardMembership::OwnerOf(int shard) {
--- a/src/node/internal/shard_membership.h
+++ b/src/node/internal/shard_membership.h
@@ -39,9 +39,9 @@
   // store again when it is stale. kNotFound: the shard has no owner; other errors:
   // the store cannot be read.
   Task<Result<Endpoint>> OwnerOf(int shard);
-  // Send time of the latest join that the store answered with the shards of this node;
-  // Time() while this node is no member.
-  Time last_confirmed();
+  // Send time of the latest join by which the store confirmed that this node owns `shard` since it
+  // gained it with `token`; Time() if it does not any more.
+  Time last_confirmed(int shard, FencingToken token);
   Duration time_to_live() const { return time_to_live_; }
   // Name of the member that owned the shard before this node, by the latest list that showed an
   // owner; empty if none did.
@@ -55,9 +55,10 @@
 
  private:
   struct Table {
-    std::string member;                 // Member name of this node.
-    std::int64_t generation = 0;        // Last generation received.
-    std::set<int> owned;                // Shards assigned to this node.
+    std::string member;           // Member name of this node.
+    std::int64_t generation = 0;  // Last generation received.
+    // Shards assigned to this node, and the tokens with which it gained them.
+    std::map<int, FencingToken> owned;
     Time confirmed{};                   // Send time of the join that returned `owned`.
     std::map<int, std::string> owners;  // Member name by partition.
     // By partition: the latest other member in a list. Unlike `owners`, it keeps members that are
@@ -77,7 +78,8 @@
   // Releases all shards and leaves the group; the next join uses a new member name.
   Task<> StepDown(Join join);
   // Updates the owned shards and reports the differences as events. `sent`: send time of
-  // the join.
+  // the join. A shard that was not confirmed for the time to live while the group changed counts as
+  // lost and gained again: another member may have owned it meanwhile.
   void ApplyAssignment(const Membership& membership, Time sent);
   // Reads the owners from the store and updates the candidacy.
   Task<Result<>> ReadOwners();
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -72,7 +72,7 @@
     Links links;
   };
 
-  // Returns until when the earlier owner may act: if the store still lists it as a member, it may
+  // Returns until when the earlier owner may act: unless it is known to have left the group, it may
   // be unaware of its replacement for its time to live.
   Task<Time> EndOfEarlierOwner();
   // Fences earlier owners and restores the shard from the store. Returns false if
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -677,7 +677,12 @@
 
 bool Shard::MayStart(const StartOrder& order, Time now) const {
   const WorkerRow* worker = workers_.Find(order->worker);
-  return IsOwned(now) && worker != nullptr && !worker->entry->draining;
+  if (!IsOwned(now) || worker == nullptr || worker->entry->draining) return false;
+  const JobRow* job = jobs_.Find(order->task.job);
+  if (job == nullptr) return false;
+  const TaskRow& task = job->tasks.at(job->PositionOf(order->task));
+  return task.phase == TaskPhase::kPlaced && task.run == order->run &&
+         task.worker == order->worker && !task.stopping;
 }
 
 Orders Shard::TakeOrders(Time now) {
--- a/src/scheduling/tests/ownership_test.cc
+++ b/src/scheduling/tests/ownership_test.cc
@@ -102,25 +102,43 @@
   if (!owned) CHECK(PlanAndRecord(shard, later).starts.size() == 1);
 }
 
-// Guards against starts that reach a worker after its notice, or after their owner's ownership has
-// run out, since they waited in the queue of the worker.
+// Guards against starts that waited in the queue of their worker and reach it after its notice,
+// after their owner's ownership has run out, or after their task was cancelled or done.
 TEST_CASE("a start that waits is checked again before it is sent", "[scheduling][ownership]") {
   struct Case {
     std::string name;
-    bool draining;
-    bool listed;  // The worker is known.
-    bool owned;
+    void (*event)(Shard&, const StartOrder&);
     bool may_start;
   };
-  const auto c = GENERATE(values<Case>({{"as planned", false, true, true, true},
-                                        {"the worker has given notice", true, true, true, false},
-                                        {"the worker is gone", false, false, true, false},
-                                        {"the ownership has run out", false, true, false, false}}));
+  const auto c = GENERATE(values<Case>({
+      {"as planned", [](Shard&, const StartOrder&) {}, true},
+      {"the worker has given notice",
+       [](Shard& shard, const StartOrder&) { shard.WorkerListed(EntryOf(kWorker, true), kBegin); },
+       false},
+      {"the ownership has run out", [](Shard& shard, const StartOrder&) { shard.OwnUntil(kBegin); },
+       false},
+      {"the job was cancelled", [](Shard& shard, const StartOrder&) { shard.Cancel(kJob, kBegin); },
+       false},
+      {"another run is done",
+       [](Shard& shard, const StartOrder& start) {
+         shard.WorkerListed(EntryOf(kOtherWorker), kBegin);
+         const RunReport report(
+             {.clock = kBegin.time_since_epoch().count(),
+              .start_time_ms = 1,
+              .ended = {ReportedEnd(
+                  {.number = 1, .task = start->task, .run = start->run, .kind = EndKind::kDone})}});
+         shard.Reported(kOtherWorker, OrderResponse({.report = report}), kBegin, kBegin);
+       },
+       false},
+  }));
   CAPTURE(c.name);
   Shard shard(Policy(), 7);
-  shard.WorkerListed(EntryOf(kWorker, c.draining), kBegin);
-  shard.OwnUntil(c.owned ? kBegin + Duration(1) : kBegin);
-  const StartOrder start({.worker = c.listed ? kWorker : kOtherWorker, .run = 1});
+  shard.OwnUntil(kBegin + Duration(1));
+  shard.WorkerListed(EntryOf(kWorker), kBegin);
+  ReportIdle(shard, kWorker, kBegin);
+  shard.Accept(JobWithTasks(1), kBegin);
+  const StartOrder start = PlanAndRecord(shard, kBegin).starts.at(0);
+  c.event(shard, start);
   CHECK(shard.MayStart(start, kBegin) == c.may_start);
 }
 
