Play late starts together with restarts of workers

No row of the interleavings combined late orders with restarts of workers, with one owner or with several. A start that takes effect late may reach an incarnation that has seen neither the run nor the token of a later owner.

Rows and seeds of the other tests are unchanged.

--- a/src/scheduling/tests/shard_interleavings_test.cc
+++ b/src/scheduling/tests/shard_interleavings_test.cc
@@ -907,6 +907,33 @@
   }
 }
 
+const std::vector<Faults> kLateOrderRestartFaults = {
+    {.name = "late orders, quick restarts", .late_orders = 60, .worker_restarts = 10},
+    {.name = "shard reassigned, late orders, quick restarts",
+     .late_orders = 60,
+     .reassignments = 30,
+     .worker_restarts = 10},
+    {.name = "owner frozen, late orders, quick restarts",
+     .late_orders = 60,
+     .owner_freezes = 15,
+     .worker_restarts = 10},
+};
+
+// Guards against runs that overlap or repeat because a late start reaches an incarnation that has
+// seen neither the run nor the token of a later owner.
+TEST_CASE("every task is done once although late starts reach restarted workers",
+          "[scheduling][interleavings][late]") {
+  const auto faults = GENERATE(from_range(kLateOrderRestartFaults));
+  for (const std::uint64_t seed : testing::Seeds(12)) {
+    CAPTURE(faults.name, seed);
+    World world(faults, seed);
+    world.Run();
+    const std::vector<std::string> findings = world.Check();
+    CAPTURE(findings);
+    CHECK(findings.empty());
+  }
+}
+
 // Guards against a count of waiting jobs far below the truth: starts that no worker had carried out
 // counted as begun jobs.
 TEST_CASE("jobs are shown as begun exactly when a worker has begun them",
