--- a/src/store/internal/record_writer.cc
+++ b/src/store/internal/record_writer.cc
@@ -75,8 +75,9 @@
 
 Task<Result<StoredAppend>> RecordWriter::Fence(StoreRecord record) {
   const Producer producer({.name = producer_, .epoch = epoch_, .sequence = next_sequence_});
-  const std::vector<StoreRecord> records(1, std::move(record));
-  auto response = co_await store_.Append(partition_, producer, records);
+  std::vector<StoreRecord> records;
+  records.push_back(std::move(record));
+  auto response = co_await store_.Append(partition_, producer, std::move(records));
   if (!response) co_return response.error();
   const AppendResponse& answer = response.value();
   if (answer->outcome == AppendOutcome::kWrongSequence) {
