Log what is counted of the runs of a task, and on what evidence

A user saw a job as failed, and the logs could not tell which of its runs had been counted for that, whether a crash was one of a worker that had only been silent, whether the run had been started at all, or that its end arrived later: the end of the newest run of a task that waits left no line.

New lines: crash-counted (a run and the evidence for its crash), crashes-restored (what a new owner took over), end-late (an end after the verdict). job-failed names the cause and both counts. No decision changes.

--- a/src/scheduling/internal/run_evidence.cc
+++ b/src/scheduling/internal/run_evidence.cc
@@ -34,4 +34,9 @@
          " own_worker=" + (task->worker.value.empty() ? "none" : task->worker.value);
 }
 
+std::string AttemptsText(const TaskRow& counted) {
+  return "runs=" + std::to_string(counted.run) + " failures=" + std::to_string(counted.failures) +
+         " crashes=" + std::to_string(counted.crashes);
+}
+
 }  // namespace dn
--- a/src/scheduling/internal/run_evidence.h
+++ b/src/scheduling/internal/run_evidence.h
@@ -39,5 +39,7 @@
 // Returns what the owner knows of a task that a worker reported; `task` is null if the owner does
 // not know it.
 std::string OwnRunText(const TaskRow* task);
+// Returns what is counted of the runs of a task.
+std::string AttemptsText(const TaskRow& counted);
 
 }  // namespace dn
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -237,10 +237,15 @@
     FinishIfDone(job, now);
     return;
   }
-  if (task->phase != TaskPhase::kPlaced) return;
-  Decide("task-ended", FormatTaskKey(end->task),
-         "run=" + std::to_string(end->run) + " worker=" + worker.entry->id.value +
-             " how=" + std::string(NameOf(end->kind)));
+  const std::string ended = "run=" + std::to_string(end->run) +
+                            " worker=" + worker.entry->id.value +
+                            " how=" + std::string(NameOf(end->kind));
+  if (task->phase != TaskPhase::kPlaced) {
+    Decide("end-late", FormatTaskKey(end->task),
+           ended + " " + AttemptsText(job.tasks[job.CountedPosition(position)]));
+    return;
+  }
+  Decide("task-ended", FormatTaskKey(end->task), ended);
   Unplace(job, position, TaskPhase::kWaiting, now);
   if (end->kind == EndKind::kFailed) CountFailure(worker, job, position, now);
 }
@@ -287,7 +292,7 @@
   job.phase = JobPhase::kFailed;
   job.finished_at = now;
   Decide("job-failed", FormatJobId(key.job),
-         "task=" + FormatTaskKey(key) + " failures=" + std::to_string(counted.failures));
+         "task=" + FormatTaskKey(key) + " cause=failures " + AttemptsText(counted));
   StopAll(job);
 }
 
--- a/src/scheduling/internal/shard_crashes.cc
+++ b/src/scheduling/internal/shard_crashes.cc
@@ -84,7 +84,16 @@
     const Duration ran = worker.last_report - RunStart(task);
     const bool started_by_this_owner = task.placement > 0;
     const bool fresh = started_by_this_owner && !many && ran <= kSuspectPeriod;
-    if (job.phase == JobPhase::kOpen) Blame(job, ref.position, ran, fresh, now);
+    if (job.phase == JobPhase::kOpen) {
+      Blame(job, ref.position, ran, fresh, now);
+      const TaskRow& blamed = job.tasks[job.CountedPosition(ref.position)];
+      Decide("crash-counted", FormatTaskKey(job.KeyOf(ref.position)),
+             "run=" + std::to_string(task.run) + " worker=" + worker.entry->id.value +
+                 " evidence=" + std::string(NameOf(evidence)) +
+                 " incarnation=" + std::to_string(worker.start_time_ms) + " stage=" +
+                 std::string(NameOf(task.stage)) + " ran_ms=" + std::to_string(ran.count()) +
+                 " inherited=" + (started_by_this_owner ? "0" : "1") + " " + AttemptsText(blamed));
+    }
     if (IsSuspect(job, ref.position)) ++suspects;
   }
   Decide("worker-crashed", worker.entry->id.value,
@@ -109,9 +118,8 @@
   if (!IsCause(counted, run)) return;
   job.phase = JobPhase::kFailed;
   job.finished_at = now;
-  Decide(
-      "job-failed", FormatJobId(job.accepted->id),
-      "task=" + FormatTaskKey(job.KeyOf(position)) + " crashes=" + std::to_string(counted.crashes));
+  Decide("job-failed", FormatJobId(job.accepted->id),
+         "task=" + FormatTaskKey(job.KeyOf(position)) + " cause=crashes " + AttemptsText(counted));
   StopAll(job);
 }
 
@@ -141,6 +149,7 @@
     TaskRow& task = job->tasks[from->position];
     task.crashes = from->crashes;
     task.isolated_run = from->isolated_run;
+    Decide("crashes-restored", FormatTaskKey(job->KeyOf(from->position)), AttemptsText(task));
     if (job->StepOf(from->position)->long_running) task.not_before = now + RestartDelay(task);
     crashed_.insert(CountedTask(*job, from->position));
     // Whether a task that waits was a suspect after its first crash is not recorded.
