Tests of a job that is shown as failed without cause, known red

The simulated fleet of crash_blame_test.cc moves to files of its own. Runs can have fates now: they lapse on a worker that is cut off and lives, fail there unheard, crash their worker soon or late, or are never carried out; leases run out on the workers; the registration of a crashed worker lapses; each worker has an address of its own. The tests of crash_blame_test.cc pass as before.

job_failure_test.cc, on the unchanged decisions: 54 of 54 plays of "a job is not failed for runs that were lost with their workers" show the job as failed; 6 of 6 of "runs that failed count although their ends are heard late" start a task again after MaxAttempts ends as failed (the other side). "a task that crashes each worker is given up although the crashes are seen late" passes and guards the other rule.

--- a/src/scheduling/tests/crash_blame_test.cc
+++ b/src/scheduling/tests/crash_blame_test.cc
@@ -6,379 +6,20 @@
 #include <memory>
 #include <set>
 
-#include "scheduling/scheduling.h"
+#include "scheduling/tests/crash_fleet.h"
 
 namespace dn {
 namespace {
 
-constexpr Duration kStep{10};
-constexpr Duration kRenewalPeriod{50};
-constexpr Duration kResponseTimeout{1'000};
-constexpr Duration kRestartTime{2'000};
+using testing::Answers;
+using testing::CrashFleet;
+using testing::FleetOptions;
+using testing::kRestartTime;
+using testing::Restart;
+using testing::TakeOver;
+
 // Most starts of a task that may follow after three workers have crashed under it.
 constexpr int kMaxStartsAfterThirdCrash = 2;
-constexpr int kCrashesBeforeLimit = 3;
-constexpr int kMemoryMb = 64'000;
-// How long the registration of a worker stays after its last heartbeat: three intervals.
-constexpr Duration kRegistrationTime{4'500};
-
-enum class Restart { kSameIdentifier, kOtherIdentifier };
-enum class Answers { kAll, kNone, kNoneAndLateCopies };
-enum class TakeOver { kNever, kAtCrash, kWhenCrashIsSeen, kAfterRecord };
-
-struct FleetOptions {
-  int workers = 8;
-  Restart restart = Restart::kSameIdentifier;
-  Answers answers = Answers::kAll;  // Of the starts of tasks that crash their worker.
-  TakeOver take_over = TakeOver::kNever;
-  Duration crash_after{300};  // After the start of a task that crashes its worker.
-  Duration run_time{800};
-};
-
-// An owner and its workers. Appends take effect at once.
-class Fleet {
- public:
-  explicit Fleet(FleetOptions options) : options_(options) {
-    for (int i = 0; i < options.workers; ++i) AddWorker();
-    Open();
-  }
-
-  void Submit(JobId id, StepFields step, bool crashes_workers) {
-    if (crashes_workers) crashing_.insert(id);
-    accepted_.emplace_back(
-        AcceptedJobFields{.id = id,
-                          .queue = Queue({.name = "q", .service = "s", .max_attempts = 3}),
-                          .spec = JobSpec({.payload = "p", .steps = {StepSpec(step)}})});
-    shard->Accept(accepted_.back(), now);
-  }
-
-  void RunFor(Duration time) {
-    for (const Time end = now + time; now < end;) Advance();
-  }
-
-  void CrashWorker(std::size_t index) { Crash(workers_.at(index)); }
-  // The worker is gone for good; its registration lapses.
-  void LoseWorker(std::size_t index) {
-    Crash(workers_.at(index));
-    workers_.at(index).back_at = Time::max();
-    workers_.at(index).unlisted_at = now + kRegistrationTime;
-  }
-  // The owner ends, and another one opens after `time`.
-  void KillOwner(Duration time) {
-    shard.reset();
-    take_over_at_ = now + time;
-  }
-  // The store takes no record for `time` and shows no change of the registrations.
-  void CloseStore(Duration time) { store_back_at_ = now + time; }
-  // Returns the jobs with a task on the worker.
-  std::set<JobId> JobsOn(std::size_t index) const {
-    std::set<JobId> jobs;
-    for (const auto& [task, run] : workers_.at(index).running) jobs.insert(task.job);
-    return jobs;
-  }
-  void Cancel(JobId id) { shard->Cancel(id, now); }
-  // Lists the workers, or lets the store forget them while they go on.
-  void ShowWorkers(bool listed) { store_shows_workers_ = listed; }
-  void Connect(std::size_t index, bool reachable) { workers_.at(index).reachable = reachable; }
-  void Drain(std::size_t index) { workers_.at(index).draining = true; }
-  // The worker ends after its drain and starts again.
-  void Leave(std::size_t index) { RestartWorker(workers_.at(index)); }
-  bool WorkerRuns(std::size_t index) const { return !workers_.at(index).running.empty(); }
-
-  // Crashes of workers under the job's tasks, and starts of the job's first task.
-  int CrashesOf(JobId id) const { return Value(crashes_, id); }
-  const std::vector<Time>& StartsOf(JobId id) { return starts_[id]; }
-  int StartsAfterThirdCrash(JobId id) const { return Value(starts_after_third_crash_, id); }
-  std::int64_t DecisionsOf(const std::string& kind) const {
-    return std::count_if(decisions_.begin(), decisions_.end(),
-                         [&](const Decision& decision) { return decision->kind == kind; });
-  }
-
-  Time now{Duration(1'000'000)};
-  std::unique_ptr<Shard> shard;
-
- private:
-  struct Run {
-    int run = 0;
-    Time started{};
-  };
-  struct Worker {
-    WorkerId id;
-    WorkerId former_id;  // Of the worker that had the address before.
-    std::int64_t incarnation = 1;
-    bool up = true;
-    bool reachable = true;
-    bool draining = false;
-    Time back_at{};
-    std::optional<Time> unlisted_at;  // When the registration of a lost worker lapses.
-    FencingToken token = 0;
-    std::map<TaskKey, Run> running;
-    std::map<TaskKey, int> last_run;
-    std::vector<ReportedEnd> ended;
-    std::int64_t ends = 0;
-    std::int64_t seen_incarnation = 0;  // In the last report that the present owner received.
-  };
-  struct PendingStart {
-    Time time{};
-    StartOrder order;
-    bool answered = false;  // The owner learns of the timeout; else a late copy takes effect.
-  };
-
-  static int Value(const std::map<JobId, int>& counts, JobId id) {
-    const auto found = counts.find(id);
-    return found == counts.end() ? 0 : found->second;
-  }
-
-  void AddWorker() { workers_.push_back({.id = {"w" + std::to_string(++last_worker_)}}); }
-
-  void Open() {
-    shard = std::make_unique<Shard>(Policy(), ++token_);
-    pending_.erase(std::remove_if(pending_.begin(), pending_.end(),
-                                  [](const PendingStart& start) { return start.answered; }),
-                   pending_.end());
-    for (Worker& worker : workers_) worker.seen_incarnation = 0;
-    for (const AcceptedJob& job : accepted_) shard->Accept(job, now);
-    for (const auto& [id, record] : records_) {
-      shard->Restore(DecodeJobProgress(record).value(), now);
-    }
-    for (const auto& [id, record] : crash_records_) {
-      shard->RestoreCrashes(DecodeJobCrashes(record).value(), now);
-    }
-  }
-
-  void Advance() {
-    now += kStep;
-    if (take_over_at_ && now >= *take_over_at_) {
-      take_over_at_.reset();
-      Open();
-    }
-    for (Worker& worker : workers_) AdvanceWorker(worker);
-    if (shard == nullptr) return;
-    const bool store_away = now < store_back_at_;
-    for (Worker& worker : workers_) {
-      if (!store_away) List(worker);
-    }
-    if ((now.time_since_epoch().count() % kRenewalPeriod.count()) == 0) {
-      for (Worker& worker : workers_) Renew(worker);
-    }
-    shard->Plan(now, now.time_since_epoch().count());
-    CollectDecisions();
-    if (!store_away) {
-      const RecordBatch batch = shard->TakeBatch();
-      if (lose_append_) {
-        lose_append_ = false;
-        Open();
-        return;
-      }
-      Store(batch);
-      shard->Recorded(batch, now);
-    }
-    const Orders orders = shard->TakeOrders(now);
-    for (const StartOrder& order : orders.starts) SendStart(order);
-    for (const StopOrder& order : orders.stops) SendStop(order);
-    AdvancePending();
-  }
-
-  void Store(const RecordBatch& batch) {
-    for (const JobProgress& record : batch.records) {
-      records_[record->id] = EncodeJobProgress(record);
-    }
-    for (const JobCrashes& record : batch.crashes) {
-      crash_records_[record->id] = EncodeJobCrashes(record);
-    }
-  }
-
-  void CollectDecisions() {
-    for (Decision& decision : shard->TakeDecisions()) decisions_.push_back(std::move(decision));
-  }
-
-  void AdvanceWorker(Worker& worker) {
-    if (!worker.up) {
-      if (now < worker.back_at) return;
-      worker.up = true;
-      worker.draining = false;
-      if (options_.restart == Restart::kOtherIdentifier) {
-        worker.former_id = worker.id;
-        worker.id = {"w" + std::to_string(++last_worker_)};
-      }
-    }
-    const auto running = worker.running;
-    for (const auto& [task, run] : running) {
-      if (crashing_.count(task.job) > 0) {
-        if (now < run.started + options_.crash_after) continue;
-        Crash(worker);
-        return;
-      }
-      const JobSpec& spec = Spec(task.job);
-      if (spec->steps[0]->long_running || now < run.started + options_.run_time) continue;
-      End(worker, task, EndKind::kDone);
-    }
-  }
-
-  const JobSpec& Spec(JobId id) const {
-    return std::find_if(accepted_.begin(), accepted_.end(),
-                        [&](const AcceptedJob& job) { return job->id == id; })
-        ->
-        operator->()
-        ->spec;
-  }
-
-  void End(Worker& worker, const TaskKey& task, EndKind kind) {
-    const int run = worker.running.at(task).run;
-    worker.running.erase(task);
-    worker.last_run[task] = std::max(worker.last_run[task], run);
-    worker.ended.emplace_back(
-        ReportedEndFields{.number = ++worker.ends, .task = task, .run = run, .kind = kind});
-  }
-
-  void RestartWorker(Worker& worker) {
-    worker = Worker{.id = worker.id,
-                    .incarnation = worker.incarnation + 1,
-                    .up = false,
-                    .back_at = now + kRestartTime,
-                    .seen_incarnation = worker.seen_incarnation};
-  }
-
-  void Crash(Worker& worker) {
-    if (!worker.up) return;
-    std::set<JobId> jobs;
-    for (const auto& [task, run] : worker.running) jobs.insert(task.job);
-    for (const JobId id : jobs) ++crashes_[id];
-    // The other workers of a gang end their tasks.
-    for (const JobId id : jobs) {
-      if (!Spec(id)->steps[0]->gang) continue;
-      for (Worker& other : workers_) {
-        const auto running = other.running;
-        for (const auto& [task, run] : running) {
-          if (&other != &worker && task.job == id) End(other, task, EndKind::kBroken);
-        }
-      }
-    }
-    RestartWorker(worker);
-    if (options_.take_over == TakeOver::kAtCrash) take_over_at_ = now + kStep;
-    if (options_.take_over == TakeOver::kAfterRecord) {
-      take_over_at_ = now + kRestartTime + 2 * kRenewalPeriod;
-    }
-  }
-
-  void List(const Worker& worker) {
-    const bool listed =
-        store_shows_workers_ && (!worker.unlisted_at || now < *worker.unlisted_at) &&
-        (worker.up || (options_.restart == Restart::kSameIdentifier && now < worker.back_at));
-    if (!listed) {
-      shard->WorkerUnlisted(worker.id, now);
-      return;
-    }
-    // The entry of a crashed worker stays until it is written again.
-    const std::int64_t incarnation = worker.up ? worker.incarnation : worker.incarnation - 1;
-    shard->WorkerListed(WorkerEntry({.id = worker.id,
-                                     .service = "s",
-                                     .address = {"127.0.0.1", 1},
-                                     .start_time_ms = incarnation,
-                                     .draining = worker.draining,
-                                     .remaining_ms = 3'000,
-                                     .capacity = {.millicores = 16'000, .memory_mb = kMemoryMb}}),
-                        now);
-  }
-
-  void Renew(Worker& worker) {
-    if (!worker.up || !worker.reachable) return;
-    if (shard->ManagedWorker(worker.former_id)) {
-      shard->Reported(worker.former_id, OrderResponse({.refusal = OrderRefusal::kOtherIncarnation}),
-                      now, now);
-    }
-    const Renewal renewal = shard->NextRenewal(worker.id, now);
-    worker.token = std::max(worker.token, renewal->token);
-    while (!worker.ended.empty() && worker.ended.front()->number <= renewal->ends_seen) {
-      worker.ended.erase(worker.ended.begin());
-    }
-    RunReportFields report{.clock = now.time_since_epoch().count(),
-                           .start_time_ms = worker.incarnation,
-                           .ended = worker.ended};
-    for (const auto& [task, run] : worker.running) {
-      report.running.emplace_back(
-          ReportedRunFields{.task = task, .run = run.run, .progress_percent = 100});
-    }
-    const std::int64_t seen = std::exchange(worker.seen_incarnation, worker.incarnation);
-    if (options_.take_over == TakeOver::kWhenCrashIsSeen && seen > 0 &&
-        seen != worker.incarnation) {
-      lose_append_ = true;
-    }
-    shard->Reported(worker.id, OrderResponse({.report = RunReport(std::move(report))}), now, now);
-  }
-
-  Worker* FindWorker(const WorkerId& id) {
-    const auto found = std::find_if(workers_.begin(), workers_.end(),
-                                    [&](const Worker& worker) { return worker.id == id; });
-    return found == workers_.end() ? nullptr : &*found;
-  }
-
-  // Returns whether the worker carried the order out.
-  bool Start(const StartOrder& order) {
-    Worker* const worker = FindWorker(order->worker);
-    if (worker == nullptr || !worker->up || !worker->reachable) return false;
-    if (order->token < worker->token) return false;
-    const auto last = worker->last_run.find(order->task);
-    if (last != worker->last_run.end() && order->run <= last->second) return false;
-    if (!worker->running.emplace(order->task, Run{order->run, now}).second) return true;
-    const JobId job = order->task.job;
-    if (order->task.index == 0) starts_[job].push_back(now);
-    if (CrashesOf(job) >= kCrashesBeforeLimit) ++starts_after_third_crash_[job];
-    return true;
-  }
-
-  void SendStart(const StartOrder& order) {
-    const bool started = Start(order);
-    const bool lost = options_.answers != Answers::kAll && crashing_.count(order->task.job) > 0;
-    if (started && !lost) {
-      shard->StartAnswered(order, OrderResponse(), now);
-      return;
-    }
-    pending_.push_back({.time = now + kResponseTimeout, .order = order, .answered = true});
-    if (options_.answers != Answers::kNoneAndLateCopies || !lost) return;
-    constexpr Duration kLate{3'000};
-    pending_.push_back({.time = now + kLate, .order = order, .answered = false});
-  }
-
-  void AdvancePending() {
-    const std::vector<PendingStart> pending = std::exchange(pending_, {});
-    for (const PendingStart& start : pending) {
-      if (now < start.time) {
-        pending_.push_back(start);
-      } else if (start.answered) {
-        shard->StartAnswered(start.order, std::nullopt, now);
-      } else {
-        Start(start.order);
-      }
-    }
-  }
-
-  void SendStop(const StopOrder& order) {
-    Worker* const worker = FindWorker(order->worker);
-    if (worker == nullptr || !worker->up || !worker->reachable) return;
-    if (worker->running.count(order->task) > 0) End(*worker, order->task, EndKind::kStopped);
-    worker->last_run[order->task] = std::max(worker->last_run[order->task], order->run);
-    shard->StopAnswered(order, OrderResponse(), now);
-  }
-
-  const FleetOptions options_;
-  FencingToken token_ = 0;
-  int last_worker_ = 0;
-  bool store_shows_workers_ = true;
-  bool lose_append_ = false;  // The owner dies before its next append.
-  Time store_back_at_{};
-  std::optional<Time> take_over_at_;
-  std::vector<Worker> workers_;
-  std::vector<AcceptedJob> accepted_;
-  std::set<JobId> crashing_;  // Jobs whose tasks crash their workers.
-  std::map<JobId, std::string> records_;
-  std::map<JobId, std::string> crash_records_;
-  std::vector<PendingStart> pending_;
-  std::vector<Decision> decisions_;
-  std::map<JobId, int> crashes_;
-  std::map<JobId, int> starts_after_third_crash_;
-  std::map<JobId, std::vector<Time>> starts_;
-};
 
 constexpr JobId kCrashingJob = 0x100;
 const StepFields kTask{
@@ -434,7 +75,7 @@
        4},
   }));
   CAPTURE(c.name);
-  Fleet fleet(c.options);
+  CrashFleet fleet(c.options);
   for (int i = 0; i < c.crashing_jobs; ++i) {
     fleet.Submit(kCrashingJob + static_cast<JobId>(i), kTask, true);
   }
@@ -462,7 +103,7 @@
 TEST_CASE("restarts of a latency-critical task that crashes its workers are spaced",
           "[scheduling][crashes]") {
   const auto take_over = GENERATE(TakeOver::kNever, TakeOver::kAfterRecord);
-  Fleet fleet({.take_over = take_over});
+  CrashFleet fleet({.take_over = take_over});
   StepFields step = kTask;
   step.long_running = true;
   fleet.Submit(kCrashingJob, step, true);
@@ -479,7 +120,7 @@
 
 // Guards against a gang that is started without end, and against one count for each of its tasks.
 TEST_CASE("a gang that crashes its workers is given up", "[scheduling][crashes]") {
-  Fleet fleet({});
+  CrashFleet fleet({});
   StepFields step = kTask;
   step.count = 3;
   step.gang = true;
@@ -506,7 +147,7 @@
       {"all workers, twice", 4, 4, 32, 2},
   }));
   CAPTURE(c.name);
-  Fleet fleet({.workers = c.workers, .run_time = Duration(1'000)});
+  CrashFleet fleet({.workers = c.workers, .run_time = Duration(1'000)});
   fleet.RunFor(Duration(200));
   for (int i = 0; i < c.jobs; ++i) fleet.Submit(static_cast<JobId>(i) + 1, kTask, false);
   for (int time = 0; time < c.times; ++time) {
@@ -548,7 +189,7 @@
                                         {"owner killed, large fleet", 350, true, false, 1}}));
   const int workers = c.workers;
   CAPTURE(c.name);
-  Fleet fleet({.workers = workers, .run_time = Duration(2'200)});
+  CrashFleet fleet({.workers = workers, .run_time = Duration(2'200)});
   fleet.RunFor(Duration(200));
   StepFields lasting = kTask;
   lasting.long_running = true;
@@ -606,36 +247,36 @@
 TEST_CASE("only a lost incarnation of a worker counts as a crash", "[scheduling][crashes]") {
   struct Case {
     std::string name;
-    void (*events)(Fleet&);
+    void (*events)(CrashFleet&);
     std::int64_t crashes;  // Decisions that a worker has crashed.
   };
   const auto c = GENERATE(values<Case>({
-      {"crash", [](Fleet& fleet) { fleet.CrashWorker(0); }, 1},
+      {"crash", [](CrashFleet& fleet) { fleet.CrashWorker(0); }, 1},
       {"listed and not reachable for longer than its lease",
-       [](Fleet& fleet) {
+       [](CrashFleet& fleet) {
          fleet.Connect(0, false);
          fleet.RunFor(Duration(8'000));
          fleet.Connect(0, true);
        },
        0},
       {"not listed while it answers",
-       [](Fleet& fleet) {
+       [](CrashFleet& fleet) {
          fleet.ShowWorkers(false);
          fleet.RunFor(Duration(10'000));
          fleet.ShowWorkers(true);
        },
        0},
       {"drained, and then started again",
-       [](Fleet& fleet) {
+       [](CrashFleet& fleet) {
          fleet.Drain(0);
          fleet.RunFor(Duration(2'500));
          fleet.Leave(0);
        },
        0},
-      {"stopped", [](Fleet& fleet) { fleet.Cancel(1); }, 0},
+      {"stopped", [](CrashFleet& fleet) { fleet.Cancel(1); }, 0},
   }));
   CAPTURE(c.name);
-  Fleet fleet({.workers = 1, .run_time = Duration(60'000)});
+  CrashFleet fleet({.workers = 1, .run_time = Duration(60'000)});
   fleet.RunFor(Duration(200));
   fleet.Submit(1, kTask, false);
   fleet.RunFor(Duration(1'000));
@@ -652,7 +293,7 @@
   constexpr std::size_t kFleetSize = 4;
   constexpr JobId kFirstLongRunning = 0x200;
   constexpr int kJobs = 8;
-  Fleet fleet({.workers = kFleetSize});
+  CrashFleet fleet({.workers = kFleetSize});
   fleet.RunFor(Duration(200));
   StepFields step = kTask;
   step.long_running = true;
@@ -680,7 +321,7 @@
 TEST_CASE("tasks start again once another worker answers at the address of theirs",
           "[scheduling][crashes]") {
   const auto restart = GENERATE(Restart::kSameIdentifier, Restart::kOtherIdentifier);
-  Fleet fleet({.workers = 1, .restart = restart, .run_time = Duration(60'000)});
+  CrashFleet fleet({.workers = 1, .restart = restart, .run_time = Duration(60'000)});
   fleet.RunFor(Duration(200));
   fleet.Submit(1, kTask, false);
   fleet.RunFor(Duration(200));
@@ -694,7 +335,7 @@
 // crashed is not started beside tasks that started just now, and none is started beside it.
 TEST_CASE("a task under which a worker has crashed starts apart from others",
           "[scheduling][crashes]") {
-  Fleet fleet({.workers = 2});
+  CrashFleet fleet({.workers = 2});
   fleet.RunFor(Duration(200));
   fleet.Submit(kCrashingJob, kTask, true);
   int crashed_with_others = 0;
--- /dev/null
+++ b/src/scheduling/tests/job_failure_test.cc
@@ -0,0 +1,97 @@
+// Tests of when a job may be shown as failed: a task, or a gang, has failed as often as its queue
+// allows, or crashes each worker that starts it.
+#include <catch2/catch.hpp>
+
+#include "scheduling/tests/crash_fleet.h"
+
+namespace dn {
+namespace {
+
+using testing::CrashFleet;
+using testing::Fate;
+using testing::Restart;
+using testing::TakeOver;
+
+constexpr JobId kJob = 0x100;
+const StepFields kTask{
+    .count = 1, .demand = {.millicores = 2'000, .memory_mb = 1'000}, .estimate_ms = 800};
+// Time in which each job ends: eight losses, each seen after a registration and a lease have run
+// out and followed by the longest delay.
+constexpr Duration kPlay{120'000};
+
+// Guards against jobs that are shown as failed although no task has failed often enough: what the
+// owner did not hear of, or what happened to the workers, was counted like failures.
+TEST_CASE("a job is not failed for runs that were lost with their workers",
+          "[scheduling][crashes][failure]") {
+  struct Case {
+    std::string name;
+    std::vector<Fate> fates;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"lapsed on workers that live", {Fate::kLapses, Fate::kLapses, Fate::kLapses}},
+      {"failed once, and lapsed", {Fate::kFails, Fate::kLapses, Fate::kLapses, Fate::kLapses}},
+      {"failed unheard, and lapsed", {Fate::kFailsUnheard, Fate::kLapses, Fate::kLapses}},
+      {"lapsed again and again", std::vector<Fate>(8, Fate::kLapses)},
+      {"workers crashed late in the runs", std::vector<Fate>(5, Fate::kCrashesLate)},
+      {"crashes, and a run that failed",
+       {Fate::kCrashes, Fate::kFails, Fate::kCrashes, Fate::kCrashes, Fate::kCrashes}},
+      {"crashes, and a run that lapsed",
+       {Fate::kCrashes, Fate::kCrashes, Fate::kLapses, Fate::kCrashes, Fate::kCrashes}},
+      {"crashes, and one that came late",
+       {Fate::kCrashes, Fate::kCrashesLate, Fate::kCrashes, Fate::kCrashes}},
+      {"starts that were never carried out",
+       {Fate::kCrashes, Fate::kNeverStarts, Fate::kNeverStarts, Fate::kCrashes}},
+  }));
+  const auto take_over = GENERATE(TakeOver::kNever, TakeOver::kAtCrash, TakeOver::kWhenCrashIsSeen);
+  const auto restart = GENERATE(Restart::kSameIdentifier, Restart::kOtherIdentifier);
+  CAPTURE(c.name, static_cast<int>(take_over), static_cast<int>(restart));
+  CrashFleet fleet({.restart = restart, .take_over = take_over});
+  fleet.RunFor(Duration(200));
+  fleet.Submit(kJob, kTask, c.fates);
+  fleet.RunFor(kPlay);
+  CHECK(fleet.shard->StateOf(kJob) == JobState::kCompleted);
+}
+
+// Guards against a job that goes on although its task crashes each worker that starts it, where the
+// workers come back so late, or owners change so often, that the crashes are seen late.
+TEST_CASE("a task that crashes each worker is given up although the crashes are seen late",
+          "[scheduling][crashes][failure]") {
+  constexpr int kMaxStartsAfterThirdCrash = 2;
+  const auto take_over = GENERATE(TakeOver::kNever, TakeOver::kWhenCrashIsSeen);
+  const auto restart = GENERATE(Restart::kSameIdentifier, Restart::kOtherIdentifier);
+  const auto restart_time = GENERATE(Duration(500), Duration(2'000), Duration(7'000));
+  CAPTURE(static_cast<int>(take_over), static_cast<int>(restart), restart_time.count());
+  CrashFleet fleet({.restart = restart, .take_over = take_over, .restart_time = restart_time});
+  fleet.RunFor(Duration(200));
+  fleet.Submit(kJob, kTask, true);
+  fleet.RunFor(kPlay);
+  CHECK(fleet.shard->StateOf(kJob) == JobState::kFailed);
+  CHECK(fleet.StartsAfterThirdCrash(kJob) <= kMaxStartsAfterThirdCrash);
+}
+
+// Guards against failures that are not counted since the owner had given the run up when it heard
+// of its end: the task was started again after all runs that its queue allows had failed.
+TEST_CASE("runs that failed count although their ends are heard late",
+          "[scheduling][crashes][failure]") {
+  struct Case {
+    std::string name;
+    std::vector<Fate> fates;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"the first", {Fate::kFailsUnheard, Fate::kFails, Fate::kFails, Fate::kFails}},
+      {"the second", {Fate::kFails, Fate::kFailsUnheard, Fate::kFails, Fate::kFails}},
+      {"two", {Fate::kFailsUnheard, Fate::kFailsUnheard, Fate::kFails, Fate::kFails}},
+  }));
+  const auto take_over = GENERATE(TakeOver::kNever, TakeOver::kAtCrash);
+  CAPTURE(c.name, static_cast<int>(take_over));
+  constexpr int kMaxAttempts = 3;
+  CrashFleet fleet({.max_attempts = kMaxAttempts, .take_over = take_over});
+  fleet.RunFor(Duration(200));
+  fleet.Submit(kJob, kTask, c.fates);
+  fleet.RunFor(kPlay);
+  CHECK(fleet.shard->StateOf(kJob) == JobState::kFailed);
+  CHECK(fleet.FailedEndsOf(kJob) == kMaxAttempts);
+}
+
+}  // namespace
+}  // namespace dn
