Place no task on a worker whose last renewal failed

Callers saw jobs given up for crashes under runs that had never begun: with real processes (kinds c, xc, ck) jobs with crashes=3 had two runs that crashed and no third. The start had been sent to a worker that was down already; no response came, the worker came back with another incarnation, and the run counted as lost with it. The task also waited up to 8 s, in which a start without a response may still be carried out.

Cause: the owner did not use that a renewal had failed; a worker stayed open for starts until its last report was 2.5 s old. The link now tells the owner that a renewal got no response, and placement refuses the worker (kSilent) until the next response.

New test in shard_test.cc; without the refusal it fails.

--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -307,6 +307,11 @@
   changed_.NotifyAll();
 }
 
+void ShardOwner::OnRenewalFailure(const WorkerId& worker, bool timed_out) {
+  if (!active_) return;
+  table_.With([&](Table& table) { table.shard.RenewalFailed(worker, timed_out, Now()); });
+}
+
 void ShardOwner::OnStartResponse(const StartOrder& order,
                                  const std::optional<OrderResponse>& response) {
   if (!active_) return;
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -57,6 +57,7 @@
   Renewal NextRenewal(const WorkerId& worker) override;
   bool MayStart(const StartOrder& order) override;
   void OnRenewalResponse(const WorkerId& worker, const OrderResponse& response, Time sent) override;
+  void OnRenewalFailure(const WorkerId& worker, bool timed_out) override;
   void OnStartResponse(const StartOrder& order,
                        const std::optional<OrderResponse>& response) override;
   void OnStopResponse(const StopOrder& order,
--- a/src/scheduling/internal/placement_policy.cc
+++ b/src/scheduling/internal/placement_policy.cc
@@ -169,7 +169,9 @@
   if (!worker.listed) return PlacementRefusal::kUnlisted;
   if (entry->draining) return PlacementRefusal::kDraining;
   if (!worker.confirmed) return PlacementRefusal::kUnconfirmed;
-  if (now - worker.last_report >= kReportTimeout) return PlacementRefusal::kSilent;
+  if (worker.silent_since || now - worker.last_report >= kReportTimeout) {
+    return PlacementRefusal::kSilent;
+  }
   if (entry->service != job.accepted->queue->service) return PlacementRefusal::kOtherService;
   if (worker.start_time_ms != entry->start_time_ms) return PlacementRefusal::kOtherIncarnation;
   if (now < worker.avoid_until) return PlacementRefusal::kAvoided;
--- a/src/scheduling/internal/placement_policy.h
+++ b/src/scheduling/internal/placement_policy.h
@@ -33,7 +33,7 @@
   kUnlisted,
   kDraining,
   kUnconfirmed,  // No report has arrived since the owner took the shard over.
-  kSilent,       // The last report is too old.
+  kSilent,       // The last renewal got no response, or the last report is too old.
   kOtherService,
   kOtherIncarnation,  // The registration and the last report are of different incarnations.
   kAvoided,
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -164,6 +164,7 @@
     worker->failed_jobs.clear();
     ends_taken_.erase(id);
   }
+  worker->silent_since.reset();
   worker->clock = {report->clock, now};
   worker->confirmed = true;
   worker->last_report = now;
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -133,6 +133,9 @@
   Renewal NextRenewal(const WorkerId& id, Time now);
   // Handles the response to a renewal that was sent at `sent`.
   void Reported(const WorkerId& id, const OrderResponse& response, Time sent, Time now);
+  // Handles the lack of a response to a renewal: the time for it is over, or else the connection
+  // broke or could not be made.
+  void RenewalFailed(const WorkerId& id, bool timed_out, Time now);
 
   // Handles the response to a start; std::nullopt if none arrived.
   void StartAnswered(const StartOrder& order, const std::optional<OrderResponse>& response,
--- a/src/scheduling/internal/shard_crashes.cc
+++ b/src/scheduling/internal/shard_crashes.cc
@@ -67,6 +67,11 @@
   }
 }
 
+void Shard::RenewalFailed(const WorkerId& id, bool /*timed_out*/, Time now) {
+  WorkerRow* const worker = workers_.Find(id);
+  if (worker != nullptr && !worker->silent_since) worker->silent_since = now;
+}
+
 void Shard::CountCrash(WorkerRow& worker, const std::vector<TaskRef>& lost, CrashEvidence evidence,
                        Time now) {
   std::vector<TaskRef> counted;
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -56,6 +56,8 @@
   std::set<JobId> failed_jobs;  // Jobs that failed on this worker since its last success.
   Time added_at{};              // When this owner first heard of the worker.
   Time last_report{};
+  // When the first renewal failed since the last response; nothing if none did.
+  std::optional<Time> silent_since;
   Time throttling_checked_at{};  // When the throttling of this worker was last evaluated.
   // Cached; computed on first use after a report or after a change of `tasks` or of the capacity.
   mutable std::optional<BestEffortHeadroom> headroom;
--- a/src/scheduling/tests/crash_fleet.cc
+++ b/src/scheduling/tests/crash_fleet.cc
@@ -264,7 +264,10 @@
 }
 
 void CrashFleet::Renew(Worker& worker) {
-  if (!worker.up || !worker.reachable) return;
+  if (!worker.up || !worker.reachable) {
+    shard->RenewalFailed(worker.id, false, now);
+    return;
+  }
   if (shard->ManagedWorker(worker.former_id)) {
     shard->Reported(worker.former_id, OrderResponse({.refusal = OrderRefusal::kOtherIncarnation}),
                     now, now);
--- a/src/scheduling/tests/shard_interleavings_test.cc
+++ b/src/scheduling/tests/shard_interleavings_test.cc
@@ -38,6 +38,8 @@
 constexpr Duration kJoinFailure{4'000};
 // How long a zone is cut off.
 constexpr std::pair<int, int> kZoneCut{3'000, 14'000};
+// Time limit of a call to a worker.
+constexpr Duration kCallTimeout{1'000};
 // When the fault of a worker that lasts to the end begins.
 constexpr Duration kLastingFaultBegins{8'000};
 // Time after the last fault by which each task that can run has a run: the longest lease by the
@@ -422,7 +424,11 @@
               owner->shown_runs.insert(end->task.job);
             }
           }
-          if (response) owner->shard.Reported(IdOf(index), *response, sent, now_);
+          if (response) {
+            owner->shard.Reported(IdOf(index), *response, sent, now_);
+          } else {
+            owner->shard.RenewalFailed(IdOf(index), now_ - sent >= kCallTimeout, now_);
+          }
           RunInOwner(owner, now_ + Duration(response ? 50 : 200),
                      [this, owner, index] { Renew(owner, index); });
         },
@@ -434,9 +440,8 @@
             const std::function<OrderResponse()>& effect,
             const std::function<void(const std::optional<OrderResponse>&)>& on_response,
             int more_lost_responses = 0) {
-    static constexpr Duration kTimeout{1'000};
     const auto time_out = [this, owner, on_response] {
-      RunInOwner(owner, now_ + kTimeout, [on_response] { on_response(std::nullopt); });
+      RunInOwner(owner, now_ + kCallTimeout, [on_response] { on_response(std::nullopt); });
     };
     if (CallFails(faults_.lost_requests)) return time_out();
     if (CallFails(faults_.late_orders)) {
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -1073,6 +1073,19 @@
   CHECK(harness.orders.throttles[0]->task.job == 3);
 }
 
+// Guards against starts that are sent to a worker that is known not to respond: they cannot be told
+// from runs that were lost with it.
+TEST_CASE("no task is placed on a worker whose last renewal failed", "[scheduling][shard]") {
+  const bool timed_out = GENERATE(false, true);
+  ShardHarness harness;
+  harness.AddWorker({.id = kWorker, .capacity = {.millicores = 8'000, .memory_mb = 8'000}});
+  harness.Submit({.count = 1, .demand = {.millicores = 1'000, .memory_mb = 500}});
+  harness.shard.RenewalFailed(kWorker, timed_out, harness.now);
+  CHECK(harness.PlanAndRecord().empty());
+  harness.Report(kWorker, {}, {});
+  CHECK(harness.PlanAndRecord().size() == 1);
+}
+
 // Guards against tasks that wait for a worker that is down or does not respond to orders.
 TEST_CASE("a worker that does not respond to starts gets no others", "[scheduling][shard][load]") {
   struct Case {
--- a/src/task_worker/internal/worker_link.cc
+++ b/src/task_worker/internal/worker_link.cc
@@ -61,8 +61,8 @@
     const Renewal renewal = delegate_->NextRenewal(worker_);
     const Time sent = Now();
     std::size_t bytes = 0;
-    auto response = co_await Call(protocol_.encode_renewal(renewal),
-                                  Duration(renewal->wait_ms) + kOrderTimeout, &bytes);
+    const Duration timeout = Duration(renewal->wait_ms) + kOrderTimeout;
+    auto response = co_await Call(protocol_.encode_renewal(renewal), timeout, &bytes);
     if (response.has_value() != reachable_) {
       reachable_ = response.has_value();
       log_.Write(reachable_ ? "worker-regained" : "worker-lost", worker_.value,
@@ -76,6 +76,7 @@
           budget_.With([&](ExchangeBudget& budget) { return budget.ReserveRenewal(Now(), bytes); });
       co_await SleepFor(renewed ? pause : std::max(pause, kRetryPause));
     } else {
+      delegate_->OnRenewalFailure(worker_, Now() - sent >= timeout);
       co_await SleepFor(kRetryPause);
     }
   }
--- a/src/task_worker/internal/worker_link.h
+++ b/src/task_worker/internal/worker_link.h
@@ -25,6 +25,9 @@
   // The worker responded to the renewal that was sent at `sent`.
   virtual void OnRenewalResponse(const WorkerId& worker, const OrderResponse& response,
                                  Time sent) = 0;
+  // A renewal got no response: the time for it is over, or else the connection broke or could not
+  // be made.
+  virtual void OnRenewalFailure(const WorkerId& worker, bool timed_out) = 0;
   virtual void OnStartResponse(const StartOrder& order,
                                const std::optional<OrderResponse>& response) = 0;
   virtual void OnStopResponse(const StopOrder& order,
--- a/src/task_worker/tests/worker_link_test.cc
+++ b/src/task_worker/tests/worker_link_test.cc
@@ -23,6 +23,9 @@
   Renewal NextRenewal(const WorkerId& worker) override { return Renewal({.worker = worker}); }
   void OnRenewalResponse(const WorkerId& /*worker*/, const OrderResponse& /*response*/,
                          Time /*sent*/) override {}
+  void OnRenewalFailure(const WorkerId& /*worker*/, bool timed_out) override {
+    ++(timed_out ? timeouts : broken);
+  }
   void OnStartResponse(const StartOrder& /*order*/,
                        const std::optional<OrderResponse>& response) override {
     if (!response) {
@@ -41,6 +44,8 @@
                           const std::optional<OrderResponse>& /*response*/) override {}
   void OnFenced(const WorkerId& /*worker*/) override {}
 
+  std::atomic<int> timeouts{0};
+  std::atomic<int> broken{0};
   std::atomic<int> unanswered{0};
   std::atomic<int> withdrawn{0};
   std::atomic<int> answered{0};
