End a job for crashes only if its task crashes each worker that starts it

Callers saw jobs as failed although no task had failed MaxAttempts times (LOST): runs that lapsed on workers that lived, runs that were lost with workers that crashed for other reasons, and starts that were never carried out.

Cause: the third crash under a task ended its job, whatever the evidence. Silence counted as a crash (not listed, leases over), ends of other runs counted for nothing, and an end that came after the verdict on its run did not take it back. Class of fault: silence taken for a verdict, and a final decision without its proof.

Change: RunHistory keeps what is known of the lost runs of a task and decides. A loss weighs by its evidence: nothing while the worker may live; more if the run was the only possible cause; most if the worker, which has crashed, ceased to respond within 0.5 s of the start. A run that ends in any other way, or outlasts 0.5 s, acquits the task, also when that is heard late (OpenLosses, end-late). Tasks that are acquitted no longer wait for a worker of their own. Format 3 of the records of crashes.

Tests that contradict LOST are replaced: crash_blame_test.cc bounded the crashes at three, which asked for the verdict that is wrong; it asks now for at least four, and for two starts after the third crash as before (the platform's bound). The row "crashes late" became a test that such a job goes on, spaced, and the two rows in which no owner sees a crash became one of a bound of ten. Jobs beside random crashes may not fail any more in the interleavings (JobsBesideCrashes is gone), and two rows with crashes and changes of owner are new.

--- a/src/scheduling/internal/crash_blame.cc
+++ b/src/scheduling/internal/crash_blame.cc
@@ -1,4 +1,4 @@
-// Decides which tasks may be the cause of a crash, and which task is.
+// Decides which tasks may be the cause of a crash.
 #include "scheduling/internal/crash_blame.h"
 
 #include <algorithm>
@@ -6,10 +6,6 @@
 namespace dn {
 namespace {
 
-// Number of crashes from which a task is given up. The platform allows it after two and tolerates
-// two starts after three; one more than allowed, since a rack that loses power twice, or a lost
-// connection that looks like a crash, must not end jobs that could be done.
-constexpr int kCrashesOfCause = 3;
 // The crashes of a latency-critical task count no more after this time: the largest delay of a
 // restart, so that a task that is cleared too soon spends half of its time waiting at most.
 constexpr Duration kLongRunningPeriod{4'000};
@@ -17,6 +13,10 @@
 // platform expects the task back within 6 s of its last run; a report and a plan take up the rest.
 constexpr Duration kFirstRestartDelay{1'000};
 constexpr Duration kMaxRestartDelay{4'000};
+// The same for other tasks, from the third crash on. A task that can run may be without a run for
+// 3 s.
+constexpr int kRepeatedBatchCrashes = 3;
+constexpr Duration kMaxBatchRestartDelay{2'000};
 // This many workers that are gone within this time have a common cause. The registrations of
 // workers that fail together lapse within one heartbeat, and their leases within the time of a
 // renewal.
@@ -60,12 +60,27 @@
   return quiet;
 }
 
-bool IsCause(const TaskRow& counted, int run) {
-  return counted.isolated_run == run && counted.crashes >= kCrashesOfCause;
+Duration KnownRunTime(const TaskRow& task) {
+  if (task.shown_at == Time()) return Duration::zero();
+  return std::max(task.reported_at - task.shown_at, Duration::zero());
+}
+
+LossKind KindOfLoss(const WorkerRow& worker, const TaskRow& task, const RunHistory& counted) {
+  if (counted->early_run == task.run) return LossKind::kCrashedEarly;
+  const bool shown = task.shown_at != Time();
+  if (!shown && worker.silent_since && task.start_sent_at > *worker.silent_since) {
+    return LossKind::kNotStarted;
+  }
+  return counted->isolated_run == task.run ? LossKind::kCrashedAlone : LossKind::kCrashed;
+}
+
+bool MayCrashRepeatedly(const StepSpec& step, const RunHistory& history) {
+  if (history->crashes < kRepeatedCrashes) return false;
+  return step->long_running || !history->ended_otherwise;
 }
 
 bool IsCleared(const StepSpec& step, const TaskRow& counted, Duration time) {
-  if (counted.crashes < kRepeatedCrashes) return time >= kSuspectPeriod;
+  if (!MayCrashRepeatedly(step, counted.history)) return time >= kSuspectPeriod;
   return CrashesExpire(step, time);
 }
 
@@ -91,11 +106,13 @@
   return recent >= kLossesAtOnce;
 }
 
-Duration RestartDelay(const TaskRow& counted) {
-  if (counted.crashes < kRepeatedCrashes) return Duration::zero();
+Duration RestartDelay(const StepSpec& step, const TaskRow& counted) {
+  const int first = step->long_running ? kRepeatedCrashes : kRepeatedBatchCrashes;
+  const Duration longest = step->long_running ? kMaxRestartDelay : kMaxBatchRestartDelay;
+  if (counted.history->crashes < first) return Duration::zero();
   Duration delay = kFirstRestartDelay;
-  for (int i = kRepeatedCrashes; i < counted.crashes && delay < kMaxRestartDelay; ++i) delay *= 2;
-  return std::min(delay, kMaxRestartDelay);
+  for (int i = first; i < counted.history->crashes && delay < longest; ++i) delay *= 2;
+  return std::min(delay, longest);
 }
 
 }  // namespace dn
--- a/src/scheduling/internal/crash_blame.h
+++ b/src/scheduling/internal/crash_blame.h
@@ -1,5 +1,5 @@
-// Rules on tasks under which workers have crashed: which of them may be the cause, what may run
-// beside them, and when the cause is known.
+// Rules on tasks under which workers have crashed: which of them may be the cause, and what may run
+// beside them. When the cause is known is in run_history.h.
 //
 // Workers do not report why they crashed. The tasks that started shortly before a crash, and those
 // under which several workers have crashed, are suspects. A suspect is started as the only possible
@@ -20,18 +20,17 @@
 // How a crash was noticed.
 enum class CrashEvidence {
   kRestarted,     // The worker reports another incarnation.
+  kReplaced,      // The worker is not listed, and another one answers at its address.
   kLeaseExpired,  // The worker is not listed and its leases have expired. It may still be alive.
 };
 template <>
 struct EnumNames<CrashEvidence> {
-  static constexpr std::array<EnumName<CrashEvidence>, 2> kNames = {
-      {{CrashEvidence::kRestarted, "restarted"}, {CrashEvidence::kLeaseExpired, "lease-expired"}}};
+  static constexpr std::array<EnumName<CrashEvidence>, 3> kNames = {
+      {{CrashEvidence::kRestarted, "restarted"},
+       {CrashEvidence::kReplaced, "replaced"},
+       {CrashEvidence::kLeaseExpired, "lease-expired"}}};
 };
 
-// Time from its start during which a task may be the cause of a crash: ten times as long as tasks
-// took to crash their workers in measured days. Tasks that take longer are found by their second
-// crash; see kRepeatedCrashes.
-inline constexpr Duration kSuspectPeriod{500};
 // Number of crashes from which a task stays a suspect for its whole run, however long ago it
 // started: it crashes its workers late.
 inline constexpr int kRepeatedCrashes = 2;
@@ -57,17 +56,23 @@
 // Returns when the tasks on `worker` will have been running for too long to be the cause.
 Time QuietAt(const WorkerRow& worker);
 
-// Returns whether the crash that was counted last shows that `counted`, whose run `run` was lost,
-// crashes its workers.
-bool IsCause(const TaskRow& counted, int run);
+// Returns how long the run of a placed task is known to have gone on; zero if no response and no
+// report has shown it.
+Duration KnownRunTime(const TaskRow& task);
+// Returns what is known of the run of a task that was lost with `worker`, which has crashed.
+// `counted`: the history of the counted task.
+LossKind KindOfLoss(const WorkerRow& worker, const TaskRow& task, const RunHistory& counted);
+// Returns whether the task has lost so many runs with their workers that it stays a suspect,
+// however long ago it started. A task that ends is none if it is known not to crash each worker.
+bool MayCrashRepeatedly(const StepSpec& step, const RunHistory& history);
 // Returns whether a suspect that has been running for `time` is no longer a suspect.
 bool IsCleared(const StepSpec& step, const TaskRow& counted, Duration time);
 // Returns whether earlier crashes say nothing more of a task that has been running for `time`.
 bool CrashesExpire(const StepSpec& step, Duration time);
 // Returns whether a suspect has waited for long enough to start without isolation.
 bool HasWaitedForIsolation(const StepSpec& step, const TaskRow& task, Time now);
-// Returns the delay before the next start of a latency-critical task, which is never given up.
-Duration RestartDelay(const TaskRow& counted);
+// Returns the delay before the next start of a task that was lost with its worker.
+Duration RestartDelay(const StepSpec& step, const TaskRow& counted);
 
 // Recognises that many workers are gone at the same time.
 class LossWindow {
--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -65,14 +65,12 @@
   // that.
   std::optional<Time> revoked_at;
   Time reported_at{};  // When a report last showed a run of the task or its end; Time() if never.
+  Time shown_at{};     // When a response or a report first showed the placed run; Time() if never.
   int missed_reports = 0;   // Consecutive reports that did not list this confirmed run.
   int last_failed_run = 0;  // A gang counts one failure per run.
-  // The first task of a gang keeps the next four members for the whole gang.
-  int crashes = 0;  // Workers that crashed while a run of the task was, or may have been, on them.
-  int last_crashed_run = 0;  // A run counts once, also if its stop outlives several incarnations.
-  bool suspect = false;  // May be the cause of a crash; see crash_blame.h. Implies `crashes` > 0.
-  // The run that was started as the only possible cause of a crash of its worker; 0: none.
-  int isolated_run = 0;
+  // The first task of a gang keeps the next two members for the whole gang.
+  RunHistory history;
+  bool suspect = false;        // May be the cause of a crash; see crash_blame.h. Implies crashes.
   Time phase_since{};          // When the task entered its phase.
   Time not_before{};           // While kWaiting: earliest time of the next start.
   int progress = 0;            // Percent, as reported.
--- a/src/scheduling/internal/record_codec.cc
+++ b/src/scheduling/internal/record_codec.cc
@@ -9,9 +9,18 @@
 namespace {
 
 constexpr std::uint64_t kFormat = 1;
-// Format of the records of crashes. It differs from `kFormat`, so that versions that know only the
-// progress of jobs skip these records.
-constexpr std::uint64_t kCrashesFormat = 2;
+// Formats of the records of crashes. They differ from `kFormat`, so that versions that know only
+// the progress of jobs skip these records. The short format has the first two numbers of each task
+// and no evidence; it is only read.
+constexpr std::uint64_t kShortCrashesFormat = 2;
+constexpr std::uint64_t kCrashesFormat = 3;
+// Numbers in a record of crashes, in their order.
+constexpr std::array<int RunHistoryFields::*, 5> kHistoryNumbers = {
+    &RunHistoryFields::crashes, &RunHistoryFields::isolated_run, &RunHistoryFields::blame,
+    &RunHistoryFields::last_lost_run, &RunHistoryFields::early_run};
+constexpr std::size_t kShortHistoryNumbers = 2;
+constexpr std::array<bool RunHistoryFields::*, 2> kHistoryFlags = {
+    &RunHistoryFields::last_isolated, &RunHistoryFields::ended_otherwise};
 // Upper bounds on the counts in a record, so that a damaged record cannot cause a huge allocation:
 // ten times the largest job that a request of the largest allowed size can describe.
 constexpr std::uint64_t kMaxSteps = 20'000;
@@ -257,6 +266,32 @@
   return JobProgress(std::move(progress));
 }
 
+namespace {
+
+void WriteHistory(Writer& out, const RunHistory& history) {
+  for (const auto number : kHistoryNumbers) out.Signed((*history).*number);
+  std::uint64_t flags = 0;
+  for (std::size_t i = 0; i < kHistoryFlags.size(); ++i) {
+    if ((*history).*kHistoryFlags.at(i)) flags |= 1ULL << i;
+  }
+  out.Number(flags);
+}
+
+RunHistory ReadHistory(Reader& in, bool is_short) {
+  RunHistoryFields history;
+  const std::size_t numbers = is_short ? kShortHistoryNumbers : kHistoryNumbers.size();
+  for (std::size_t i = 0; i < numbers; ++i) {
+    history.*kHistoryNumbers.at(i) = static_cast<int>(in.Signed());
+  }
+  const std::uint64_t flags = is_short ? 0 : in.Number();
+  for (std::size_t i = 0; i < kHistoryFlags.size(); ++i) {
+    history.*kHistoryFlags.at(i) = (flags >> i & 1U) != 0;
+  }
+  return RunHistory(history);
+}
+
+}  // namespace
+
 std::string CrashesKey(JobId id) { return FormatJobId(id) + ".crashes"; }
 
 std::string EncodeJobCrashes(const JobCrashes& crashes) {
@@ -266,23 +301,22 @@
   out.Number(crashes->tasks.size());
   for (const TaskCrashes& task : crashes->tasks) {
     out.Number(task->position);
-    out.Signed(task->crashes);
-    out.Signed(task->isolated_run);
+    WriteHistory(out, task->history);
   }
   return out.Take();
 }
 
 Result<JobCrashes> DecodeJobCrashes(std::string_view bytes) {
   Reader in(bytes);
-  if (in.Number() != kCrashesFormat) return Errc::kMalformed;
+  const std::uint64_t format = in.Number();
+  if (format != kCrashesFormat && format != kShortCrashesFormat) return Errc::kMalformed;
   JobCrashesFields crashes;
   crashes.id = in.Number();
   const std::uint64_t tasks = in.Count(kMaxTasks);
   for (std::uint64_t i = 0; i < tasks && !in.failed(); ++i) {
     TaskCrashesFields task;
     task.position = in.Number();
-    task.crashes = static_cast<int>(in.Signed());
-    task.isolated_run = static_cast<int>(in.Signed());
+    task.history = ReadHistory(in, format == kShortCrashesFormat);
     crashes.tasks.emplace_back(task);
   }
   if (!in.complete()) return Errc::kMalformed;
--- a/src/scheduling/internal/record_codec.h
+++ b/src/scheduling/internal/record_codec.h
@@ -8,6 +8,7 @@
 
 #include "scheduling/internal/interference.h"
 #include "scheduling/internal/job_spec.h"
+#include "scheduling/internal/run_history.h"
 
 namespace dn {
 
@@ -62,9 +63,7 @@
 
 struct TaskCrashesFields {
   std::size_t position = 0;  // In JobProgressFields::tasks.
-  int crashes = 0;           // Workers that crashed under the task.
-  // The run that was started as the only possible cause of a crash of its worker; 0: none.
-  int isolated_run = 0;
+  RunHistory history;
 
   friend auto operator<=>(const TaskCrashesFields&, const TaskCrashesFields&) = default;
 };
--- a/src/scheduling/internal/run_evidence.cc
+++ b/src/scheduling/internal/run_evidence.cc
@@ -36,7 +36,9 @@
 
 std::string AttemptsText(const TaskRow& counted) {
   return "runs=" + std::to_string(counted.run) + " failures=" + std::to_string(counted.failures) +
-         " crashes=" + std::to_string(counted.crashes);
+         " crashes=" + std::to_string(counted.history->crashes) +
+         " blame=" + std::to_string(counted.history->blame) +
+         " ended_otherwise=" + (counted.history->ended_otherwise ? "1" : "0");
 }
 
 }  // namespace dn
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -147,6 +147,7 @@
   // have its leases.
   if (response->refusal == OrderRefusal::kOtherIncarnation && !worker->listed) {
     worker->leases_expire_at = now;
+    worker->replaced = true;
   }
   if (response->refusal != OrderRefusal::kNone) return;
   const RunReport& report = response->report;
@@ -164,6 +165,7 @@
     worker->failed_jobs.clear();
     ends_taken_.erase(id);
   }
+  if (worker->silent_since || !worker->confirmed) HeardAgain(*worker);
   worker->silent_since.reset();
   worker->clock = {report->clock, now};
   worker->confirmed = true;
@@ -203,7 +205,11 @@
 
 void Shard::ApplyEnd(WorkerRow& worker, const ReportedEnd& end, Time now) {
   TaskRow* task = jobs_.Find(end->task);
-  if (task != nullptr) MarkBegun(*jobs_.Find(end->task.job), worker.entry->id, now);
+  if (task != nullptr) {
+    JobRow& ended = *jobs_.Find(end->task.job);
+    MarkBegun(ended, worker.entry->id, now);
+    NoteOtherEnd(ended, ended.PositionOf(end->task), end);
+  }
   const bool placed_elsewhere =
       task != nullptr && task->phase == TaskPhase::kPlaced && task->worker != worker.entry->id;
   const bool newest = task != nullptr && end->run == task->run && !placed_elsewhere;
@@ -344,6 +350,7 @@
   task.speed_percent = kFullPercent;
   task.speed_orders = {};
   task.reduced_start = false;
+  task.shown_at = Time();
   task.stage = StartStage::kUnrecorded;
   jobs_.SetPhase(job, position, phase, now);
 }
@@ -367,6 +374,7 @@
   const StepSpec& step = job.StepOf(position);
   task->stage = StartStage::kConfirmed;
   task->reported_at = now;
+  if (task->shown_at == Time()) task->shown_at = now;
   if (std::exchange(task->inherited, false) && step->best_effort) {
     task->speed_orders.acknowledged = false;
     task->speed_orders.inherited = true;
@@ -488,7 +496,7 @@
     if (task->stage == StartStage::kConfirmed || task->stopping) return;
     // Each copy of a start may take effect late, also after a restart of the worker. If workers
     // have crashed under the task, or this one has restarted, no further copy is sent.
-    const bool repeat = job.tasks[job.CountedPosition(position)].crashes == 0 &&
+    const bool repeat = job.tasks[job.CountedPosition(position)].history->crashes == 0 &&
                         worker != nullptr &&
                         worker->entry->start_time_ms == task->worker_start_time_ms;
     if (++task->start_attempts < kMaxStartAttempts && repeat) {
@@ -509,6 +517,7 @@
   // run has ended, possibly successfully, which the worker's report shows; or a stop came first.
   const OrderRefusal refusal = (*response)->refusal;
   if (refusal == OrderRefusal::kNone || refusal == OrderRefusal::kObsolete) {
+    if (refusal == OrderRefusal::kNone && task->shown_at == Time()) task->shown_at = now;
     task->stage = StartStage::kConfirmed;
     task->confirmed_at = now;
     task->last_progress_at = now;
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -14,6 +14,7 @@
 #include "scheduling/internal/held_jobs.h"
 #include "scheduling/internal/idle_jobs.h"
 #include "scheduling/internal/interference.h"
+#include "scheduling/internal/open_losses.h"
 #include "scheduling/internal/pace_control.h"
 #include "scheduling/internal/placement_policy.h"
 #include "scheduling/internal/run_evidence.h"
@@ -240,10 +241,26 @@
   // Counts a crash of `worker` for the tasks whose runs may have been there.
   void CountCrash(WorkerRow& worker, const std::vector<TaskRef>& lost, CrashEvidence evidence,
                   Time now);
-  // Counts a crash for one task; fails the job if the task is the cause. `ran`: how long its run is
-  // known to have gone on. `fresh`: the run may have started shortly before.
-  void Blame(JobRow& job, std::size_t position, Duration ran, bool fresh, Time now);
+  // The loss of a run, as far as it is known.
+  struct Loss {
+    LossKind kind;
+    Duration ran;  // From the start to the last report; negative if that is older.
+    bool fresh;    // The run may have started shortly before.
+  };
+  // Counts the loss of a run that is not counted yet; fails the job if the task is the cause.
+  void Blame(JobRow& job, std::size_t position, const Loss& loss, Time now);
+  void FailIfCause(JobRow& job, std::size_t position, Time now);
+  // Notes that the worker of `run` ceased to respond shortly after the start; 0: of no run.
+  void SetEarlyRun(JobRow& job, std::size_t position, int run);
+  // Handles the first report of an incarnation that had ceased to respond: it lives.
+  void HeardAgain(WorkerRow& worker);
+  // Uses what a registration tells of the losses with a worker that may have lived.
+  void ExplainLosses(const WorkerEntry& entry, Time now);
+  // Notes the end of a run of the task on a worker that lived.
+  void NoteOtherEnd(JobRow& job, std::size_t position, const ReportedEnd& end);
   void SetSuspect(JobRow& job, std::size_t position, bool suspect);
+  // Ends the suspicion against a task if what is known by now speaks against it.
+  void ReviewSuspect(JobRow& job, std::size_t position);
   // Clears the tasks that have been running for long enough since a crash, and those that have
   // waited for isolation for too long.
   void ClearSuspects(Time now);
@@ -332,6 +349,7 @@
   // others.
   std::set<TaskRef> crashed_;
   LossWindow losses_;
+  OpenLosses open_losses_;
   std::map<WorkerId, TaskRef> held_;  // In this plan: workers held for suspects, by counted task.
   std::set<TaskRef> holders_;         // The tasks in `held_`.
   std::int64_t workers_evaluated_ = 0;
--- a/src/scheduling/internal/shard_capacity.cc
+++ b/src/scheduling/internal/shard_capacity.cc
@@ -36,6 +36,7 @@
     Decide("worker-capacity", entry->id.value, ToText(entry->capacity));
   }
   workers_.Listed(entry, now);
+  ExplainLosses(entry, now);
   WithdrawStarts(*workers_.Find(entry->id), now);
 }
 
--- a/src/scheduling/internal/shard_crashes.cc
+++ b/src/scheduling/internal/shard_crashes.cc
@@ -17,7 +17,7 @@
 bool CouldFit(const WorkerRow& worker, const JobRow& job, std::size_t position) {
   const StepSpec& step = job.StepOf(position);
   const WorkerEntry& entry = worker.entry;
-  if (!worker.listed || entry->draining || !worker.confirmed) return false;
+  if (!worker.listed || entry->draining || !worker.confirmed || worker.silent_since) return false;
   if (entry->service != job.accepted->queue->service) return false;
   if (!step->required_label.empty() && !worker.HasLabel(step->required_label)) return false;
   return entry->capacity.memory_mb >= step->demand.memory_mb &&
@@ -67,9 +67,36 @@
   }
 }
 
-void Shard::RenewalFailed(const WorkerId& id, bool /*timed_out*/, Time now) {
+void Shard::RenewalFailed(const WorkerId& id, bool timed_out, Time now) {
   WorkerRow* const worker = workers_.Find(id);
-  if (worker != nullptr && !worker->silent_since) worker->silent_since = now;
+  if (worker == nullptr || worker->silent_since) return;
+  worker->silent_since = now;
+  // Only a broken connection tells when the worker ceased to respond.
+  if (timed_out) return;
+  for (const auto& [ref, row] : worker->tasks) {
+    JobRow& job = *row;
+    const TaskRow& task = job.tasks[ref.position];
+    const bool sent_by_this_owner = task.placement > 0 && task.stage != StartStage::kUnrecorded;
+    if (!sent_by_this_owner || now - task.start_sent_at > kSuspectPeriod) continue;
+    SetEarlyRun(job, ref.position, task.run);
+  }
+}
+
+void Shard::SetEarlyRun(JobRow& job, std::size_t position, int run) {
+  RunHistory& history = job.tasks[job.CountedPosition(position)].history;
+  history = history.With([&](RunHistoryFields& fields) { fields.early_run = run; });
+  jobs_.MarkDirty(job);
+}
+
+void Shard::HeardAgain(WorkerRow& worker) {
+  for (const auto& [ref, row] : worker.tasks) {
+    JobRow& job = *row;
+    const TaskRow& task = job.tasks[ref.position];
+    const RunHistory& counted = job.tasks[job.CountedPosition(ref.position)].history;
+    if (counted->early_run != task.run || task.run == 0) continue;
+    if (task.worker_start_time_ms != worker.start_time_ms) continue;
+    SetEarlyRun(job, ref.position, 0);
+  }
 }
 
 void Shard::CountCrash(WorkerRow& worker, const std::vector<TaskRef>& lost, CrashEvidence evidence,
@@ -80,47 +107,65 @@
     return task.phase == TaskPhase::kPlaced && task.stage != StartStage::kUnrecorded;
   });
   if (counted.empty()) return;
-  const bool many = evidence == CrashEvidence::kLeaseExpired && losses_.HasMany(now);
+  const bool many = evidence != CrashEvidence::kRestarted && losses_.HasMany(now);
+  const bool has_crashed = evidence != CrashEvidence::kLeaseExpired;
+  std::vector<OpenLoss> open;
   std::size_t suspects = 0;
   for (const TaskRef& ref : counted) {
     JobRow& job = *jobs_.Find(ref.job);
     const TaskRow& task = job.tasks[ref.position];
-    // The crash came after the last report.
-    const Duration ran = worker.last_report - RunStart(task);
-    const bool started_by_this_owner = task.placement > 0;
-    const bool fresh = started_by_this_owner && !many && ran <= kSuspectPeriod;
-    if (job.phase == JobPhase::kOpen) {
-      Blame(job, ref.position, ran, fresh, now);
-      const TaskRow& blamed = job.tasks[job.CountedPosition(ref.position)];
+    const RunHistory& history = job.tasks[job.CountedPosition(ref.position)].history;
+    const LossKind if_crashed = KindOfLoss(worker, task, history);
+    if (job.phase == JobPhase::kOpen && !IsCounted(history, task.run)) {
+      const LossKind kind = has_crashed ? if_crashed : Unexplained(if_crashed);
+      if (!has_crashed) {
+        open.emplace_back(OpenLossFields{.task = ref,
+                                         .run = task.run,
+                                         .worker_start_time_ms = task.worker_start_time_ms,
+                                         .if_crashed = if_crashed});
+      }
+      // The crash came after the last report.
+      const Duration ran = worker.last_report - RunStart(task);
+      const bool started_by_this_owner = task.placement > 0;
       Decide("crash-counted", FormatTaskKey(job.KeyOf(ref.position)),
              "run=" + std::to_string(task.run) + " worker=" + worker.entry->id.value +
                  " evidence=" + std::string(NameOf(evidence)) +
+                 " loss=" + std::string(NameOf(kind)) +
                  " incarnation=" + std::to_string(worker.start_time_ms) + " stage=" +
                  std::string(NameOf(task.stage)) + " ran_ms=" + std::to_string(ran.count()) +
-                 " inherited=" + (started_by_this_owner ? "0" : "1") + " " + AttemptsText(blamed));
+                 " shown_ms=" + std::to_string(KnownRunTime(task).count()) +
+                 " inherited=" + (started_by_this_owner ? "0" : "1") +
+                 " before: " + AttemptsText(job.tasks[job.CountedPosition(ref.position)]));
+      const bool fresh = started_by_this_owner && !many && ran <= kSuspectPeriod;
+      Blame(job, ref.position, {.kind = kind, .ran = ran, .fresh = fresh}, now);
     }
     if (IsSuspect(job, ref.position)) ++suspects;
   }
+  open_losses_.Add(worker.entry, std::move(open), now);
   Decide("worker-crashed", worker.entry->id.value,
          "evidence=" + std::string(NameOf(evidence)) + " tasks=" + std::to_string(counted.size()) +
              " suspects=" + std::to_string(suspects) + (many ? " many=yes" : ""));
 }
 
-void Shard::Blame(JobRow& job, std::size_t position, Duration ran, bool fresh, Time now) {
+void Shard::Blame(JobRow& job, std::size_t position, const Loss& loss, Time now) {
   const StepSpec& step = job.StepOf(position);
   TaskRow& counted = job.tasks[job.CountedPosition(position)];
-  const int run = job.tasks[position].run;
-  if (std::exchange(counted.last_crashed_run, run) == run) return;
-  if (CrashesExpire(step, ran)) counted.crashes = 0;
-  ++counted.crashes;
+  const TaskRow& task = job.tasks[position];
+  if (CrashesExpire(step, loss.ran)) counted.history = WithoutLosses(counted.history);
+  if (KnownRunTime(task) >= kSuspectPeriod) {
+    counted.history = WithOtherEnd(counted.history, task.run);
+  }
+  counted.history = WithLoss(counted.history, task.run, loss.kind);
   crashed_.insert(CountedTask(job, position));
   jobs_.MarkDirty(job);
-  SetSuspect(job, position, fresh || counted.crashes >= kRepeatedCrashes);
-  if (step->long_running) {
-    job.tasks[position].not_before = now + RestartDelay(counted);
-    return;
-  }
-  if (!IsCause(counted, run)) return;
+  SetSuspect(job, position, loss.fresh || MayCrashRepeatedly(step, counted.history));
+  job.tasks[position].not_before = now + RestartDelay(step, counted);
+  FailIfCause(job, position, now);
+}
+
+void Shard::FailIfCause(JobRow& job, std::size_t position, Time now) {
+  const TaskRow& counted = job.tasks[job.CountedPosition(position)];
+  if (job.StepOf(position)->long_running || !CrashesEachWorker(counted.history)) return;
   job.phase = JobPhase::kFailed;
   job.finished_at = now;
   Decide("job-failed", FormatJobId(job.accepted->id),
@@ -128,6 +173,44 @@
   StopAll(job);
 }
 
+void Shard::ExplainLosses(const WorkerEntry& entry, Time now) {
+  for (const ExplainedLoss& explained : open_losses_.Take(entry)) {
+    const OpenLoss& loss = explained->loss;
+    JobRow* const job = jobs_.Find(loss->task.job);
+    if (job == nullptr || job->phase != JobPhase::kOpen) continue;
+    const std::size_t position = loss->task.position;
+    TaskRow& counted = job->tasks[job->CountedPosition(position)];
+    if (counted.phase == TaskPhase::kDone) continue;
+    counted.history = explained->crashed ? WithExplanation(counted.history, loss->if_crashed)
+                                         : WithOtherEnd(counted.history, loss->run);
+    jobs_.MarkDirty(*job);
+    Decide("loss-explained", FormatTaskKey(job->KeyOf(position)),
+           "run=" + std::to_string(loss->run) + " worker=" + entry->id.value + " loss=" +
+               (explained->crashed ? std::string(NameOf(loss->if_crashed)) : "worker-lives") + " " +
+               AttemptsText(counted));
+    ReviewSuspect(*job, position);
+    if (explained->crashed) FailIfCause(*job, position, now);
+  }
+}
+
+void Shard::NoteOtherEnd(JobRow& job, std::size_t position, const ReportedEnd& end) {
+  // The members of a gang are ended with the one whose worker has crashed.
+  if (job.StepOf(position)->gang && end->kind != EndKind::kFailed) return;
+  TaskRow& counted = job.tasks[job.CountedPosition(position)];
+  if (counted.history->ended_otherwise && !IsCounted(counted.history, end->run)) return;
+  const bool was_counted = IsCounted(counted.history, end->run);
+  counted.history = WithOtherEnd(counted.history, end->run);
+  if (!was_counted) return;
+  jobs_.MarkDirty(job);
+  ReviewSuspect(job, position);
+}
+
+void Shard::ReviewSuspect(JobRow& job, std::size_t position) {
+  const TaskRow& counted = job.tasks[job.CountedPosition(position)];
+  SetSuspect(job, position,
+             counted.suspect && MayCrashRepeatedly(job.StepOf(position), counted.history));
+}
+
 void Shard::SetSuspect(JobRow& job, std::size_t position, bool suspect) {
   const TaskRef group = CountedTask(job, position);
   job.tasks[group.position].suspect = suspect;
@@ -152,14 +235,15 @@
   for (const TaskCrashes& from : crashes->tasks) {
     if (from->position >= job->tasks.size()) continue;
     TaskRow& task = job->tasks[from->position];
-    task.crashes = from->crashes;
-    task.isolated_run = from->isolated_run;
+    task.history = from->history;
     Decide("crashes-restored", FormatTaskKey(job->KeyOf(from->position)), AttemptsText(task));
-    if (job->StepOf(from->position)->long_running) task.not_before = now + RestartDelay(task);
+    task.not_before = now + RestartDelay(job->StepOf(from->position), task);
     crashed_.insert(CountedTask(*job, from->position));
     // Whether a task that waits was a suspect after its first crash is not recorded.
-    const bool isolated = task.phase == TaskPhase::kPlaced && task.isolated_run == task.run;
-    SetSuspect(*job, from->position, isolated || task.crashes >= kRepeatedCrashes);
+    const bool isolated =
+        task.phase == TaskPhase::kPlaced && task.history->isolated_run == task.run;
+    SetSuspect(*job, from->position,
+               isolated || MayCrashRepeatedly(job->StepOf(from->position), task.history));
   }
 }
 
@@ -167,7 +251,7 @@
   for (auto entry = crashed_.begin(); entry != crashed_.end();) {
     JobRow* const job = jobs_.Find(entry->job);
     if (job == nullptr || job->phase != JobPhase::kOpen ||
-        job->tasks[entry->position].crashes == 0 ||
+        job->tasks[entry->position].history->crashes == 0 ||
         job->tasks[entry->position].phase == TaskPhase::kDone) {
       entry = crashed_.erase(entry);
       continue;
@@ -180,7 +264,7 @@
     const TaskRow& counted = job->tasks[first];
     if (!counted.suspect || !HasWaitedForIsolation(job->StepOf(first), counted, now)) continue;
     Decide("suspect-released", FormatTaskKey(job->KeyOf(first)),
-           "crashes=" + std::to_string(counted.crashes) +
+           "crashes=" + std::to_string(counted.history->crashes) +
                " waited_ms=" + std::to_string((now - counted.phase_since).count()));
     SetSuspect(*job, first, false);
   }
@@ -195,12 +279,16 @@
   if (worker == nullptr) return;
   const StepSpec& step = job.StepOf(position);
   TaskRow& counted = job.tasks[job.CountedPosition(position)];
+  if (!step->long_running && KnownRunTime(task) >= kSuspectPeriod) {
+    counted.history = WithOtherEnd(counted.history, task.run);
+  }
   const Duration ran = worker->last_report - RunStart(task);
   const bool expired = CrashesExpire(step, ran);
   if (!expired && !(counted.suspect && IsCleared(step, counted, ran))) return;
   SetSuspect(job, position, false);
-  counted.isolated_run = 0;
-  if (expired) counted.crashes = 0;
+  counted.history =
+      expired ? WithoutLosses(counted.history)
+              : counted.history.With([](RunHistoryFields& fields) { fields.isolated_run = 0; });
   jobs_.MarkDirty(job);
 }
 
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -35,6 +35,7 @@
   if (now - last_sweep_ >= kSweepPeriod) {
     last_sweep_ = now;
     ReleaseLostWorkers(now);
+    open_losses_.Expire(now);
     ReleaseSilentWorkers(now);
     MoveStalled(now);
     MoveThrottled(now);
@@ -77,7 +78,8 @@
       std::vector<TaskRef> lost;
       lost.reserve(placed.size());
       for (const auto& [ref, row] : placed) lost.push_back(ref);
-      CountCrash(worker, lost, CrashEvidence::kLeaseExpired, now);
+      CountCrash(worker, lost,
+                 worker.replaced ? CrashEvidence::kReplaced : CrashEvidence::kLeaseExpired, now);
     }
     for (const auto& [ref, row] : placed) {
       JobRow& job = *row;
@@ -243,7 +245,11 @@
   task.worker = worker.entry->id;
   task.worker_start_time_ms = worker.start_time_ms;
   task.stage = StartStage::kUnrecorded;
-  if (IsSuspect(job, position)) job.tasks[job.CountedPosition(position)].isolated_run = task.run;
+  task.shown_at = Time();
+  if (IsSuspect(job, position)) {
+    RunHistory& history = job.tasks[job.CountedPosition(position)].history;
+    history = history.With([&](RunHistoryFields& fields) { fields.isolated_run = task.run; });
+  }
   task.progress = 0;
   task.last_progress_at = now;
   task.observed = 0;
--- a/src/scheduling/internal/worker_table.cc
+++ b/src/scheduling/internal/worker_table.cc
@@ -31,6 +31,7 @@
   if (worker.entry->capacity != entry->capacity) worker.headroom.reset();
   worker.entry = entry;
   worker.listed = true;
+  worker.replaced = false;
   if (entry->draining) worker.drained_start_time_ms = entry->start_time_ms;
   worker.leaves_at = entry->draining
                          ? std::min(worker.leaves_at, now + Duration(entry->remaining_ms))
