Record which run of a gang was counted as failed

Callers could see a gang as failed after one failed run: when several members of a run end as failed and the owner changes between their ends, each end counted as a failure of its own.

Cause: a gang counts one failure a run, and the number of that run was only in the owner's memory.

Change: the run is part of the task's RunHistory, which is recorded for gangs with a failed run, in the same append as the count.

--- a/src/scheduling/internal/job_table.cc
+++ b/src/scheduling/internal/job_table.cc
@@ -207,9 +207,11 @@
   JobCrashesFields crashes{.id = job.accepted->id, .tasks = {}};
   for (std::size_t i = 0; i < job.tasks.size(); ++i) {
     const TaskRow& task = job.tasks[i];
-    // Without losses the rest of the history matters only to jobs that have had some.
-    const bool matters =
-        task.history->crashes > 0 || (task.history->ended_otherwise && job.has_crash_record);
+    // Without losses the rest of the history matters only to jobs that have had some, and to gangs
+    // of which another member may still end as failed.
+    const bool matters = task.history->crashes > 0 ||
+                         (task.history->ended_otherwise && job.has_crash_record) ||
+                         (task.history->failed_run > 0 && job.StepOf(i)->gang);
     if (!matters || task.phase == TaskPhase::kDone) continue;
     crashes.tasks.emplace_back(TaskCrashesFields{.position = i, .history = task.history});
   }
--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -66,8 +66,7 @@
   std::optional<Time> revoked_at;
   Time reported_at{};  // When a report last showed a run of the task or its end; Time() if never.
   Time shown_at{};     // When a response or a report first showed the placed run; Time() if never.
-  int missed_reports = 0;   // Consecutive reports that did not list this confirmed run.
-  int last_failed_run = 0;  // A gang counts one failure per run.
+  int missed_reports = 0;  // Consecutive reports that did not list this confirmed run.
   // The first task of a gang keeps the next two members for the whole gang.
   RunHistory history;
   bool suspect = false;        // May be the cause of a crash; see crash_blame.h. Implies crashes.
--- a/src/scheduling/internal/record_codec.cc
+++ b/src/scheduling/internal/record_codec.cc
@@ -15,9 +15,10 @@
 constexpr std::uint64_t kShortCrashesFormat = 2;
 constexpr std::uint64_t kCrashesFormat = 3;
 // Numbers in a record of crashes, in their order.
-constexpr std::array<int RunHistoryFields::*, 5> kHistoryNumbers = {
-    &RunHistoryFields::crashes, &RunHistoryFields::isolated_run, &RunHistoryFields::blame,
-    &RunHistoryFields::last_lost_run, &RunHistoryFields::early_run};
+constexpr std::array<int RunHistoryFields::*, 6> kHistoryNumbers = {
+    &RunHistoryFields::crashes,   &RunHistoryFields::isolated_run,
+    &RunHistoryFields::blame,     &RunHistoryFields::last_lost_run,
+    &RunHistoryFields::early_run, &RunHistoryFields::failed_run};
 constexpr std::size_t kShortHistoryNumbers = 2;
 constexpr std::array<bool RunHistoryFields::*, 2> kHistoryFlags = {
     &RunHistoryFields::last_isolated, &RunHistoryFields::ended_otherwise};
--- a/src/scheduling/internal/run_history.h
+++ b/src/scheduling/internal/run_history.h
@@ -46,6 +46,7 @@
   int crashes = 0;  // Runs that were lost with their workers, also with workers that may live.
   int blame = 0;    // Sum of the weights of these losses.
   int last_lost_run = 0;  // A run counts once, also if its stop outlives several incarnations.
+  int failed_run = 0;  // The last run that was counted as failed; 0: none. A gang counts one a run.
   // The run whose worker ceased to respond within kSuspectPeriod of the start; 0: none. Known
   // before it is known whether the worker has crashed, and by another owner.
   int early_run = 0;
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -282,8 +282,9 @@
       job.RangeOf(static_cast<std::size_t>(key.occurrence), static_cast<std::size_t>(key.step));
   TaskRow& counted = job.tasks[step->gang ? first : position];
   const int run = job.tasks[position].run;
-  if (counted.last_failed_run == run) return;
-  counted.last_failed_run = run;
+  if (counted.history->failed_run == run) return;
+  counted.history =
+      counted.history.With([&](RunHistoryFields& fields) { fields.failed_run = run; });
   ++counted.failures;
   job.tasks[position].not_before = now + policy_->retry_delay;
   // A task that has failed before may itself be the cause, so it does not count against the worker.
--- a/src/scheduling/tests/record_codec_test.cc
+++ b/src/scheduling/tests/record_codec_test.cc
@@ -178,6 +178,7 @@
                                          .history = RunHistory({.crashes = 2,
                                                                 .blame = 3,
                                                                 .last_lost_run = 10,
+                                                                .failed_run = 12,
                                                                 .early_run = 11,
                                                                 .isolated_run = 9,
                                                                 .last_isolated = true,
