Test that a renewal that times out is told from one whose connection fails

Without the difference a worker that is only slow would count as one whose process has ended shortly after a start, which weighs most in the verdict on its tasks. New in; no change of logic.

--- a/src/task_worker/tests/worker_link_test.cc
+++ b/src/task_worker/tests/worker_link_test.cc
@@ -11,12 +11,19 @@
 namespace dn {
 namespace {
 
+// How many renewals failed.
+struct DelegateCounts {
+  int timeouts = 0;
+  int broken = 0;
+};
+
 // Registers one worker and counts the responses to its starts.
 class Delegate final : public WorkerLinkDelegate {
  public:
   explicit Delegate(Endpoint address) : address_(std::move(address)) {}
 
   std::optional<WorkerEntry> EntryOf(const WorkerId& worker) override {
+    if (ended) return std::nullopt;
     return WorkerEntry({.id = worker, .service = "s", .address = address_, .draining = draining});
   }
   bool MayStart(const StartOrder& /*order*/) override { return !draining; }
@@ -46,11 +53,13 @@
 
   std::atomic<int> timeouts{0};
   std::atomic<int> broken{0};
+  DelegateCounts counts() const { return {.timeouts = timeouts, .broken = broken}; }
   std::atomic<int> unanswered{0};
   std::atomic<int> withdrawn{0};
   std::atomic<int> answered{0};
   std::atomic<int> stops{0};
   std::atomic<bool> draining{false};
+  std::atomic<bool> ended{false};  // The worker has no registration any more.
 
  private:
   const Endpoint address_;
@@ -138,5 +147,44 @@
   runner.Stop();
 }
 
+// Guards against a worker that is only slow to respond and counts as one whose process has ended:
+// only a connection that breaks or is refused tells when that was.
+TEST_CASE("a renewal that times out is told from one whose connection fails", "[task_worker]") {
+  struct Case {
+    std::string name;
+    bool listens;
+    int DelegateCounts::*more;
+    int DelegateCounts::*none;
+  };
+  const auto c = GENERATE(values<Case>(
+      {{"no process listens", false, &DelegateCounts::broken, &DelegateCounts::timeouts},
+       {"the worker does not respond", true, &DelegateCounts::timeouts, &DelegateCounts::broken}}));
+  CAPTURE(c.name);
+  testing::Runner runner;
+  auto server = HttpServer::Start(runner.pool(), {.host = "127.0.0.1", .port = 0},
+                                  [](HttpCall /*call*/) -> Task<HttpReply> {
+                                    co_await SleepFor(Duration(4'000));
+                                    co_return HttpReply{};
+                                  });
+  REQUIRE(server);
+  // A port below the range of those that are given out, without a listener.
+  const Endpoint nobody{.host = "127.0.0.1", .port = 9};
+  HttpClient http;
+  DecisionLog log("n");
+  SharedExchangeBudget budget{ExchangeCapacity()};
+  const auto delegate = std::make_shared<Delegate>(c.listens ? server.value()->address() : nobody);
+  const auto link = std::make_shared<WorkerLink>(
+      WorkerId{"w"}, delegate, platform::MakeWorkerProtocol(), http, budget, runner.pool(), log);
+  runner.pool().Spawn(link->Run());
+  const Time end = Now() + Duration(5'000);
+  while (delegate->counts().*c.more == 0 && Now() < end) {
+    std::this_thread::sleep_for(Duration(10));
+  }
+  CHECK(delegate->counts().*c.more > 0);
+  CHECK(delegate->counts().*c.none == 0);
+  delegate->ended = true;
+  runner.Stop();
+}
+
 }  // namespace
 }  // namespace dn
