--- a/src/scheduling/internal/run_history.h
+++ b/src/scheduling/internal/run_history.h
@@ -18,8 +18,7 @@
 namespace dn {
 
 // Time from its start during which a task may be the cause of a crash: ten times as long as tasks
-// took to crash their workers in measured days. Tasks that take longer are found by their second
-// crash; see kRepeatedCrashes.
+// took to crash their workers in measured days. Tasks that take longer are not given up.
 inline constexpr Duration kSuspectPeriod{500};
 
 // What is known of a run that was lost with its worker.
