--- a/src/scheduling/tests/crash_fleet.cc
+++ b/src/scheduling/tests/crash_fleet.cc
@@ -276,7 +276,7 @@
 
 void CrashFleet::Renew(Worker& worker) {
   if (!worker.up || !worker.reachable) {
-    shard->RenewalFailed(worker.id, false, now);
+    shard->RenewalFailed(worker.id, !options_.breaks_connections, now);
     return;
   }
   if (shard->ManagedWorker(worker.former_id)) {
--- a/src/scheduling/tests/crash_fleet.h
+++ b/src/scheduling/tests/crash_fleet.h
@@ -51,6 +51,7 @@
   Duration crash_after{300};  // After the start of a task that crashes its worker.
   Duration run_time{800};
   Duration restart_time = kRestartTime;
+  bool breaks_connections = true;  // Of a worker that crashes; else renewals to it time out.
 };
 
 // An owner and its workers. Appends take effect at once.
--- a/src/scheduling/tests/job_failure_test.cc
+++ b/src/scheduling/tests/job_failure_test.cc
@@ -76,6 +76,22 @@
   CHECK(fleet.StartsAfterThirdCrash(kJob) <= kMaxStartsAfterThirdCrash);
 }
 
+// Guards against starts without end of a task whose workers lose power or are cut off as they
+// crash: no connection breaks, so that nobody knows that they ceased to respond right after the
+// start.
+TEST_CASE("a task that crashes each worker is given up although no connection breaks",
+          "[scheduling][crashes][failure]") {
+  constexpr int kMaxStartsAfterThirdCrash = 2;
+  const auto restart = GENERATE(Restart::kSameIdentifier, Restart::kOtherIdentifier);
+  CAPTURE(static_cast<int>(restart));
+  CrashFleet fleet({.restart = restart, .breaks_connections = false});
+  fleet.RunFor(Duration(200));
+  fleet.Submit(kJob, kTask, true);
+  fleet.RunFor(kPlay);
+  CHECK(fleet.shard->StateOf(kJob) == JobState::kFailed);
+  CHECK(fleet.StartsAfterThirdCrash(kJob) <= kMaxStartsAfterThirdCrash);
+}
+
 // Guards against failures that are forgotten, so that a task starts again after all runs that its
 // queue allows have failed: owners change while the ends are on their way. An end that is heard
 // only after the lease of its worker has lapsed need not count, and its run is given up by then.
