Tell what besides the placement rules keeps a waiting task from starting

The line now also tells whether the shard may start tasks (owned), whether the task is a suspect, of how many crashes and of which isolated run, whether a worker is held for it, and how many of the accepting workers are closed to it by suspects. No decision changes.

[gaps] passes, with a row for each new member.

--- a/src/scheduling/internal/run_gaps.cc
+++ b/src/scheduling/internal/run_gaps.cc
@@ -35,8 +35,15 @@
 }
 
 WaitingGap DescribeWaiting(const Candidate& candidate, const WorkerTable& workers,
-                           const PlacementView& view) {
-  WaitingGap gap;
+                           const PlacementView& view, const StartRestrictions& restrictions) {
+  const std::size_t counted_position = candidate.job->CountedPosition(candidate.position);
+  const TaskRow& counted = candidate.job->tasks[counted_position];
+  const TaskRef group{.job = candidate.job->accepted->id, .position = counted_position};
+  WaitingGap gap{.owned = restrictions.owned,
+                 .suspect = counted.suspect,
+                 .held = restrictions.is_held_for(group),
+                 .crashes = counted.history->crashes,
+                 .isolated_run = counted.history->isolated_run};
   for (const auto& [id, worker] : workers.workers()) {
     ++gap.workers;
     const PlacementCost cost = CostOf(worker, *candidate.job, candidate.position, view);
@@ -44,6 +51,7 @@
       ++gap.refusing.at(static_cast<std::size_t>(*refusal));
     } else {
       ++gap.accepting;
+      if (!restrictions.may_use(worker, *candidate.job, candidate.position)) ++gap.closed;
     }
   }
   return gap;
@@ -71,7 +79,8 @@
   return gap;
 }
 
-RunGap Describe(const Candidate& candidate, const WorkerTable& workers, const PlacementView& view) {
+RunGap Describe(const Candidate& candidate, const WorkerTable& workers, const PlacementView& view,
+                const StartRestrictions& restrictions) {
   const StepSpec& step = candidate.job->StepOf(candidate.position);
   const TaskRow& task = candidate.task();
   RunGapFields gap{.task = candidate.job->KeyOf(candidate.position),
@@ -85,7 +94,7 @@
   if (candidate.placed()) {
     gap.state = DescribePlaced(candidate, workers, view.now);
   } else {
-    gap.state = DescribeWaiting(candidate, workers, view);
+    gap.state = DescribeWaiting(candidate, workers, view, restrictions);
   }
   return RunGap(std::move(gap));
 }
@@ -101,7 +110,10 @@
     const std::int64_t count = gap.refusing.at(static_cast<std::size_t>(refusal.value));
     if (count > 0) text += " " + std::string(refusal.name) + "=" + std::to_string(count);
   }
-  return text;
+  return text + " closed=" + std::to_string(gap.closed) + " owned=" + (gap.owned ? "1" : "0") +
+         " suspect=" + (gap.suspect ? "1" : "0") + " held=" + (gap.held ? "1" : "0") +
+         " crashes=" + std::to_string(gap.crashes) +
+         " isolated_run=" + std::to_string(gap.isolated_run);
 }
 
 struct Flag {
@@ -167,7 +179,8 @@
 }
 
 RunGaps RunGapMonitor::Check(const JobTable& jobs, const WorkerTable& workers,
-                             const PlacementView& view, std::int64_t wall_ms) {
+                             const PlacementView& view, std::int64_t wall_ms,
+                             const StartRestrictions& restrictions) {
   const Time now = view.now;
   RunGapsFields gaps;
   std::vector<Candidate> unlogged;
@@ -198,7 +211,7 @@
   gaps.left_out = static_cast<std::int64_t>(unlogged.size() - count);
   unlogged.resize(count);
   for (const Candidate& candidate : unlogged) {
-    gaps.due.push_back(Describe(candidate, workers, view));
+    gaps.due.push_back(Describe(candidate, workers, view, restrictions));
     logged[candidate.ref()] = now;
   }
   logged_ = std::move(logged);
--- a/src/scheduling/internal/run_gaps.h
+++ b/src/scheduling/internal/run_gaps.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <compare>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -16,10 +17,26 @@
 
 namespace dn {
 
+// What the shard's owner requires of a start besides the placement rules.
+struct StartRestrictions {
+  bool owned = true;  // The ownership allows starts.
+  // Returns whether a suspect may start now: a worker is held for it.
+  std::function<bool(const TaskRef&)> is_held_for = [](const TaskRef&) { return false; };
+  // Returns whether suspects, there or to come, leave the worker open to the task at a position.
+  std::function<bool(const WorkerRow&, const JobRow&, std::size_t)> may_use =
+      [](const WorkerRow&, const JobRow&, std::size_t) { return true; };
+};
+
 // Responses of all known workers to a task that waits.
 struct WaitingGap {
   std::int64_t workers = 0;
-  std::int64_t accepting = 0;
+  std::int64_t accepting = 0;  // By the placement rules.
+  std::int64_t closed = 0;     // Of these: kept from the task by suspects.
+  bool owned = true;           // The ownership allows starts.
+  bool suspect = false;
+  bool held = false;     // A worker is held for the suspect.
+  int crashes = 0;       // As counted for the task, or for its gang.
+  int isolated_run = 0;  // See RunHistoryFields.
   // Indexed by PlacementRefusal: workers by the first condition that they do not satisfy.
   std::array<std::int64_t, EnumNames<PlacementRefusal>::kNames.size()> refusing{};
 
@@ -88,7 +105,7 @@
   // Returns the state of all tasks without a run. Placed tasks are logged first, since their number
   // is small in a backlog, then those that have had no run for longest.
   RunGaps Check(const JobTable& jobs, const WorkerTable& workers, const PlacementView& view,
-                std::int64_t wall_ms);
+                std::int64_t wall_ms, const StartRestrictions& restrictions = {});
 
  private:
   // When a task was last logged; contains only tasks that had no run at the last check.
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -181,10 +181,7 @@
   std::size_t workers() const { return workers_.workers().size(); }
   ShardLoad Load(Time now) const;
   // Returns the tasks that are due and have no live run. Call it after Plan(), with the same times.
-  RunGaps CheckRunGaps(Time now, std::int64_t wall_ms) {
-    return run_gaps_.Check(jobs_, workers_,
-                           {.interference = interference_, .policy = policy_, .now = now}, wall_ms);
-  }
+  RunGaps CheckRunGaps(Time now, std::int64_t wall_ms);
   // Returns the jobs without a run although a best-effort task is ready. Call it after Plan().
   IdleJobs FindIdleJobs(Time now) const {
     return dn::FindIdleJobs(jobs_, workers_,
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -319,6 +319,17 @@
   return true;
 }
 
+RunGaps Shard::CheckRunGaps(Time now, std::int64_t wall_ms) {
+  const StartRestrictions restrictions{
+      .owned = IsOwned(now),
+      .is_held_for = [&](const TaskRef& group) { return holders_.count(group) > 0; },
+      .may_use = [&](const WorkerRow& worker, const JobRow& job,
+                     std::size_t position) { return MayUse(worker, job, position, now); }};
+  return run_gaps_.Check(jobs_, workers_,
+                         {.interference = interference_, .policy = policy_, .now = now}, wall_ms,
+                         restrictions);
+}
+
 void Shard::ControlThrottling(Time now) {
   for (auto& [id, worker] : workers_.workers()) {
     if (worker.last_report <= worker.throttling_checked_at &&
--- a/src/scheduling/tests/run_gaps_test.cc
+++ b/src/scheduling/tests/run_gaps_test.cc
@@ -265,8 +265,9 @@
   };
   const auto c = GENERATE(values<Case>({
       {"waiting", [](Fixture& f) { f.worker().listed = false; },
-       "state=waiting workers=1 accepted=0 unlisted=1 without_run_ms=5000 kind=fills image=i "
-       "millicores=14000 memory_mb=13376 accelerators=0 run=0 failures=0"},
+       "state=waiting workers=1 accepted=0 unlisted=1 closed=0 owned=1 suspect=0 held=0 crashes=0 "
+       "isolated_run=0 without_run_ms=5000 kind=fills image=i millicores=14000 memory_mb=13376 "
+       "accelerators=0 run=0 failures=0"},
       {"placed, intent not durable", [](Fixture& f) { f.Place(f.job(), 0, kAccepted); },
        "state=placed stage=unrecorded worker=w1 placed_ms=5000 stopping=0 inherited=0 revoked=0 "
        "listed=1 report_age_ms=5000 start_age_ms=never attempts=0 without_run_ms=5000 kind=fills "
@@ -306,6 +307,53 @@
   CHECK(ToText(gaps->due.front()) == c.text);
 }
 
+TEST_CASE("the line of a task that waits tells what else keeps it from starting",
+          "[scheduling][gaps]") {
+  struct Case {
+    std::string name;
+    void (*prepare)(Fixture& fixture, StartRestrictions& restrictions);
+    std::string text;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"nothing", [](Fixture&, StartRestrictions&) {},
+       "closed=0 owned=1 suspect=0 held=0 crashes=0 isolated_run=0"},
+      {"no confirmed ownership",
+       [](Fixture&, StartRestrictions& restrictions) { restrictions.owned = false; },
+       "closed=0 owned=0 suspect=0 held=0 crashes=0 isolated_run=0"},
+      {"suspects on the workers that accept it",
+       [](Fixture&, StartRestrictions& restrictions) {
+         restrictions.may_use = [](const auto&...) { return false; };
+       },
+       "closed=1 owned=1 suspect=0 held=0 crashes=0 isolated_run=0"},
+      {"suspect without a held worker",
+       [](Fixture& f, StartRestrictions&) {
+         TaskRow& task = f.job().tasks[0];
+         task.suspect = true;
+         task.history = RunHistory({.crashes = 2, .isolated_run = 3});
+       },
+       "closed=0 owned=1 suspect=1 held=0 crashes=2 isolated_run=3"},
+      {"suspect with a held worker",
+       [](Fixture& f, StartRestrictions& restrictions) {
+         f.job().tasks[0].suspect = true;
+         restrictions.is_held_for = [](const TaskRef& group) {
+           return group == TaskRef{.job = kJob};
+         };
+       },
+       "closed=0 owned=1 suspect=1 held=1 crashes=0 isolated_run=0"},
+  }));
+  CAPTURE(c.name);
+  Fixture fixture;
+  StartRestrictions restrictions;
+  c.prepare(fixture, restrictions);
+  const Time now = kAccepted + Duration(3'000);
+  fixture.worker().last_report = now;
+  const RunGaps gaps =
+      fixture.monitor.Check(fixture.jobs, fixture.workers, fixture.ViewAt(now),
+                            kAcceptedWallMs + (now - kAccepted).count(), restrictions);
+  REQUIRE(gaps->due.size() == 1);
+  CHECK(ToText(gaps->due.front()).find("accepted=1 " + c.text) != std::string::npos);
+}
+
 TEST_CASE("a task is logged again after a while only", "[scheduling][gaps]") {
   struct Case {
     Duration after;  // After the first line.
