--- a/src/scheduling/tests/crash_fleet.cc
+++ b/src/scheduling/tests/crash_fleet.cc
@@ -56,6 +56,19 @@
   take_over_at_ = now + time;
 }
 
+void CrashFleet::Reconnect(std::size_t index) {
+  Worker& worker = workers_.at(index);
+  worker.reachable = true;
+  worker.reachable_at.reset();
+  worker.unlisted_at.reset();
+}
+
+void CrashFleet::EndRuns(std::size_t index, EndKind kind) {
+  Worker& worker = workers_.at(index);
+  const auto running = worker.running;
+  for (const auto& [task, run] : running) End(worker, task, kind);
+}
+
 std::set<JobId> CrashFleet::JobsOn(std::size_t index) const {
   std::set<JobId> jobs;
   for (const auto& [task, run] : workers_.at(index).running) jobs.insert(task.job);
--- a/src/scheduling/tests/crash_fleet.h
+++ b/src/scheduling/tests/crash_fleet.h
@@ -83,6 +83,10 @@
   void Drain(std::size_t index) { workers_.at(index).draining = true; }
   // The worker ends after its drain and starts again.
   void Leave(std::size_t index) { RestartWorker(workers_.at(index)); }
+  // Ends that a run of its own cut the worker off: it is registered and reached again.
+  void Reconnect(std::size_t index);
+  // Ends all runs of the worker; it reports them with its next response.
+  void EndRuns(std::size_t index, EndKind kind);
   bool WorkerRuns(std::size_t index) const { return !workers_.at(index).running.empty(); }
 
   // Crashes of workers under the job's tasks, and starts of the job's first task.
