A suspect without counted crashes starts again

Cause: a suspect starts only on a worker that is held for it, and both the holds and the release after some seconds go through crashed_, which drops tasks without counted crashes. A new owner restored suspects by isolated_run alone. If the loss that made the task a suspect had been taken back within 0.5 s of the isolated start (its worker lived), the record had no crashes and still the isolated run.

So no suspect is left out of the holds and the release, whatever way its crashes are taken back.

--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -342,8 +342,9 @@
   std::set<TaskRef> stopping_;    // Contains all tasks with `stopping` set; may contain others.
   std::set<TaskRef> throttling_;  // Contains all tasks whose speed is not settled; others too.
   std::map<WorkerId, TaskKey> inherited_speed_orders_;  // In flight: speeds of inherited runs.
-  // Contains the counted tasks (see CountedTask()) with crashes, thus all suspects; may contain
-  // others.
+  // Contains the counted tasks (see CountedTask()) with crashes and all suspects; may contain
+  // others. Only its members get a held worker or are released, so a suspect outside would never
+  // start again.
   std::set<TaskRef> crashed_;
   LossWindow losses_;
   OpenLosses open_losses_;
--- a/src/scheduling/internal/shard_crashes.cc
+++ b/src/scheduling/internal/shard_crashes.cc
@@ -214,6 +214,7 @@
 void Shard::SetSuspect(JobRow& job, std::size_t position, bool suspect) {
   const TaskRef group = CountedTask(job, position);
   job.tasks[group.position].suspect = suspect;
+  if (suspect) crashed_.insert(group);
   for (std::size_t i = group.position;
        i < job.tasks.size() && job.CountedPosition(i) == group.position; ++i) {
     if (job.tasks[i].phase != TaskPhase::kPlaced) continue;
@@ -240,8 +241,8 @@
     task.not_before = now + RestartDelay(job->StepOf(from->position), task);
     crashed_.insert(CountedTask(*job, from->position));
     // Whether a task that waits was a suspect after its first crash is not recorded.
-    const bool isolated =
-        task.phase == TaskPhase::kPlaced && task.history->isolated_run == task.run;
+    const bool isolated = task.phase == TaskPhase::kPlaced && task.history->crashes > 0 &&
+                          task.history->isolated_run == task.run;
     SetSuspect(*job, from->position,
                isolated || MayCrashRepeatedly(job->StepOf(from->position), task.history));
   }
@@ -251,12 +252,16 @@
   for (auto entry = crashed_.begin(); entry != crashed_.end();) {
     JobRow* const job = jobs_.Find(entry->job);
     if (job == nullptr || job->phase != JobPhase::kOpen ||
-        job->tasks[entry->position].history->crashes == 0 ||
         job->tasks[entry->position].phase == TaskPhase::kDone) {
       entry = crashed_.erase(entry);
       continue;
     }
     const std::size_t first = entry->position;
+    if (job->tasks[first].history->crashes == 0) {
+      if (job->tasks[first].suspect) SetSuspect(*job, first, false);
+      entry = crashed_.erase(entry);
+      continue;
+    }
     ++entry;
     for (std::size_t i = first; i < job->tasks.size() && job->CountedPosition(i) == first; ++i) {
       ClearIfRunning(*job, i);
