Take a loss back once

A worker that was given up and lives is heard of again by its registration and by the ends that it reports, and a gang by the end of each member.

Cause: WithOtherEnd() compared the run with the last one that was counted, and left that member as it was.

The run is forgotten with its loss, and with the last loss the isolated run, whose only use is to make its task a suspect again.

--- a/src/scheduling/internal/run_history.cc
+++ b/src/scheduling/internal/run_history.cc
@@ -57,7 +57,11 @@
 RunHistory WithOtherEnd(const RunHistory& history, int run) {
   return history.With([&](RunHistoryFields& fields) {
     fields.ended_otherwise = true;
-    if (fields.last_lost_run == run && fields.crashes > 0) --fields.crashes;
+    if (fields.last_lost_run != run) return;
+    fields.last_lost_run = 0;
+    fields.last_isolated = false;
+    if (fields.crashes > 0) --fields.crashes;
+    if (fields.crashes == 0) fields.isolated_run = 0;
   });
 }
 
--- a/src/scheduling/internal/run_history.h
+++ b/src/scheduling/internal/run_history.h
@@ -44,12 +44,15 @@
 struct RunHistoryFields {
   int crashes = 0;  // Runs that were lost with their workers, also with workers that may live.
   int blame = 0;    // Sum of the weights of these losses.
-  int last_lost_run = 0;  // A run counts once, also if its stop outlives several incarnations.
+  // The run whose loss was counted last; 0: none, or the loss was taken back. A run counts once,
+  // also if its stop outlives several incarnations.
+  int last_lost_run = 0;
   int failed_run = 0;  // The last run that was counted as failed; 0: none. A gang counts one a run.
   // The run whose worker ceased to respond within kSuspectPeriod of the start; 0: none. Known
   // before it is known whether the worker has crashed, and by another owner.
   int early_run = 0;
-  // The run that was started as the only possible cause of a crash of its worker; 0: none.
+  // The run that was started as the only possible cause of a crash of its worker; 0: none, or no
+  // crash is counted any more.
   int isolated_run = 0;
   bool last_isolated = false;    // `last_lost_run` was such a run.
   bool ended_otherwise = false;  // A run ended on a worker that lived, or outlasted kSuspectPeriod.
@@ -67,7 +70,7 @@
 // Adds that the worker of an unexplained loss has crashed.
 RunHistory WithExplanation(const RunHistory& history, LossKind if_crashed);
 // Adds that `run` ended in another way than with its worker. If it is the one that was counted
-// last, its loss no longer counts.
+// last, its loss is taken back.
 RunHistory WithOtherEnd(const RunHistory& history, int run);
 // Forgets the losses: the task has been running for long enough since.
 RunHistory WithoutLosses(const RunHistory& history);
