--- a/src/scheduling/tests/restored_suspect_test.cc
+++ b/src/scheduling/tests/restored_suspect_test.cc
@@ -87,5 +87,37 @@
   CHECK(StartsWithin(fleet, 3, kRestartBound));
 }
 
+// Guards against tasks that wait for an earlier crash once more with each change of owner, although
+// their last run ended in another way.
+TEST_CASE("a new owner does not delay a task whose last run did not crash",
+          "[scheduling][crashes][suspects]") {
+  // The platform expects a task that lasts back by then.
+  constexpr Duration kBackWithin{6'000};
+  constexpr int kCrashes = 4;
+  constexpr Duration kAllCrashes{60'000};
+  constexpr Duration kBetweenOwners{2'000};
+  const auto end = GENERATE(RunEnd::kFailed, RunEnd::kLapsed);
+  const int changes = GENERATE(1, 2, 3);  // Of the owner, after the end of the run.
+  CAPTURE(static_cast<int>(end), changes);
+  CrashFleet fleet({.workers = kWorkers});
+  fleet.RunFor(Duration(200));
+  fleet.Submit(kJob,
+               {.count = 1,
+                .demand = {.millicores = 2'000, .memory_mb = 1'000},
+                .estimate_ms = 1'000,
+                .long_running = true},
+               std::vector<Fate>(kCrashes, Fate::kCrashes));
+  REQUIRE(StartsWithin(fleet, kCrashes + 1, kAllCrashes));
+  fleet.RunFor(Duration(100));
+  EndRun(fleet, end);
+  const Time ended = fleet.now;
+  for (int i = 0; i < changes; ++i) {
+    fleet.KillOwner(kOwnerOpens);
+    fleet.RunFor(kBetweenOwners);
+  }
+  CHECK(
+      StartsWithin(fleet, kCrashes + 2, std::max(kBackWithin - (fleet.now - ended), Duration(0))));
+}
+
 }  // namespace
 }  // namespace dn
