Play tasks that last under all faults and interleavings

The liveness check of the interleavings knew only tasks that end. The new test plays three such jobs beside the others, with all rows of faults and six rows in which workers are cut off for 4 to 9 s, around the time at which their runs are given up. Their runs fail after 1 to 12 s and report 100 percent while they go on.

--- a/src/scheduling/tests/shard_interleavings_test.cc
+++ b/src/scheduling/tests/shard_interleavings_test.cc
@@ -52,6 +52,13 @@
 // Jobs that are submitted after all faults, and when.
 constexpr int kLateJobs = 10;
 constexpr std::pair<int, int> kLateJobsAt{36'000, 50'000};
+// Jobs that last, and how long a run of theirs goes on before it fails. They leave room for the
+// others.
+constexpr JobId kFirstLastingJob = 1'000;
+constexpr int kLastingJobs = 3;
+constexpr std::pair<int, int> kLastingRun{1'000, 12'000};
+// How long a worker that is cut off stays so: around the time at which its runs are given up.
+constexpr std::pair<int, int> kWorkerCut{4'000, 9'000};
 
 // What is wrong with a worker that stays listed.
 enum class WorkerFault {
@@ -74,6 +81,7 @@
   int reassignments = 0;       // Per 100 ms; the old owner is not notified.
   int worker_crashes = 0;      // Per 100 ms.
   int worker_disconnects = 0;  // Per 100 ms; unreachable and unlisted for 5 s, but still running.
+  int worker_cuts = 0;         // Per 100 ms; the same for kWorkerCut.
   // Per 100 ms. The owner and half of the workers are cut off from the store and from the others,
   // not from each other, for 3 to 14 s.
   int zone_cuts = 0;
@@ -110,6 +118,7 @@
   // Until when single calls and appends fail.
   Duration call_faults_end = kEnd;
   int late_jobs = 0;
+  int lasting_jobs = 0;
 };
 
 struct RunLog {
@@ -178,6 +187,10 @@
       At(Time(Duration(Pick(kLateJobsAt.first, kLateJobsAt.second))),
          [this, i] { SubmitJob(static_cast<JobId>(kJobs + i) + 1); });
     }
+    for (int i = 0; i < play_.lasting_jobs; ++i) {
+      At(Time(Duration(Pick(0, 5'000))),
+         [this, i] { SubmitJob(kFirstLastingJob + static_cast<JobId>(i)); });
+    }
     if (play_.late_jobs > 0) Every(Duration(50), [this] { CheckProgress(); });
   }
 
@@ -233,9 +246,15 @@
   // A queue for each job, so that the number of waiting jobs tells whether this one waits.
   static std::string QueueOf(JobId id) { return "q" + FormatJobId(id); }
 
+  static bool IsLasting(JobId id) { return id >= kFirstLastingJob; }
+
   static JobSpec SpecOf(JobId id) {
     StepFields first{
         .count = 2, .demand = {.millicores = 1'000, .memory_mb = 1}, .estimate_ms = 300};
+    if (IsLasting(id)) {
+      first.long_running = true;
+      return JobSpec({.payload = "p", .steps = {StepSpec(first)}});
+    }
     StepFields second = first;
     second.after = {0};
     if (id % 3 == 0) second.checkpointing = second.best_effort = true;
@@ -517,7 +536,9 @@
       return Refuse(worker, OrderRefusal::kObsolete);
     }
     if (worker.running.size() >= 2 * kSlots) return Refuse(worker, OrderRefusal::kNoRoom);
-    worker.running[order->task] = {log_.size(), now_ + Duration(Pick(200, 900))};
+    const Duration length(IsLasting(order->task.job) ? Pick(kLastingRun.first, kLastingRun.second)
+                                                     : Pick(200, 900));
+    worker.running[order->task] = {log_.size(), now_ + length};
     log_.push_back({.worker = index, .task = order->task, .run = order->run, .started = now_});
     if (!late_order_) CheckCapacity(index, order);
     if (CrashesWorkers(order->task)) ScheduleCrash(index, log_.size() - 1);
@@ -547,8 +568,11 @@
     }
     RunReportFields report{.clock = ClockOf(worker), .start_time_ms = worker.incarnation};
     for (const auto& [task, run] : worker.running) {
+      // Tasks that last are at work at once.
       report.running.emplace_back(
-          ReportedRunFields{.task = task, .run = log_[run.first].run, .progress_percent = 1});
+          ReportedRunFields{.task = task,
+                            .run = log_[run.first].run,
+                            .progress_percent = IsLasting(task.job) ? 100 : 1});
     }
     for (const auto& [number, entry] : worker.ends) {
       if (faults_.listed_ends > 0 && report.ended.size() == faults_.listed_ends) break;
@@ -581,7 +605,8 @@
         if (now_ >= run.second) finished.push_back(task);
       }
       for (const TaskKey& task : finished) {
-        EndRun(worker, task, CallFails(faults_.failing_tasks) ? "failed" : "done");
+        const bool fails = IsLasting(task.job) || CallFails(faults_.failing_tasks);
+        EndRun(worker, task, fails ? "failed" : "done");
       }
       if (ClockOf(worker) <= worker.lease_until) continue;
       for (const auto& [number, entry] : worker.ends) log_[entry].lease_expired = true;
@@ -625,6 +650,12 @@
         worker.disconnected = true;
         After(Duration(5'000), [&worker] { worker.disconnected = false; });
       }
+      if (faults_.worker_cuts > 0 && worker.up && !worker.disconnected &&
+          Chance(faults_.worker_cuts)) {
+        worker.disconnected = true;
+        After(Duration(Pick(kWorkerCut.first, kWorkerCut.second)),
+              [&worker] { worker.disconnected = false; });
+      }
       InjectWorkerFaults(worker);
     }
   }
@@ -685,7 +716,8 @@
           static_cast<std::size_t>(step) * kTasksPerStep + static_cast<std::size_t>(index);
       return progress && (*progress)->tasks.at(position)->phase == TaskPhase::kDone;
     };
-    for (int step = 0; step < 2; ++step) {
+    const int steps = static_cast<int>(SpecOf(job->id)->steps.size());
+    for (int step = 0; step < steps; ++step) {
       for (int index = 0; index < 2; ++index) {
         const TaskKey task{.job = job->id, .occurrence = 0, .step = step, .index = index};
         const bool open = !progress || (*progress)->phase == JobPhase::kOpen;
@@ -834,7 +866,9 @@
           findings.push_back("run after the task was done: " + name(run));
         }
       }
-      if (failures >= kMaxAttempts) findings.push_back("run after the last attempt: " + name(run));
+      // Tasks that last have no such limit.
+      if (failures >= kMaxAttempts && !IsLasting(task.job))
+        findings.push_back("run after the last attempt: " + name(run));
       if (run.end_kind == "failed" && run.acknowledged) ++failures;
     }
   }
@@ -854,6 +888,7 @@
     }
   }
   for (const AcceptedJob& job : accepted_) {
+    if (IsLasting(job->id)) continue;
     const JobState state = owner_->shard.StateOf(job->id);
     const bool may_fail = faults_.failing_tasks > 0;
     const bool finished = state == JobState::kCompleted || (may_fail && state == JobState::kFailed);
@@ -1067,6 +1102,43 @@
   }
 }
 
+const std::vector<Faults> kCutFaults = {
+    {.name = "workers cut off", .worker_cuts = 6},
+    {.name = "workers cut off, owner killed", .owner_kills = 15, .worker_cuts = 6},
+    {.name = "workers cut off, shard reassigned", .reassignments = 20, .worker_cuts = 6},
+    {.name = "workers cut off, crash, owner frozen",
+     .owner_freezes = 10,
+     .worker_crashes = 4,
+     .worker_cuts = 4},
+    {.name = "workers cut off, lost responses, shard reassigned, slow store",
+     .lost_responses = 60,
+     .reassignments = 20,
+     .worker_cuts = 4,
+     .slow_store = 60},
+    {.name = "workers cut off, zone cut off", .worker_cuts = 4, .zone_cuts = 10},
+};
+
+// Guards against tasks that never start again once their run has ended, above all tasks that last:
+// their runs outlive owners, and what an owner left behind shows only at the next end.
+TEST_CASE("each task that lasts has a run some time after the last fault",
+          "[scheduling][interleavings][lasting]") {
+  std::vector<Faults> all = kFaults;
+  all.insert(all.end(), kCutFaults.begin(), kCutFaults.end());
+  const auto faults = GENERATE_COPY(from_range(all));
+  Play play = kLivenessPlay;
+  play.lasting_jobs = kLastingJobs;
+  for (const std::uint64_t seed : testing::Seeds(12)) {
+    CAPTURE(faults.name, seed);
+    World world(faults, seed, play);
+    world.Run();
+    const std::vector<std::string> findings =
+        MayHideEnds(faults) ? std::vector<std::string>() : world.Check();
+    CAPTURE(findings, world.progress_findings());
+    CHECK(findings.empty());
+    CHECK(world.progress_findings().empty());
+  }
+}
+
 // Guards against jobs that are given up for crashes after their runs had ended: restarts that hide
 // the end of a run look like crashes under it.
 TEST_CASE("a job is not given up because restarts of workers hide the ends of its runs",
