A loss whose time is not known weighs more if the worker may have gone at once

Callers saw a task that crashes each worker started a third time after its third crash (BUDGET allows two), where no connection breaks with the worker: a machine that loses power.

Cause: only a broken connection tells when a worker ceased to respond. Without one the first loss weighed as little (2) as the loss of a run that had gone on for long, so that five losses, four of them alone, came to 14 of 15.

The first loss now weighs 3 if this owner placed the run, a response or a report has shown it, no report came later than 0.5 s after the start, and no connection broke: five such losses, the last one alone, end the job. A limit of 14 was weighed and failed four rows of 'a job is not failed for runs that were lost with their workers'.

For the other side, jobs that must not fail are now played without broken connections, too: 108 of 108 plays kept.

--- a/src/scheduling/internal/crash_blame.cc
+++ b/src/scheduling/internal/crash_blame.cc
@@ -71,7 +71,11 @@
   if (!shown && worker.silent_since && task.start_sent_at > *worker.silent_since) {
     return LossKind::kNotStarted;
   }
-  return counted->isolated_run == task.run ? LossKind::kCrashedAlone : LossKind::kCrashed;
+  if (counted->isolated_run == task.run) return LossKind::kCrashedAlone;
+  const bool started_by_this_owner = task.placement > 0;
+  const bool fresh = started_by_this_owner && shown && !worker.connection_broke &&
+                     worker.last_report - RunStart(task) <= kSuspectPeriod;
+  return fresh ? LossKind::kCrashedFresh : LossKind::kCrashed;
 }
 
 bool MayCrashRepeatedly(const StepSpec& step, const RunHistory& history) {
--- a/src/scheduling/internal/run_history.cc
+++ b/src/scheduling/internal/run_history.cc
@@ -8,16 +8,17 @@
   LossKind kind;
   int weight;
 };
-constexpr std::array<LossWeight, 6> kWeights = {{{LossKind::kUnexplained, 0},
+constexpr std::array<LossWeight, 7> kWeights = {{{LossKind::kUnexplained, 0},
                                                  {LossKind::kUnexplainedEarly, 2},
                                                  {LossKind::kNotStarted, 0},
                                                  {LossKind::kCrashed, 2},
+                                                 {LossKind::kCrashedFresh, 3},
                                                  {LossKind::kCrashedAlone, 3},
                                                  {LossKind::kCrashedEarly, 4}}};
-// Sum of the weights from which a task crashes each worker that starts it: four losses of which
-// three are early and one was alone, or five of which two are early and one was alone. The platform
-// allows two starts after the third crash; where workers crash for other causes, fewer losses fell
-// on one task by chance.
+// Sum of the weights from which a task crashes each worker that starts it, if its last run was
+// alone: three early losses and another one, or five losses that are all fresh or alone. The
+// platform allows two starts after the third crash; where workers crash for other causes, fewer
+// losses fell on one task by chance.
 constexpr int kBlameOfCause = 15;
 // Number of losses from which a task is given up whatever the evidence for each, so that none is
 // started without end. Workers that live are heard of again, and their ends take losses back.
--- a/src/scheduling/internal/run_history.h
+++ b/src/scheduling/internal/run_history.h
@@ -4,10 +4,10 @@
 // Only this and enough ends as failed end a job as failed, so each loss counts by its evidence. A
 // worker that is silent may live, and a start may never have reached it: such losses count for
 // nothing. A worker that has restarted, or was replaced at its address, has crashed, for whatever
-// cause. Its losses count for more if nothing else started there shortly before, and for most if it
-// ceased to respond within kSuspectPeriod of the start. A task with a run that ended in any other
-// way, or that went on for longer, does not crash each worker that starts it and is never given up
-// for crashes.
+// cause. Its losses count for more if nothing else started there shortly before or if it may have
+// ceased to respond within kSuspectPeriod of the start, and for most if it is known to have done
+// so. A task with a run that ended in any other way, or that went on for longer, does not crash
+// each worker that starts it and is never given up for crashes.
 #pragma once
 
 #include <array>
@@ -27,16 +27,18 @@
   kUnexplainedEarly,  // The same; it ceased to respond shortly after the start.
   kNotStarted,        // The start was sent to a worker that had ceased to respond.
   kCrashed,           // The worker has crashed; whether the run had begun is not always known.
-  kCrashedAlone,      // The same; the run was started as the only possible cause of a crash.
-  kCrashedEarly,      // The worker has crashed, and ceased to respond shortly after the start.
+  kCrashedFresh,  // The same; the run had begun, and the worker may have ceased to respond at once.
+  kCrashedAlone,  // The same; the run was started as the only possible cause of a crash.
+  kCrashedEarly,  // The worker has crashed, and ceased to respond shortly after the start.
 };
 template <>
 struct EnumNames<LossKind> {
-  static constexpr std::array<EnumName<LossKind>, 6> kNames = {
+  static constexpr std::array<EnumName<LossKind>, 7> kNames = {
       {{LossKind::kUnexplained, "unexplained"},
        {LossKind::kUnexplainedEarly, "unexplained-early"},
        {LossKind::kNotStarted, "not-started"},
        {LossKind::kCrashed, "crashed"},
+       {LossKind::kCrashedFresh, "crashed-fresh"},
        {LossKind::kCrashedAlone, "crashed-alone"},
        {LossKind::kCrashedEarly, "crashed-early"}}};
 };
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -167,6 +167,7 @@
   }
   if (worker->silent_since || !worker->confirmed) HeardAgain(*worker);
   worker->silent_since.reset();
+  worker->connection_broke = false;
   worker->clock = {report->clock, now};
   worker->confirmed = true;
   worker->last_report = now;
--- a/src/scheduling/internal/shard_crashes.cc
+++ b/src/scheduling/internal/shard_crashes.cc
@@ -73,6 +73,7 @@
   worker->silent_since = now;
   // Only a broken connection tells when the worker ceased to respond.
   if (timed_out) return;
+  worker->connection_broke = true;
   for (const auto& [ref, row] : worker->tasks) {
     JobRow& job = *row;
     const TaskRow& task = job.tasks[ref.position];
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -58,6 +58,9 @@
   Time last_report{};
   // When the first renewal failed since the last response; nothing if none did.
   std::optional<Time> silent_since;
+  // That renewal broke off, so that `silent_since` is when the worker ceased to respond. False if
+  // it timed out or none failed.
+  bool connection_broke = false;
   bool replaced = false;  // Another worker has answered at its address since it is not listed.
   Time throttling_checked_at{};  // When the throttling of this worker was last evaluated.
   // Cached; computed on first use after a report or after a change of `tasks` or of the capacity.
--- a/src/scheduling/tests/job_failure_test.cc
+++ b/src/scheduling/tests/job_failure_test.cc
@@ -45,8 +45,10 @@
   }));
   const auto take_over = GENERATE(TakeOver::kNever, TakeOver::kAtCrash, TakeOver::kWhenCrashIsSeen);
   const auto restart = GENERATE(Restart::kSameIdentifier, Restart::kOtherIdentifier);
-  CAPTURE(c.name, static_cast<int>(take_over), static_cast<int>(restart));
-  CrashFleet fleet({.restart = restart, .take_over = take_over});
+  const bool breaks_connections = GENERATE(true, false);
+  CAPTURE(c.name, static_cast<int>(take_over), static_cast<int>(restart), breaks_connections);
+  CrashFleet fleet(
+      {.restart = restart, .take_over = take_over, .breaks_connections = breaks_connections});
   fleet.RunFor(Duration(200));
   fleet.Submit(kJob, kTask, c.fates);
   fleet.RunFor(kPlay);
