Delay a task after a change of owner if the loss of its placed run is counted, too

A run whose loss is counted may still be placed: its worker has restarted, and a start without a response may yet take effect, so that a stop is under way. Found by reading the fix again.

--- a/src/scheduling/internal/shard_crashes.cc
+++ b/src/scheduling/internal/shard_crashes.cc
@@ -239,8 +239,8 @@
     TaskRow& task = job->tasks[from->position];
     task.history = from->history;
     Decide("crashes-restored", FormatTaskKey(job->KeyOf(from->position)), AttemptsText(task));
-    // A run that is still placed, or that ended in another way, is no reason for a delay.
-    if (task.phase == TaskPhase::kWaiting && IsCounted(task.history, task.run)) {
+    // A run that goes on, or that ended in another way, is no reason for a delay.
+    if (IsCounted(task.history, task.run)) {
       task.not_before = now + RestartDelay(job->StepOf(from->position), task);
     }
     crashed_.insert(CountedTask(*job, from->position));
