Log what a failed call to a worker may still do

The log told that a call to a worker got no response, but not whether it was sent at all, nor on which connection.

worker-call-failed states, for each call without a response, whether bytes of it were written, the age of the connection and the error; stray-run states the incarnation that shows the run. HttpClient::Call fills a CallTrace for it.

No decision changes.

--- a/src/runtime/internal/http_client.cc
+++ b/src/runtime/internal/http_client.cc
@@ -27,6 +27,7 @@
   explicit Connection(asio::any_io_executor executor) : stream(std::move(executor)) {}
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  Time opened_at{};
   Time idle_since{};
 };
 using ConnectionPtr = std::unique_ptr<Connection>;
@@ -98,6 +99,7 @@
                                               asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return Errc::kUnreachable;
     connection->stream.socket().set_option(tcp::no_delay(true), error);
+    connection->opened_at = Now();
     co_return connection;
   }
 
@@ -133,8 +135,12 @@
 HttpClient::~HttpClient() = default;
 
 Task<Result<HttpReply>> HttpClient::Call(Endpoint to, HttpCall call, Duration timeout,
-                                         TrafficKind kind) {
+                                         TrafficKind kind, CallTrace* trace) {
   const Time deadline = Now() + timeout;
+  const auto note_attempt = [trace](const Connection& used) {
+    if (trace == nullptr) return;
+    *trace = {.written = true, .connection_age = Now() - used.opened_at};
+  };
   const bool retry_on_broken_connection = call.retry_on_broken_connection;
   http::request<http::string_body> request;
   try {
@@ -145,6 +151,7 @@
   ConnectionPtr connection = impl_->TakeIdle(to);
   bool keep_alive = false;
   if (connection) {
+    note_attempt(*connection);
     auto reply = co_await impl_->Exchange(*connection, request, timeout, kind, &keep_alive);
     if (reply && keep_alive) impl_->PutIdle(to, std::move(connection));
     if (!reply) impl_->DropIdle(to);
@@ -157,6 +164,7 @@
   auto fresh = co_await Impl::Connect(to, deadline - Now());
   if (!fresh) co_return sent_before ? Errc::kBroken : fresh.error();
   connection = std::move(fresh).value();
+  note_attempt(*connection);
   const Duration remaining = std::max(Duration(1), deadline - Now());
   auto reply = co_await impl_->Exchange(*connection, request, remaining, kind, &keep_alive);
   if (reply && keep_alive) impl_->PutIdle(to, std::move(connection));
--- a/src/runtime/internal/http_client.h
+++ b/src/runtime/internal/http_client.h
@@ -19,7 +19,9 @@
   // sent, by any attempt. kBroken, kTimeout: the peer may have processed the request.
   // If the call permits a retry, the peer may also have processed it before the attempt
   // that the response belongs to.
-  Task<Result<HttpReply>> Call(Endpoint to, HttpCall call, Duration timeout, TrafficKind kind);
+  // `trace`, if given, receives what is known of the last attempt. It must outlive the call.
+  Task<Result<HttpReply>> Call(Endpoint to, HttpCall call, Duration timeout, TrafficKind kind,
+                               CallTrace* trace = nullptr);
 
  private:
   struct Impl;
--- a/src/runtime/internal/http_types.h
+++ b/src/runtime/internal/http_types.h
@@ -39,6 +39,16 @@
   auto operator<=>(const HttpReply&) const = default;
 };
 
+// What is known of an outgoing call, whatever became of it.
+struct CallTrace {
+  // The peer may have received bytes of the call, now or later: it was written to a connection.
+  bool written = false;
+  // Age of that connection when the call began; 0 for a new one.
+  Duration connection_age{};
+
+  friend auto operator<=>(const CallTrace&, const CallTrace&) = default;
+};
+
 inline constexpr int kStatusNotModified = 304;  // The caller's cached response is current.
 
 // Purpose of a message. Transferred bytes are counted by kind.
--- a/src/runtime/tests/http_client_test.cc
+++ b/src/runtime/tests/http_client_test.cc
@@ -57,11 +57,12 @@
   std::shared_ptr<standins::TcpRelay> relay;
   std::atomic<int> processed{0};
   Duration response_time{0};
+  CallTrace* trace = nullptr;  // Of the calls that begin from now on; set it for one at a time.
 
  private:
   Task<std::pair<int, std::error_code>> OutcomeOf(HttpCall call) {
     const auto reply = co_await client.Call(relay->address(), std::move(call), Duration(2'000),
-                                            TrafficKind::kStore);
+                                            TrafficKind::kStore, trace);
     if (!reply) co_return std::pair(0, reply.error());
     co_return std::pair(reply.value().status, std::error_code());
   }
@@ -95,6 +96,33 @@
   CHECK(server.processed == 2);
 }
 
+// Guards against a log that cannot tell a call that may still arrive from one that was never sent.
+TEST_CASE("the trace of a call tells whether it was written, and to which connection",
+          "[runtime][http]") {
+  struct Case {
+    std::string name;
+    bool connected_before;
+    standins::RelayMode mode;
+    bool written;
+  };
+  using Mode = standins::RelayMode;
+  const auto c =
+      GENERATE(values<Case>({{"open connection, no response", true, Mode::kBlackhole, true},
+                             {"new connection, no response", false, Mode::kBlackhole, true},
+                             {"nobody listens", false, Mode::kUnreachable, false}}));
+  CAPTURE(c.name);
+  constexpr Duration kAge{100};
+  RelayedServer server;
+  if (c.connected_before) REQUIRE(server.Call(false).first == 200);
+  std::this_thread::sleep_for(kAge);
+  server.relay->SetMode(c.mode);
+  CallTrace trace;
+  server.trace = &trace;
+  CHECK(server.Call(false).second != std::error_code());
+  CHECK(trace.written == c.written);
+  CHECK((trace.connection_age >= kAge) == c.connected_before);
+}
+
 // Guards against one failed call for each idle connection to a peer that has closed all of them.
 TEST_CASE("idle connections are not used after one of them was broken", "[runtime][http]") {
   constexpr int kIdle = 4;
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -408,8 +408,9 @@
                              task->worker == worker.entry->id && task->run == running->run;
   if (!accounted_for) {
     Decide("stray-run", FormatTaskKey(running->task),
-           "run=" + std::to_string(running->run) + " worker=" + worker.entry->id.value + " " +
-               OwnRunText(task) + " token=" + std::to_string(token_));
+           "run=" + std::to_string(running->run) + " worker=" + worker.entry->id.value +
+               " incarnation=" + std::to_string(worker.start_time_ms) + " " + OwnRunText(task) +
+               " token=" + std::to_string(token_));
     orphaned_run_stops_.emplace_back(StopOrderFields{.worker = worker.entry->id,
                                                      .task = running->task,
                                                      .run = running->run,
--- a/src/scheduling/tests/run_evidence_test.cc
+++ b/src/scheduling/tests/run_evidence_test.cc
@@ -110,7 +110,8 @@
        [](TakenOver& owner) {
          owner.Report({.running = {ReportedRun({.task = TaskOf(kJob), .run = 1})}});
        },
-       "stray-run", kJob, "run=1 worker=w1 own_run=2 own_phase=done own_worker=none token=7"},
+       "stray-run", kJob,
+       "run=1 worker=w1 incarnation=5 own_run=2 own_phase=done own_worker=none token=7"},
   }));
   CAPTURE(c.name);
   TakenOver owner(c.recorded);
--- a/src/task_worker/internal/worker_link.cc
+++ b/src/task_worker/internal/worker_link.cc
@@ -31,21 +31,33 @@
       pool_(pool),
       log_(log) {}
 
-Task<std::optional<OrderResponse>> WorkerLink::SendOrder(HttpCall call, FencingToken token) {
+Task<std::optional<OrderResponse>> WorkerLink::SendOrder(std::string_view name, HttpCall call,
+                                                         FencingToken token) {
   const std::size_t bytes = call.body.size() + kHeadBytes;
   budget_.With([&](ExchangeBudget& budget) { budget.Charge(Now(), bytes); });
-  co_return co_await Call(std::move(call), token, kOrderTimeout);
+  co_return co_await Call(name, std::move(call), token, kOrderTimeout);
 }
 
-Task<std::optional<OrderResponse>> WorkerLink::Call(HttpCall call, FencingToken token,
-                                                    Duration timeout, std::size_t* bytes) {
+Task<std::optional<OrderResponse>> WorkerLink::Call(std::string_view name, HttpCall call,
+                                                    FencingToken token, Duration timeout,
+                                                    std::size_t* bytes) {
   const auto entry = delegate_->EntryOf(worker_);
   if (!entry) co_return std::nullopt;
-  const std::size_t sent = call.body.size();
-  auto reply =
-      co_await http_.Call((*entry)->address, std::move(call), timeout, TrafficKind::kWorker);
-  if (!reply) co_return std::nullopt;
-  if (bytes != nullptr) *bytes += sent + reply.value().body.size() + kHeadBytes;
+  const std::size_t size = call.body.size();
+  const Time sent = Now();
+  CallTrace trace;
+  auto reply = co_await http_.Call((*entry)->address, std::move(call), timeout,
+                                   TrafficKind::kWorker, &trace);
+  if (!reply) {
+    log_.Write("worker-call-failed", worker_.value,
+               "call=" + std::string(name) + " token=" + std::to_string(token) +
+                   " written=" + (trace.written ? "1" : "0") +
+                   " connection_age_ms=" + std::to_string(trace.connection_age.count()) +
+                   " waited_ms=" + std::to_string((Now() - sent).count()) +
+                   " error=" + reply.error().message());
+    co_return std::nullopt;
+  }
+  if (bytes != nullptr) *bytes += size + reply.value().body.size() + kHeadBytes;
   auto response = protocol_.decode_response(reply.value());
   if (!response) {
     log_.Write("answer-unreadable", worker_.value,
@@ -62,8 +74,8 @@
     const Time sent = Now();
     std::size_t bytes = 0;
     const Duration timeout = Duration(renewal->wait_ms) + kOrderTimeout;
-    auto response =
-        co_await Call(protocol_.encode_renewal(renewal), renewal->token, timeout, &bytes);
+    auto response = co_await Call("renewal", protocol_.encode_renewal(renewal), renewal->token,
+                                  timeout, &bytes);
     if (response.has_value() != reachable_) {
       reachable_ = response.has_value();
       log_.Write(reachable_ ? "worker-regained" : "worker-lost", worker_.value,
@@ -123,15 +135,15 @@
       co_return;
     }
     HttpCall call = protocol_.encode_start(*start);
-    auto response = co_await SendOrder(std::move(call), (*start)->token);
+    auto response = co_await SendOrder("start", std::move(call), (*start)->token);
     delegate_->OnStartResponse(*start, response);
   } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
     HttpCall call = protocol_.encode_stop(*stop);
-    auto response = co_await SendOrder(std::move(call), (*stop)->token);
+    auto response = co_await SendOrder("stop", std::move(call), (*stop)->token);
     delegate_->OnStopResponse(*stop, response);
   } else if (const auto* throttle = std::get_if<ThrottleOrder>(&order)) {
     HttpCall call = protocol_.encode_throttle(*throttle);
-    auto response = co_await SendOrder(std::move(call), (*throttle)->token);
+    auto response = co_await SendOrder("pace", std::move(call), (*throttle)->token);
     delegate_->OnThrottleResponse(*throttle, response);
   }
 }
--- a/src/task_worker/internal/worker_link.h
+++ b/src/task_worker/internal/worker_link.h
@@ -68,11 +68,12 @@
   // Sends `queued` and passes the response to the delegate.
   Task<> SendOne(QueuedOrder queued);
   // Sends an order, which is charged to the budget.
-  Task<std::optional<OrderResponse>> SendOrder(HttpCall call, FencingToken token);
+  Task<std::optional<OrderResponse>> SendOrder(std::string_view name, HttpCall call,
+                                               FencingToken token);
   // Returns nullopt if there was no response or it cannot be decoded. Adds the size of the
-  // exchange to `*bytes`, if given.
-  Task<std::optional<OrderResponse>> Call(HttpCall call, FencingToken token, Duration timeout,
-                                          std::size_t* bytes = nullptr);
+  // exchange to `*bytes`, if given. `name`: of the kind of call, for the log.
+  Task<std::optional<OrderResponse>> Call(std::string_view name, HttpCall call, FencingToken token,
+                                          Duration timeout, std::size_t* bytes = nullptr);
 
   const WorkerId worker_;
   const std::shared_ptr<WorkerLinkDelegate> delegate_;
