--- a/standins/internal/task_worker_standin.cc
+++ b/standins/internal/task_worker_standin.cc
@@ -53,11 +53,26 @@
 }
 
 Result<> TaskWorkerStandin::Start() {
+  if (auto started = StartServer(); !started) return started;
+  pool_.Spawn(Register());
+  return boost::outcome_v2::success();
+}
+
+Result<> TaskWorkerStandin::StartBehindRelay(Duration one_way_delay) {
+  if (auto started = StartServer(); !started) return started;
+  auto relay =
+      TcpRelay::Start(pool_, {.host = "127.0.0.1", .port = 0}, server_->address(), one_way_delay);
+  if (!relay) return relay.error();
+  relay_ = std::move(relay).value();
+  pool_.Spawn(Register());
+  return boost::outcome_v2::success();
+}
+
+Result<> TaskWorkerStandin::StartServer() {
   auto server = HttpServer::Start(pool_, {.host = "127.0.0.1", .port = 0},
                                   [this](HttpCall call) { return Handle(std::move(call)); });
   if (!server) return server.error();
   server_ = std::move(server).value();
-  pool_.Spawn(Register());
   return boost::outcome_v2::success();
 }
 
@@ -72,7 +87,7 @@
   });
 }
 
-void TaskWorkerStandin::Restart(Duration dark) {
+void TaskWorkerStandin::Restart(Duration dark, WorkerEnd end) {
   state_.With([&](State& state) {
     AdvanceToNow(state);
     while (!state.running.empty()) EndRun(state, state.running.begin()->first, "lost", Now());
@@ -87,12 +102,19 @@
     state.start_time = Now() + dark;
     state.start_time_ms = WallMs() + dark.count();
   });
+  if (relay_ == nullptr) return;
+  if (end == WorkerEnd::kCrash) relay_->CloseConnections();
+  if (end == WorkerEnd::kPowerLoss) relay_->SilenceConnections();
 }
 
 TaskWorkerCounts TaskWorkerStandin::Counts() const {
   return state_.With([](const State& state) { return state.counts; });
 }
 
+std::vector<CallRecord> TaskWorkerStandin::Calls() const {
+  return state_.With([](const State& state) { return state.calls; });
+}
+
 std::vector<RunRecord> TaskWorkerStandin::Runs() const {
   return state_.With([](const State& state) { return state.runs; });
 }
@@ -124,13 +146,17 @@
       continue;
     }
     const TaskWorkerFault& fault = heartbeat->fault;
+    if (fault.heartbeats_lost) {
+      co_await SleepFor(kPollInterval);
+      continue;
+    }
     const bool unavailable = fault.dead || fault.disconnected || fault.unregistered;
     if (!unavailable && !fault.registration.empty()) {
       store_.Put("keyed.servers", id_, fault.registration);
     } else if (!unavailable) {
       const json::object entry{
           {"Service", service_},
-          {"Address", server_->address().ToString()},
+          {"Address", address().ToString()},
           {"Zone", "z1"},
           {"State", fault.draining ? "draining" : "ready"},
           {"Capacity", json::object{{"Cpu", kCpuMillicores}, {"MemMb", kMemoryMb}, {"Gpu", 0}}},
@@ -202,6 +228,10 @@
 
 Task<HttpReply> TaskWorkerStandin::Handle(HttpCall call) {
   const std::int64_t token = TokenOf(call);
+  state_.With([&](State& state) {
+    state.calls.push_back(
+        {.path = call.path, .token = token, .incarnation = state.incarnation, .arrived = Now()});
+  });
   while (IsCutOff(token)) co_await SleepFor(kPollInterval);
   const auto delay = state_.With([](State& state) { return DelayOfNextCall(state); });
   if (delay) co_await SleepFor(*delay);
--- a/standins/internal/task_worker_standin.h
+++ b/standins/internal/task_worker_standin.h
@@ -10,6 +10,7 @@
 
 #include "runtime/runtime.h"
 #include "standins/internal/store_standin.h"
+#include "standins/internal/tcp_relay.h"
 
 namespace dn::standins {
 
@@ -29,9 +30,10 @@
   // Range of that delay; it is spread over the calls.
   Duration shortest_delay{2'000};
   Duration longest_delay{12'000};
-  bool fails_all = false;     // Every started task fails after 20 ms.
-  bool unregistered = false;  // The worker does not reach the store.
-  bool draining = false;      // The worker has given notice in its registration.
+  bool fails_all = false;        // Every started task fails after 20 ms.
+  bool unregistered = false;     // The worker does not reach the store.
+  bool heartbeats_lost = false;  // The last registration stays as it is.
+  bool draining = false;         // The worker has given notice in its registration.
   // Range of the fencing tokens whose owners reach the worker. Calls of other owners are executed
   // once the fault is cleared.
   std::int64_t first_token = 0;
@@ -56,6 +58,10 @@
   bool lease_lapsed = false;         // The worker's lease expired between the end and that time.
 };
 
+// How an incarnation of a worker ends. kCrash: its connections are closed. kPowerLoss: the callers
+// learn nothing, and their connections carry nothing more.
+enum class WorkerEnd { kCrash, kPowerLoss };
+
 // Counts of the calls to a worker.
 struct TaskWorkerCounts {
   int late_calls = 0;  // Received so far that get no response and are executed after a delay.
@@ -64,6 +70,16 @@
   friend auto operator<=>(const TaskWorkerCounts&, const TaskWorkerCounts&) = default;
 };
 
+// A call as it arrived.
+struct CallRecord {
+  std::string path;
+  std::int64_t token = 0;  // Fencing token.
+  int incarnation = 1;     // Of the worker, at the arrival.
+  Time arrived{};
+
+  friend auto operator<=>(const CallRecord&, const CallRecord&) = default;
+};
+
 // A worker of availability zone z1. A run ends at the latest when the lease expires.
 class TaskWorkerStandin {
  public:
@@ -75,15 +91,24 @@
 
   // Listens on a free port and starts the heartbeats. Error: no port is available.
   Result<> Start();
+  // Like Start(), but registers the address of a relay before it, which adds `one_way_delay` in
+  // each direction.
+  Result<> StartBehindRelay(Duration one_way_delay);
   // Replaces the fault of the worker.
   void SetFault(const TaskWorkerFault& fault);
   // Ends the incarnation and all its runs. Another one with the same identifier and address follows
   // after `dark`, with a new clock and without any state. Calls that arrive in between wait for it.
-  void Restart(Duration dark);
+  // `end` matters for a worker behind a relay; without one, connections stay open.
+  void Restart(Duration dark, WorkerEnd end = WorkerEnd::kCrash);
   // All runs of all incarnations, in order of their start.
   std::vector<RunRecord> Runs() const;
   TaskWorkerCounts Counts() const;
-  Endpoint address() const { return server_->address(); }
+  // All calls that have arrived, in the order of their arrival.
+  std::vector<CallRecord> Calls() const;
+  // The registered address.
+  Endpoint address() const { return relay_ != nullptr ? relay_->address() : server_->address(); }
+  // Only for a worker that is behind a relay.
+  TcpRelay& relay() const { return *relay_; }
   // Violations of the capacity of this worker.
   std::vector<std::string> Findings() const;
 
@@ -100,6 +125,7 @@
     std::map<std::string, Run> running;   // By task.
     std::map<std::string, int> last_run;  // Highest stopped or ended run, by task.
     std::vector<RunRecord> runs;
+    std::vector<CallRecord> calls;
     // Number and index into `runs` of each end that the owner has not acknowledged.
     std::vector<std::pair<std::int64_t, std::size_t>> unacknowledged_ends;
     std::int64_t next_end_number = 1;
@@ -115,6 +141,7 @@
 
   static constexpr int kMaxTasks = 4;  // Tasks that can run at the same time.
 
+  Result<> StartServer();
   Task<HttpReply> Handle(HttpCall call);
   // Executes a call; nothing if it gets no response.
   Task<std::optional<HttpReply>> Execute(HttpCall call);
@@ -148,6 +175,7 @@
   const Duration task_time_;
   Shared<State, LockRank::kOrders> state_;
   std::unique_ptr<HttpServer> server_;
+  std::shared_ptr<TcpRelay> relay_;  // Null: none.
 };
 
 }  // namespace dn::standins
--- a/tests/support/node_fleet.cc
+++ b/tests/support/node_fleet.cc
@@ -83,10 +83,16 @@
   store_.Put("keyed.op", "config", text.str());
 }
 
-void NodeFleet::AddWorker() {
+standins::TaskWorkerStandin& NodeFleet::NewWorker() {
   workers_.push_back(std::make_unique<standins::TaskWorkerStandin>(
       runner_.pool(), store_, "worker-" + std::to_string(workers_.size()), "service", kTaskTime));
-  static_cast<void>(workers_.back()->Start());
+  return *workers_.back();
+}
+
+void NodeFleet::AddWorker() { static_cast<void>(NewWorker().Start()); }
+
+void NodeFleet::AddWorkerBehindRelay(Duration one_way_delay) {
+  static_cast<void>(NewWorker().StartBehindRelay(one_way_delay));
 }
 
 void NodeFleet::Start(int index) {
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -51,6 +51,8 @@
 
   // Adds a worker, which registers itself.
   void AddWorker();
+  // Adds a worker whose registered address is that of a relay.
+  void AddWorkerBehindRelay(Duration one_way_delay);
   standins::StoreStandin& store() { return store_; }
   standins::TaskWorkerStandin& worker(int index) {
     return *workers_[static_cast<std::size_t>(index)];
@@ -86,6 +88,7 @@
   };
 
   void PutConfiguration(int version);
+  standins::TaskWorkerStandin& NewWorker();
   // Returns the runs of each task, in order of their start.
   std::map<std::string, std::vector<standins::RunRecord>> RunsByTask() const;
 
