Reset the connection of a call that is given up

Cause: a call that timed out, or whose process ended, was closed plainly. The kernel goes on sending what the peer has not acknowledged, so a call that a partition held up arrived when it ended, however late, and was carried out.

Evidence: "a call that is given up resets its connection". Without the change the server reads the end of the connection in 5 of 6 rows (call timed out on a new and on an open connection, or within its response; process ended, new and open connection), a reset with it. "idle connections are closed in order" fails in one of 8 assertions without it: the connection of the call that timed out.

Change: a client connection is set, once it is connected, to be reset when it is closed. Only one on which no call is under way is closed in order.

Why it works: with a reset the kernel discards what it has not delivered, also if the reset itself does not arrive, and it does so for a process that is killed, as the option is the socket's. It is set by setsockopt(): asio turns an option that was set through it off again in the socket's destructor (socket_ops::close). Connections of Beast are closed explicitly by its destructor, so they were not affected by that.

ServerConnection::Reset uses the same function.

Not covered: a call that has arrived, whole or in part; a proxy that keeps bytes. A killed process is not tested here.

--- a/src/runtime/internal/http_client.cc
+++ b/src/runtime/internal/http_client.cc
@@ -8,6 +8,7 @@
 #include <stdexcept>
 #include <vector>
 
+#include "runtime/internal/closing.h"
 #include "runtime/internal/lock_order.h"
 
 namespace dn {
@@ -23,12 +24,22 @@
 // Idle connections are closed after this time.
 constexpr Duration kMaxIdleTime{20'000};
 
+// Closed in order while it is idle, otherwise reset.
 struct Connection {
   explicit Connection(asio::any_io_executor executor) : stream(std::move(executor)) {}
+  ~Connection() {
+    if (!call_under_way) CloseInOrder(stream.socket());
+  }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   Time opened_at{};
   Time idle_since{};
+  // Set before the first byte of a call is written, and reset once its response has been read
+  // completely. The connection is idle while it is false.
+  bool call_under_way = false;
 };
 using ConnectionPtr = std::unique_ptr<Connection>;
 using Idle = std::map<Endpoint, std::vector<ConnectionPtr>>;
@@ -98,6 +109,7 @@
     co_await connection->stream.async_connect(tcp::endpoint(host, to.port),
                                               asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return Errc::kUnreachable;
+    ResetWhenClosed(connection->stream.socket());
     connection->stream.socket().set_option(tcp::no_delay(true), error);
     connection->opened_at = Now();
     co_return connection;
@@ -109,6 +121,7 @@
                                    http::request<http::string_body>& request, Duration timeout,
                                    TrafficKind kind, bool* keep_alive) const {
     boost::system::error_code error;
+    connection.call_under_way = true;
     connection.stream.expires_after(timeout);
     const std::size_t sent = co_await http::async_write(
         connection.stream, request, asio::redirect_error(asio::use_awaitable, error));
@@ -121,6 +134,7 @@
                                   asio::redirect_error(asio::use_awaitable, error));
     if (metrics != nullptr) metrics->CountBytes(kind, received);
     if (error) co_return ErrorOf(error);
+    connection.call_under_way = false;
     *keep_alive = parser.get().keep_alive();
     auto response = parser.release();
     co_return HttpReply{.status = static_cast<int>(response.result_int()),
--- a/src/runtime/internal/http_client.h
+++ b/src/runtime/internal/http_client.h
@@ -19,6 +19,8 @@
   // sent, by any attempt. kBroken, kTimeout: the peer may have processed the request.
   // If the call permits a retry, the peer may also have processed it before the attempt
   // that the response belongs to.
+  // Once a call is given up, by its timeout or because its coroutine is destroyed or the process
+  // ends, what has not arrived at the peer by then does not arrive any more.
   // `trace`, if given, receives what is known of the last attempt. It must outlive the call.
   Task<Result<HttpReply>> Call(Endpoint to, HttpCall call, Duration timeout, TrafficKind kind,
                                CallTrace* trace = nullptr);
--- a/src/runtime/internal/tcp_server.cc
+++ b/src/runtime/internal/tcp_server.cc
@@ -7,6 +7,7 @@
 #include <boost/asio.hpp>
 #include <exception>
 
+#include "runtime/internal/closing.h"
 #include "runtime/internal/listen.h"
 
 namespace dn {
@@ -80,8 +81,8 @@
 }
 
 void ServerConnection::Reset() {
+  ResetWhenClosed(stream_.socket());
   boost::system::error_code ignored;
-  stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
   stream_.socket().close(ignored);
 }
 
--- a/src/runtime/tests/http_client_test.cc
+++ b/src/runtime/tests/http_client_test.cc
@@ -1,9 +1,11 @@
 // What the HTTP client reports of calls that fail.
 #include <catch2/catch.hpp>
+#include <deque>
 
 #include "runtime/runtime.h"
 #include "standins/standins.h"
 #include "tests/support/runner.h"
+#include "tests/support/test_connection.h"
 
 namespace dn {
 namespace {
@@ -138,5 +140,131 @@
   for (int i = 0; i < kIdle; ++i) CHECK(server.Call(false).first == 200);
 }
 
+constexpr const char* kEndOfHead = "\r\n\r\n";
+constexpr const char* kResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+constexpr const char* kPartOfResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{";
+constexpr const char* kLastResponse =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}";
+// Of calls that the test gives up itself.
+constexpr Duration kLongTimeout{60'000};
+constexpr Duration kShortTimeout{200};
+
+// A client, and a server that answers its calls when the test says so.
+class CallsToTestServer {
+ public:
+  // Begins a call on a new connection, which it returns once the request has arrived.
+  std::unique_ptr<testing::TestConnection> Connect(Duration timeout) {
+    Begin(timeout);
+    auto connection = server_.Accept();
+    connection->ReadUntil(kEndOfHead);
+    return connection;
+  }
+  // Begins a call on an idle connection.
+  void Begin(Duration timeout) { under_way_.push_back(runner_->Begin(Call(timeout))); }
+  // Waits until the oldest call has ended.
+  void AwaitEnd() {
+    under_way_.front().wait();
+    under_way_.pop_front();
+  }
+
+  // What may happen after that.
+  void Nothing() {}
+  void CallInVain() {
+    Begin(kShortTimeout);
+    AwaitEnd();
+  }
+  void DestroyClient() { client_.reset(); }
+  // Stops the threads and destroys the coroutines, in the order in which a process ends.
+  void EndProcess() {
+    runner_->Stop();
+    client_.reset();
+    runner_.reset();
+  }
+
+ private:
+  Task<bool> Call(Duration timeout) {
+    HttpCall call{.method = HttpMethod::kPost, .path = "/", .query = {}, .body = {}};
+    const auto reply =
+        co_await client_->Call(server_.address(), std::move(call), timeout, TrafficKind::kWorker);
+    co_return static_cast<bool>(reply);
+  }
+
+  testing::TestServer server_;
+  std::unique_ptr<testing::Runner> runner_ = std::make_unique<testing::Runner>();
+  std::unique_ptr<HttpClient> client_ = std::make_unique<HttpClient>();
+  std::deque<std::future<bool>> under_way_;  // Calls whose end was not awaited yet.
+};
+
+// Guards against calls that are carried out long after they were given up: a plain close leaves
+// their bytes to the kernel, which sends them until a partition is over.
+TEST_CASE("a call that is given up resets its connection", "[runtime][http]") {
+  struct Case {
+    std::string name;
+    bool connected_before;  // An earlier call was answered on the connection.
+    std::string response;   // To the last call.
+    Duration timeout;       // Of that call.
+    void (CallsToTestServer::*give_up)();
+    std::string_view end;
+  };
+  using Calls = CallsToTestServer;
+  const auto c = GENERATE(values<Case>({
+      {"timeout", false, "", kShortTimeout, &Calls::AwaitEnd, testing::kReset},
+      {"timeout on an open connection", true, "", kShortTimeout, &Calls::AwaitEnd, testing::kReset},
+      {"timeout within the response", false, kPartOfResponse, kShortTimeout, &Calls::AwaitEnd,
+       testing::kReset},
+      {"process ends", false, "", kLongTimeout, &Calls::EndProcess, testing::kReset},
+      {"process ends, open connection", true, "", kLongTimeout, &Calls::EndProcess,
+       testing::kReset},
+      {"answered, not to be reused", false, kLastResponse, kLongTimeout, &Calls::AwaitEnd,
+       testing::kClosed},
+  }));
+  CAPTURE(c.name);
+  CallsToTestServer calls;
+  const auto connection = calls.Connect(c.timeout);
+  if (c.connected_before) {
+    connection->Send(kResponse);
+    calls.AwaitEnd();
+    calls.Begin(c.timeout);
+    connection->ReadUntil(kEndOfHead);
+  }
+  connection->Send(c.response);
+  (calls.*c.give_up)();
+  CHECK(connection->ReadUntil("") == c.end);
+}
+
+// Guards against errors that a peer sees although nothing went wrong, and against undelivered bytes
+// of answered calls that are lost.
+TEST_CASE("idle connections are closed in order", "[runtime][http]") {
+  struct Case {
+    std::string name;
+    void (CallsToTestServer::*then)();
+    std::vector<std::string_view> ends;  // By connection; empty: not asked.
+  };
+  using Calls = CallsToTestServer;
+  const auto c = GENERATE(values<Case>({
+      {"more than six of a peer", &Calls::Nothing, {"", "", "", "", "", "", testing::kClosed}},
+      {"timeout on another one",
+       &Calls::CallInVain,
+       {testing::kClosed, testing::kClosed, testing::kReset}},
+      {"client destroyed", &Calls::DestroyClient, {testing::kClosed, testing::kClosed}},
+      {"process ends", &Calls::EndProcess, {testing::kClosed, testing::kClosed}},
+  }));
+  CAPTURE(c.name);
+  CallsToTestServer calls;
+  std::vector<std::unique_ptr<testing::TestConnection>> connections;
+  for (std::size_t i = 0; i < c.ends.size(); ++i)
+    connections.push_back(calls.Connect(kLongTimeout));
+  for (const auto& connection : connections) {
+    connection->Send(kResponse);
+    calls.AwaitEnd();
+  }
+  (calls.*c.then)();
+  for (std::size_t i = 0; i < c.ends.size(); ++i) {
+    CAPTURE(i);
+    if (c.ends[i].empty()) continue;
+    CHECK_THAT(connections[i]->ReadUntil(""), Catch::EndsWith(std::string(c.ends[i])));
+  }
+}
+
 }  // namespace
 }  // namespace dn
