Reset upstream connections whose request is given up

Change: an upstream connection is set to be reset when it is closed, unless it is idle: no request was begun, or the last one was sent and its response read, both completely. A response to a request that was sent in part does not make it idle.

Not covered: a request to a backend server without a response in time.

--- a/src/runtime/internal/upstream_connection.cc
+++ b/src/runtime/internal/upstream_connection.cc
@@ -11,6 +11,7 @@
 #include <boost/beast.hpp>
 
 #include "http/http.h"
+#include "runtime/internal/closing.h"
 
 namespace dn {
 namespace {
@@ -31,6 +32,11 @@
 class Connection final : public UpstreamConnection {
  public:
   explicit Connection(asio::any_io_executor executor) : stream_(std::move(executor)) {}
+  ~Connection() override {
+    if (IsIdle()) CloseInOrder(stream_.socket());
+  }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
 
   Task<Result<void>> Open(Endpoint to, Time deadline) {
     boost::system::error_code error;
@@ -40,6 +46,7 @@
     co_await stream_.async_connect(tcp::endpoint(host, to.port),
                                    asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return Errc::kUnreachable;
+    ResetWhenClosed(stream_.socket());
     stream_.socket().set_option(tcp::no_delay(true), error);
     stream_.socket().set_option(asio::socket_base::keep_alive(true), error);
     SetOption(TCP_KEEPIDLE, kKeepAliveIdleSeconds);
@@ -56,6 +63,7 @@
 
   Task<Result<void>> SendHead(const RequestHead& head, Time deadline) override {
     request_.emplace();
+    request_sent_ = false;
     request_->method_string(head.method);
     request_->target(head.target);
     request_->version(11);
@@ -69,6 +77,7 @@
     bytes_ += co_await http::async_write_header(stream_, *serializer_,
                                                 asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return ErrorOf(error);
+    request_sent_ = head.framing == BodyFraming::kNone;
     co_return boost::outcome_v2::success();
   }
 
@@ -83,6 +92,7 @@
     bytes_ += co_await http::async_write(stream_, *serializer_,
                                          asio::redirect_error(asio::use_awaitable, error));
     if (error && error != http::error::need_buffer) co_return ErrorOf(error);
+    request_sent_ = last;
     co_return boost::outcome_v2::success();
   }
 
@@ -139,15 +149,21 @@
   std::size_t bytes() const override { return bytes_; }
 
  private:
+  // Whether no request is under way. Otherwise the connection is reset when it is closed.
+  bool IsIdle() const { return !request_ || (request_sent_ && parser_ && parser_->is_done()); }
+
   void SetOption(int name, int value) {
     ::setsockopt(stream_.socket().native_handle(), IPPROTO_TCP, name, &value, sizeof value);
   }
 
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
+  // The connection is idle before its first request, and from when a request was sent and its
+  // response read, both completely, until the next one begins.
   std::optional<http::request<http::buffer_body>> request_;
   std::optional<http::request_serializer<http::buffer_body>> serializer_;  // Refers to request_.
-  std::optional<http::response_parser<http::buffer_body>> parser_;
+  bool request_sent_ = false;  // The last byte of request_ was written.
+  std::optional<http::response_parser<http::buffer_body>> parser_;  // Of the response to request_.
   std::size_t bytes_ = 0;
 };
 
--- a/src/runtime/internal/upstream_connection.h
+++ b/src/runtime/internal/upstream_connection.h
@@ -11,6 +11,9 @@
 namespace dn {
 
 // Operations return kBroken if the connection fails and kTimeout at `deadline`.
+// Destroying it closes the connection. Unless no request was begun, or the last one was sent and
+// its response read, both completely, the connection is reset, so that what has not arrived at the
+// peer by then does not arrive any more.
 class UpstreamConnection {
  public:
   virtual ~UpstreamConnection() = default;
