--- a/src/scheduling/internal/worker_calls.h
+++ b/src/scheduling/internal/worker_calls.h
@@ -11,8 +11,10 @@
 
 namespace dn {
 
-// How long a call without a response may still be carried out. The platform says "seconds"; calls
-// have been seen to take 12 s.
+// How long a call without a response may still be carried out. Bounds the platform's delay between
+// the arrival of a call and its execution: it says "seconds", and calls have been seen to take
+// 12 s. Time in the network has no bound, since a partition holds calls up for as long as it lasts;
+// there, the reset of the connection (ResetWhenClosed) ends a call that is given up.
 constexpr Duration kLateCallLimit{12'000};
 
 class WorkerCalls {
