Count the longest lease for workers that restarted shortly before a take-over

Callers saw: by review, a task could run twice for up to a second (five with a longest lease of 10 s) if its worker restarted under its identifier, was cut off, and another process took the shard over.

Cause: a call that was sent by the clock of the former incarnation grants the next one the platform's longest lease from the call's arrival. The owner that sends it counts that (RenewalAnswered); its successor counted a lease of the policy from the earlier owner's end, whatever incarnation the registration or the record named.

ExpectEarlierOrders takes the time of day of that end, since an incarnation's start is known as Unix milliseconds.

Why it works: a run that is recorded for an incarnation was started after that had refused all calls by the former clock, so the last of them arrived before the earlier owner's end; and at most 14.5 s after the incarnation's beginning. Older incarnations are waited for as before (six rows hold that). A registration that is known to name another incarnation than the record was waited for longer already (two rows).

Price: tasks on workers that began less than 20.5 s (24.6 s) before a take-over, a first start included, and that the new owner does not reach wait 1.0 s (5.1 s) longer.

--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -128,7 +128,10 @@
     co_await SleepFor(kRetryPause);
   }
   const Time earlier_owner_ends = co_await EndOfEarlierOwner();
-  table_.With([&](Table& table) { table.shard.ExpectEarlierOrders(earlier_owner_ends); });
+  const std::int64_t earlier_owner_ends_ms = WallMs() + (earlier_owner_ends - Now()).count();
+  table_.With([&](Table& table) {
+    table.shard.ExpectEarlierOrders(earlier_owner_ends, earlier_owner_ends_ms);
+  });
   std::vector<StoreRecord> records;
   std::int64_t progress_end = 0;
   while (active_) {
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -94,7 +94,9 @@
   for (std::size_t i = 0; i < job->tasks.size(); ++i) {
     TaskRow& task = job->tasks[i];
     if (task.phase != TaskPhase::kPlaced) continue;
-    WorkerTable::Reserve(workers_.FindOrAdd(task.worker, now), *job, i);
+    WorkerRow& worker = workers_.FindOrAdd(task.worker, now);
+    workers_.ExpectInheritedGrants(worker, task.worker_start_time_ms);
+    WorkerTable::Reserve(worker, *job, i);
     task.late_until = workers_.EarlierOwnersUntil(now) + kLateCallLimit;
     if (job->phase != JobPhase::kOpen) Stop(*job, i);
   }
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -118,9 +118,12 @@
   // without a call there is none.
   void OwnUntil(Time until) { owned_until_ = until; }
 
-  // Earlier owners may have granted leases and sent starts until `until`. Called before the first
-  // worker is listed; without a call, they have ended by then.
-  void ExpectEarlierOrders(Time until) { workers_.ExpectEarlierOrders(until); }
+  // Earlier owners may have granted leases and sent starts until `until`, at the time of day
+  // `until_ms` in Unix milliseconds. Called before the first worker is listed; without a call, they
+  // have ended by then.
+  void ExpectEarlierOrders(Time until, std::int64_t until_ms) {
+    workers_.ExpectEarlierOrders(until, until_ms);
+  }
 
   void WorkerListed(const WorkerEntry& entry, Time now);
   void WorkerUnlisted(const WorkerId& id, Time now);
--- a/src/scheduling/internal/worker_table.cc
+++ b/src/scheduling/internal/worker_table.cc
@@ -6,6 +6,13 @@
 namespace dn {
 namespace {
 
+// How long after the beginning of an incarnation a call by the clock of the one before may be
+// carried out: an owner ceases to grant leases kReportTimeout after its last report.
+constexpr Duration kFormerClockLimit = kReportTimeout + kLateCallLimit;
+// How far the times of day of two machines may differ. They may jump by seconds; the platform's
+// rules allow 5 s for that.
+constexpr Duration kTimeOfDayError{5'000};
+
 // Adds `sign` times the demand of one task of `step` to the totals of `worker`.
 void Count(WorkerRow& worker, const StepSpec& step, int sign) {
   worker.headroom.reset();
@@ -39,6 +46,7 @@
   worker.listed_at = now;
   worker.replaced = false;
   if (entry->draining) worker.drained_start_time_ms = entry->start_time_ms;
+  ExpectInheritedGrants(worker, entry->start_time_ms);
   worker.leaves_at = entry->draining
                          ? std::min(worker.leaves_at, now + Duration(entry->remaining_ms))
                          : Time::max();
@@ -127,6 +135,15 @@
   return *earlier_owners_until_;
 }
 
+void WorkerTable::ExpectInheritedGrants(WorkerRow& worker, std::int64_t start_time_ms) const {
+  if (worker.confirmed || start_time_ms == 0 || !earlier_owners_until_ms_) return;
+  const Duration age(*earlier_owners_until_ms_ - start_time_ms);
+  const Duration over = std::max(Duration(0), age - kFormerClockLimit - kTimeOfDayError);
+  worker.leases_expire_at =
+      std::max(worker.leases_expire_at,
+               *earlier_owners_until_ - over + LongestLease(policy_, policy_->max_lease));
+}
+
 void WorkerTable::ExpectStaleGrants(WorkerRow& worker) const {
   if (!worker.last_grant) return;
   worker.leases_expire_at =
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -88,7 +88,10 @@
   explicit WorkerTable(const Policy& policy) : policy_(policy) {}
 
   // See Shard::ExpectEarlierOrders().
-  void ExpectEarlierOrders(Time until) { earlier_owners_until_ = until; }
+  void ExpectEarlierOrders(Time until, std::int64_t until_ms) {
+    earlier_owners_until_ = until;
+    earlier_owners_until_ms_ = until_ms;
+  }
   // Adds or updates the entry of a registered worker.
   void Listed(const WorkerEntry& entry, Time now);
   // Handles the end of a worker's registration.
@@ -123,6 +126,11 @@
   bool IsLost(const WorkerRow& worker, Time now) const;
   // Returns whether a listed worker does not report and all its leases have expired.
   bool IsSilent(const WorkerRow& worker, Time now) const;
+  // Handles an incarnation of a worker, named by its registration or by the record of a task, that
+  // this owner has not heard of. Earlier owners' calls by the clock of the one before may have
+  // granted it the longest lease, if it began shortly before their end. The worker's first report
+  // to this owner replaces the bound; else it passes with its time, or goes with the row.
+  void ExpectInheritedGrants(WorkerRow& worker, std::int64_t start_time_ms) const;
   // Handles a call that a new incarnation has carried out: others that were meant for an earlier
   // one may grant it leases until it refuses them.
   void ExpectStaleGrants(WorkerRow& worker) const;
@@ -138,6 +146,8 @@
   // Until when earlier owners may have granted leases. Unless it is told, they have ended when the
   // first worker is added.
   std::optional<Time> earlier_owners_until_;
+  // The time of day at that time; set if it was told.
+  std::optional<std::int64_t> earlier_owners_until_ms_;
   CallSeries first_series_ = 0;  // Above the series of the calls to workers that were erased.
 };
 
--- a/src/scheduling/tests/shard_interleavings_test.cc
+++ b/src/scheduling/tests/shard_interleavings_test.cc
@@ -43,8 +43,8 @@
 // How long after its sending a late call takes effect. Workers have carried out calls up to 12 s
 // late.
 constexpr std::pair<int, int> kLateCall{2'000, 12'000};
-// Longest lease that a worker grants, by its clock and from the arrival of the call.
-constexpr std::int64_t kLongestLeaseMs = 6'000;
+// Unix milliseconds at the beginning of a play. The first incarnations began long before.
+constexpr std::int64_t kBeginMs = 1'000'000'000;
 // When the fault of a worker that lasts to the end begins.
 constexpr Duration kLastingFaultBegins{8'000};
 // Time after the last fault by which each task that can run has a run: the longest lease by the
@@ -71,6 +71,8 @@
 constexpr std::pair<int, int> kRecutDown{300, 600};
 constexpr std::pair<int, int> kRecutWithinReach{200, 2'600};
 constexpr std::pair<int, int> kRecutCut{9'000, 14'000};
+// How long after the beginning of a restart and cut its owner is killed.
+constexpr std::pair<int, int> kRecutKill{1'000, 3'000};
 // From the moment when a worker can write its registration until the store has it.
 constexpr Duration kRegistrationTime{100};
 // Without a write for this long, a registration lapses: three heartbeat intervals.
@@ -126,11 +128,14 @@
   int worker_restarts = 0;  // Per 100 ms; restarts at once under the same identifier, listed.
   // Per 100 ms; restarts under the same identifier and is cut off from all owners soon after.
   int worker_recuts = 0;
-  int lost_reports = 0;      // Per renewal; its response is lost.
-  int capacity_changes = 0;  // Per 100 ms and worker; the capacity shrinks or grows.
-  int crashing_jobs = 0;     // Of the jobs; their first task crashes its worker soon after a start.
+  int recut_owner_kills = 0;  // Of the restarts and cuts; the owner is killed kRecutKill later.
+  int lost_reports = 0;       // Per renewal; its response is lost.
+  int capacity_changes = 0;   // Per 100 ms and worker; the capacity shrinks or grows.
+  int crashing_jobs = 0;  // Of the jobs; their first task crashes its worker soon after a start.
   // Most ends in a report, no probability; 0: no limit.
   std::size_t listed_ends = 0;
+  // Longest lease that a worker grants, by its clock and from the arrival of the call.
+  Duration longest_lease{6'000};
   // Fault of one worker from kLastingFaultBegins to the end.
   WorkerFault lasting = WorkerFault::kNone;
 };
@@ -318,7 +323,8 @@
   // Starts a new owner with a higher token. The previous owner may still be running.
   void TakeOver() {
     if (owner_ && owner_->alive) former_owners_.push_back(owner_);
-    owner_ = std::make_shared<Owner>(++last_token_, PolicyFields());
+    owner_ =
+        std::make_shared<Owner>(++last_token_, PolicyFields{.max_lease = faults_.longest_lease});
     const auto owner = owner_;
     owner->confirmed = now_;
     RunInOwner(owner, now_ + Duration(Pick(5, 300)), [this, owner] { Open(owner); });
@@ -367,7 +373,9 @@
       return;
     }
     fence_ = owner->shard.token();
-    owner->shard.ExpectEarlierOrders(EndOfEarlierOwners());
+    const Time earlier_owners_end = EndOfEarlierOwners();
+    owner->shard.ExpectEarlierOrders(earlier_owners_end,
+                                     WallMs() + (earlier_owners_end - now_).count());
     for (const AcceptedJob& job : accepted_) owner->shard.Accept(job, now_);
     for (const auto& [id, progress] : progress_) {
       const auto decoded = DecodeJobProgress(progress);
@@ -570,6 +578,7 @@
     });
   }
 
+  std::int64_t WallMs() const { return kBeginMs + now_.time_since_epoch().count(); }
   static WorkerId IdOf(int index) { return {"w" + std::to_string(index)}; }
   static int IndexOf(const WorkerId& id) { return id.value[1] - '0'; }
   // The clock of each incarnation begins anew.
@@ -596,8 +605,8 @@
                               : OrderRefusal::kOtherIncarnation);
   }
   void Extend(SimWorker& worker, std::int64_t until) const {
-    worker.lease_until =
-        std::max(worker.lease_until, std::min(until, ClockOf(worker) + kLongestLeaseMs));
+    worker.lease_until = std::max(worker.lease_until,
+                                  std::min(until, ClockOf(worker) + faults_.longest_lease.count()));
   }
 
   OrderResponse Start(const StartOrder& order) {
@@ -715,10 +724,7 @@
       capacities[now_] = {.millicores = Pick(0, kSlots) * 1'000,
                           .memory_mb = little_memory ? Pick(0, kSlots) : kCapacity.memory_mb};
     }
-    if (Chance(faults_.owner_kills)) {
-      owner_->alive = false;
-      After(Duration(1'800), [this] { TakeOver(); });
-    }
+    if (Chance(faults_.owner_kills)) KillOwner();
     if (Chance(faults_.owner_freezes) && owner_->frozen_until <= now_) {
       owner_->frozen_until = now_ + kFreeze;
       After(Duration(1'800), [this] { TakeOver(); });
@@ -754,6 +760,12 @@
     }
   }
 
+  // Another owner takes over once the store has noticed.
+  void KillOwner() {
+    owner_->alive = false;
+    After(kTimeToLive, [this] { TakeOver(); });
+  }
+
   // The worker goes down without breaking its connections, is back as a new incarnation, and is cut
   // off from all owners soon after.
   void RestartAndCut(int index) {
@@ -780,6 +792,9 @@
     if (Chance(kRecutLapses)) {
       After(cut + kRegistrationLapse, [this, &registrations] { registrations[now_] = {}; });
     }
+    if (faults_.recut_owner_kills > 0 && Chance(faults_.recut_owner_kills)) {
+      After(PickDuration(kRecutKill), [this] { KillOwner(); });
+    }
     After(end, [&worker] { worker.recut = Recut::kNone; });
     After(end + kRegistrationTime, write_registration);
     After(end + kRegistrationTime + kListingDelay, [&registrations] { registrations.clear(); });
@@ -961,7 +976,7 @@
   void Restart(SimWorker& worker) {
     while (!worker.running.empty()) EndRun(worker, worker.running.begin()->first, "lost");
     worker = SimWorker{.fault = worker.fault,
-                       .incarnation = worker.incarnation + 1,
+                       .incarnation = std::max(worker.incarnation + 1, WallMs()),
                        .began = now_,
                        .rate = worker.rate};
   }
@@ -1302,6 +1317,13 @@
     {.name = "restart and cut, lost responses", .lost_responses = 100, .worker_recuts = 10},
     {.name = "restart and cut, owner killed", .owner_kills = 15, .worker_recuts = 10},
     {.name = "restart and cut, shard reassigned", .reassignments = 20, .worker_recuts = 10},
+    {.name = "restart and cut, owner killed soon after",
+     .worker_recuts = 10,
+     .recut_owner_kills = 1'000},
+    {.name = "restart and cut, owner killed soon after, long leases",
+     .worker_recuts = 10,
+     .recut_owner_kills = 1'000,
+     .longest_lease = Duration(10'000)},
     {.name = "restart and cut, late calls, lost reports",
      .late_orders = 60,
      .worker_recuts = 10,
