Say what bounds a late call, and what the reset does not cover

By review: kLateCallLimit counts from the sending of a call, as its users and the simulated calls do, not from its arrival; a frozen owner gives no call up; a call counts as written before its first byte is; run_end.h named only the present owner's copies. No logic changes.

--- a/src/runtime/internal/http_types.h
+++ b/src/runtime/internal/http_types.h
@@ -41,7 +41,8 @@
 
 // What is known of an outgoing call, whatever became of it.
 struct CallTrace {
-  // The peer may have received bytes of the call, now or later: it was written to a connection.
+  // A connection was open and the call was sent on it, so that the peer may have received bytes of
+  // it. Set before the first byte is written.
   bool written = false;
   // Age of that connection when the call began; 0 for a new one.
   Duration connection_age{};
--- a/src/scheduling/internal/run_end.h
+++ b/src/scheduling/internal/run_end.h
@@ -17,8 +17,9 @@
 // - the worker is not registered any more; or
 // - the time for late calls is over, and the longest lease that the last one may have got.
 //
-// Not covered: an open copy that the next incarnation carries out before this owner reaches it,
-// within kLateCallLimit of its sending, after the former one refused it or was registered no more.
+// Not covered: an open copy that the next incarnation carries out before an owner reaches that,
+// within kLateCallLimit of its sending, after the former one refused it, ended the run or was
+// registered no more. A refusal ends with its incarnation, and the copy may be a former owner's.
 // Waiting for that time after each start without a response would delay every such task by 12 s.
 #pragma once
 
--- a/src/scheduling/internal/worker_calls.h
+++ b/src/scheduling/internal/worker_calls.h
@@ -11,10 +11,10 @@
 
 namespace dn {
 
-// How long a call without a response may still be carried out. Bounds the platform's delay between
-// the arrival of a call and its execution: it says "seconds", and calls have been seen to take
-// 12 s. Time in the network has no bound, since a partition holds calls up for as long as it lasts;
-// there, the reset of the connection (ResetWhenClosed) ends a call that is given up.
+// How long after its sending a call without a response may still be carried out, as far as the
+// platform delays it: that says "seconds", and calls have been seen to take 12 s. It is no bound of
+// the time in the network, where a partition holds calls up for as long as it lasts; there, the
+// reset of the connection (ResetWhenClosed) ends a call that is given up.
 constexpr Duration kLateCallLimit{12'000};
 
 class WorkerCalls {
