--- a/review/platform2.py
+++ b/review/platform2.py
@@ -369,9 +369,7 @@
 
     def step_of(self, task):
         job, _, step, index = task.split(".")
-        if job not in self.jobs:
-            return None
-        steps = self.jobs[job]["Steps"]
+        steps = self.jobs.get(job, self.jobs.get(job.upper(), {"Steps": []}))["Steps"]
         if int(step) >= len(steps) or int(index) >= steps[int(step)].get("Count", 1):
             return None
         return steps[int(step)]
@@ -588,10 +586,13 @@
             not step.get("Fills") and cpu + step.get("Cpu", 0) > self.cpu)
         if over and self.guards:
             return 409, {**clock, "Reason": "room"}
+        unknown = task.split(".")[0] not in self.site.jobs  # Its digits may be those of a job.
+        if unknown:
+            self.site.record.write(self.id, f"told to start {task}/{number}, which nobody sent")
         run = Run(task, number, step, ask.get("Checkpointed", ""), now_ms())
         self.running[task] = run
         self.site.starts.append({"at": now_ms(), "task": task, "run": number, "worker": self.id,
-                                 "unknown": False, "over": over, "checkpoint": run.given})
+                                 "unknown": unknown, "over": over, "checkpoint": run.given})
         self.site.record.write(self.id, f"run {task}/{number} starts token={self.token} "
                                         f"checkpointed={run.given}" + (" OVER" if over else ""))
         if step.get("Gang"):
@@ -661,7 +662,7 @@
         self.file = pathlib.Path(folder) / f"{name}.conf"
         fields = {
             "Node": name, "Role": "node", "MachineClass": "edge", "Serves": "edge", "Ip": host,
-            "Zone": "piraeus", "Region": "attica", "Zones.piraeus": "attica",
+            "Zone": "piraeus", "Region": "attica", "Zones.piraeus": "attica", "Zones.kalamaria": "macedonia",
             "Listen.Front": self.front, "Listen.Ready": self.ready, "Listen.Control": self.control,
             "PortRange": f"{port + 3},{port + 5}",
             "Seeds": ",".join(f"{h}:{port + 2}" for h in hosts), "Bootstrap": "true",
