--- a/review/platform2.py
+++ b/review/platform2.py
@@ -859,9 +859,15 @@
 
     async def run():
         deployment = Deployment(folder, **options)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        verdict, text = NOT_RUN, "the case was ended early"
         try:
             await deployment.start()
             verdict, text = await asyncio.wait_for(play(deployment), 95)
+        except asyncio.CancelledError:
+            pass
         except Exception as error:  # An error of the case says nothing of the rule.
             verdict, text = NOT_RUN, f"the case couldn't run: {error!r}"
         finally:
