Tests: run the coroutines of the runner on strands

Cause: Runner::Begin started its coroutine on a pool of three threads without a strand, so that the timer of a call closed its socket on one thread while the coroutine destroyed the connection on another. The programs start all coroutines on strands.

Change: Begin uses a strand, as WorkerPool::Spawn does.

Evidence of the cause: the trace in KNOWN-RED.txt.

--- a/tests/support/runner.h
+++ b/tests/support/runner.h
@@ -21,10 +21,10 @@
     pool_.Stop();
     if (thread_.joinable()) thread_.join();
   }
-  // Starts `task` and returns a future of its result.
+  // Starts `task` on a strand, as WorkerPool::Spawn does, and returns a future of its result.
   template <class T>
   std::future<T> Begin(Task<T> task) {
-    return asio::co_spawn(pool_.context(), std::move(task), asio::use_future);
+    return asio::co_spawn(asio::make_strand(pool_.context()), std::move(task), asio::use_future);
   }
   // Runs `task`, waits until it ends and returns its result.
   template <class T>
