Take-over: learn the last owner from its record, not from an old list

What callers saw: a task ran twice at the same time, each run started by another owner.

Cause: a successor counts the leases of its predecessor only if that may still act, and it took the owner in a list of the group that was up to 3 s old for its predecessor. If owners changed twice within that time, it asked for the one before the last, found that it had left, and counted nothing for the last one. That one could be cut off from the store and go on for its time to live (1.8 s), together with workers that the successor did not reach. The successor started their tasks elsewhere while they still ran.

Change: each owner writes the record that fences earlier owners under a key of its own, with its name in the group. A successor reads these records with the progress and takes the one with the highest token before its own. Earlier owners count as ended only if that one has left the group and had outlived the time to live of those before it. The records of earlier owners are deleted with the first append after the take-over. The memory of earlier owners in ShardMembership is gone.

Why it works: no owner acts without its record, the store takes no record of an earlier owner after the fence, and the time to live of all owners before the last one ends at the latest a time to live after that one's take-over.

--- a/src/node/internal/node_module.cc
+++ b/src/node/internal/node_module.cc
@@ -174,7 +174,7 @@
                                token] { return membership_.last_confirmed(shard, token); },
             .time_to_live = membership_.time_to_live(),
             .configuration = [this] { return local_.CurrentConfiguration(); },
-            .earlier_owner = membership_.EarlierOwnerOf(shard)},
+            .member = membership_.member()},
         shard, token);
     local_.SetOwner(shard, owner);
     pool_.Spawn(owner->Run());
--- a/src/node/internal/shard_membership.cc
+++ b/src/node/internal/shard_membership.cc
@@ -255,7 +255,6 @@
     std::vector<GroupMember> others;
     for (const PartitionOwner& owner : owners.value()) {
       table.owners[owner->partition] = owner->member;
-      if (owner->member != table.member) table.earlier_owners[owner->partition] = owner->member;
       const auto member = ParseMemberName(owner->member);
       if (member && member.value().address != own_address_) {
         others.push_back(member.value().member);
@@ -292,11 +291,8 @@
   return parsed.value().address;
 }
 
-std::string ShardMembership::EarlierOwnerOf(int shard) {
-  return table_.With([&](Table& table) {
-    const auto found = table.earlier_owners.find(shard);
-    return found == table.earlier_owners.end() ? std::string() : found->second;
-  });
+std::string ShardMembership::member() {
+  return table_.With([](Table& table) { return table.member; });
 }
 
 // The group assigns all partitions of the topic, including those that no shard uses,
--- a/src/node/internal/shard_membership.h
+++ b/src/node/internal/shard_membership.h
@@ -43,9 +43,8 @@
   // gained it with `token`; Time() if it does not any more.
   Time last_confirmed(int shard, FencingToken token);
   Duration time_to_live() const { return time_to_live_; }
-  // Name of the member that owned the shard before this node, by the latest list that showed an
-  // owner; empty if none did.
-  std::string EarlierOwnerOf(int shard);
+  // Name of this node in the group.
+  std::string member();
   // Like OwnerOf, but never reads the store. kUnavailable: the cache is stale.
   Result<Endpoint> CachedOwnerOf(int shard);
   // Addresses of the members in the cached owner list, without this node.
@@ -61,9 +60,6 @@
     std::map<int, FencingToken> owned;
     Time confirmed{};                   // Send time of the join that returned `owned`.
     std::map<int, std::string> owners;  // Member name by partition.
-    // By partition: the latest other member in a list. Unlike `owners`, it keeps members that are
-    // gone.
-    std::map<int, std::string> earlier_owners;
     Time owners_read{};   // Send time of the last read; Time() once `owners` is stale.
     Time members_read{};  // Send time of the last read.
     Candidacy candidacy;
--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -3,8 +3,6 @@
 
 #include <random>
 
-#include "node/internal/group_list.h"
-
 namespace dn {
 namespace {
 
@@ -95,14 +93,21 @@
   co_await PlanLoop();
 }
 
-Task<Time> ShardOwner::EndOfEarlierOwner() {
+Task<> ShardOwner::ExpectEarlierOwners(RecordedProgress progress, Time fenced_at) {
+  const std::optional<Ownership> last = LastBefore(progress->ownerships, token_);
   auto owners = co_await context_.store.Owners(kOwnerGroup, kJobsTopic);
-  const bool is_gone =
-      owners && !context_.earlier_owner.empty() && HasLeft(owners.value(), context_.earlier_owner);
+  const bool have_ended =
+      last && owners && HaveEnded(*last, owners.value(), context_.time_to_live, WallMs());
   context_.log.Write("earlier-owner", std::to_string(shard_),
-                     "token=" + std::to_string(token_) + " member=" + context_.earlier_owner +
-                         " gone=" + (is_gone ? "yes" : "no"));
-  co_return Now() + (is_gone ? Duration(0) : context_.time_to_live);
+                     "token=" + std::to_string(token_) +
+                         (last ? " instance=" + (*last)->instance + " member=" + (*last)->member +
+                                     " earlier_token=" + std::to_string((*last)->token) +
+                                     " age_ms=" + std::to_string(WallMs() - (*last)->since_ms)
+                               : " member=") +
+                         " gone=" + (have_ended ? "yes" : "no"));
+  const Time ends = fenced_at + (have_ended ? Duration(0) : context_.time_to_live);
+  const std::int64_t ends_ms = WallMs() + (ends - Now()).count();
+  table_.With([&](Table& table) { table.shard.ExpectEarlierOrders(ends, ends_ms); });
 }
 
 Task<NewestCursor> ShardOwner::ReadProgress(std::int64_t fence_end) {
@@ -124,8 +129,11 @@
 Task<bool> ShardOwner::TakeOver() {
   // Fencing comes first: afterwards no earlier owner can change the progress that is
   // read next.
-  const Ownership ownership({.instance = context_.instance, .token = token_, .since_ms = WallMs()});
-  const StoreRecord fence({.key = kOwnershipKey, .value = EncodeText(ownership)});
+  const Ownership ownership({.instance = context_.instance,
+                             .token = token_,
+                             .since_ms = WallMs(),
+                             .member = context_.member});
+  const StoreRecord fence({.key = OwnershipKeyOf(token_), .value = EncodeText(ownership)});
   std::int64_t fence_end = 0;
   while (active_) {
     auto fenced = co_await progress_->Fence(fence);
@@ -145,16 +153,17 @@
     }
     co_await SleepFor(kRetryPause);
   }
-  const Time earlier_owner_ends = co_await EndOfEarlierOwner();
-  const std::int64_t earlier_owner_ends_ms = WallMs() + (earlier_owner_ends - Now()).count();
-  table_.With([&](Table& table) {
-    table.shard.ExpectEarlierOrders(earlier_owner_ends, earlier_owner_ends_ms);
-  });
+  const Time fenced_at = Now();
   const NewestCursor read = co_await ReadProgress(fence_end);
+  if (!active_) co_return false;
+  const RecordedProgress progress = DecodeProgress(read.records());
+  co_await ExpectEarlierOwners(progress, fenced_at);
+  for (const auto& [key, earlier] : progress->ownerships) {
+    if (earlier->token < token_) earlier_ownerships_.push_back(key);
+  }
   co_await jobs_.LoadWhile([this] { return active_.load(); });
   co_await workers_.LoadWhile([this] { return active_.load(); });
   if (!active_) co_return false;
-  const RecordedProgress progress = DecodeProgress(read.records());
   const auto [jobs, workers] = table_.With(
       [](Table& table) { return std::make_pair(table.shard.jobs(), table.shard.workers()); });
   context_.log.Write("take-over-read", std::to_string(shard_),
@@ -503,6 +512,9 @@
       records.emplace_back(
           StoreRecordFields{.key = kInterferenceKey, .value = EncodeInterference(learned)});
     }
+    for (std::string& key : std::exchange(earlier_ownerships_, {})) {
+      records.emplace_back(StoreRecordFields{.key = std::move(key), .value = std::nullopt});
+    }
     std::vector<StoreRecord> deletions;
     for (const JobId id : batch.expired) {
       deletions.emplace_back(StoreRecordFields{.key = FormatJobId(id), .value = std::nullopt});
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -33,8 +33,7 @@
     Duration time_to_live;  // The ownership may expire this long after a join.
     // Active configuration of the queues.
     std::function<std::shared_ptr<const QueueConfigurationView>()> configuration;
-    // Member of the group that is known to have owned the shard before; empty: none is known.
-    std::string earlier_owner;
+    std::string member;  // Name of this node in the group.
   };
 
   ShardOwner(Context context, int shard, FencingToken token);
@@ -77,9 +76,9 @@
     Links links;
   };
 
-  // Returns until when the earlier owner may act: unless it is known to have left the group, it may
-  // be unaware of its replacement for its time to live.
-  Task<Time> EndOfEarlierOwner();
+  // Tells the shard until when earlier owners may act, which were fenced at `fenced_at`: they may
+  // be unaware of their replacement for their time to live, unless they are known to have ended.
+  Task<> ExpectEarlierOwners(RecordedProgress progress, Time fenced_at);
   // Fences earlier owners and restores the shard from the store. Returns false if
   // the shard was dropped meanwhile.
   Task<bool> TakeOver();
@@ -151,6 +150,9 @@
   std::shared_ptr<const QueueConfigurationView> queues_;
   bool owned_ = true;              // As last written to the log. Used only by PlanLoop.
   bool evacuations_known_ = true;  // The same.
+  // Keys of the records of earlier owners, to be deleted. Set by TakeOver, then used only by
+  // RecordLoop.
+  std::vector<std::string> earlier_ownerships_;
   const std::shared_ptr<RecordWriter> progress_;
   const std::shared_ptr<RecordWriter> job_cleaner_;  // Deletes expired jobs.
   KeyedFollower jobs_;                               // Submitted jobs.
--- a/src/node/internal/shards.h
+++ b/src/node/internal/shards.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 
 #include "scheduling/scheduling.h"
 #include "store/store.h"
@@ -19,8 +20,9 @@
 
 // Key of the learned interference, which is stored among the progress of jobs.
 inline constexpr const char* kInterferenceKey = "harm";
-// Key of the record by which an owner fences earlier ones, stored among the progress of jobs too.
-inline constexpr const char* kOwnershipKey = "owner";
+// The keys of the records by which owners fence earlier ones begin so. They are stored among the
+// progress of jobs, too.
+inline constexpr std::string_view kOwnershipKey = "owner";
 
 inline int ShardOf(JobId id) { return static_cast<int>(id % kShardCount); }
 inline Partition JobsOf(int shard) { return Partition({.topic = kJobsTopic, .number = shard}); }
--- a/src/node/internal/take_over_read.cc
+++ b/src/node/internal/take_over_read.cc
@@ -6,7 +6,11 @@
 RecordedProgress DecodeProgress(const std::vector<StoreRecord>& records) {
   RecordedProgressFields out;
   for (const StoreRecord& record : records) {
-    if (!record->value || record->key == kOwnershipKey) continue;
+    if (!record->value) continue;
+    if (auto ownership = OwnershipIn(record)) {
+      out.ownerships.emplace(record->key, *std::move(ownership));
+      continue;
+    }
     if (record->key == kInterferenceKey) {
       auto interference = DecodeInterference(*record->value);
       if (interference) {
--- a/src/node/internal/take_over_read.h
+++ b/src/node/internal/take_over_read.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "node/internal/shards.h"
+#include "node/internal/ownership.h"
 
 namespace dn {
 
@@ -17,7 +17,8 @@
   std::vector<JobProgress> jobs;
   std::vector<JobCrashes> crashes;
   std::optional<std::vector<InterferenceEstimate>> interference;
-  std::vector<std::string> unreadable;  // Keys of the records that cannot be decoded.
+  std::map<std::string, Ownership> ownerships;  // By key, of all owners whose records are left.
+  std::vector<std::string> unreadable;          // Keys of the records that cannot be decoded.
 
   friend auto operator<=>(const RecordedProgressFields&, const RecordedProgressFields&) = default;
 };
--- a/src/node/tests/ownership_test.cc
+++ b/src/node/tests/ownership_test.cc
@@ -3,8 +3,6 @@
 
 #include <catch2/catch.hpp>
 
-#include "node/internal/shards.h"
-
 namespace dn {
 namespace {
 
@@ -22,12 +20,87 @@
        [](const std::string& bytes) { return DecodeInterference(bytes).has_value(); }},
   }));
   CAPTURE(c.name);
-  const Ownership ownership({.instance = "edge-3", .token = 7, .since_ms = 1'796'528'600'000});
+  const Ownership ownership(
+      {.instance = "edge-3", .token = 7, .since_ms = 1'796'528'600'000, .member = "m"});
   CHECK_FALSE(c.decodes(EncodeText(ownership)));
   const auto decoded = DecodeMessage<Ownership>(EncodeText(ownership));
   REQUIRE(decoded);
   CHECK(decoded.value() == ownership);
 }
 
+// Guards against an owner that takes another one than the last for its predecessor.
+TEST_CASE("the last owner is found among the records of all owners", "[node]") {
+  constexpr FencingToken kToken = 16;
+  struct Case {
+    std::string name;
+    std::vector<std::pair<std::string, std::string>> records;  // Keys and values.
+    std::optional<FencingToken> token;
+    std::string member;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"none", {{"harm", "{}"}}, std::nullopt, ""},
+      {"only the owner itself",
+       {{"owner.16", R"({"instance":"e","token":16,"since_ms":1,"member":"x"})"}},
+       std::nullopt,
+       ""},
+      {"the last of two",
+       {{"owner.7", R"({"instance":"a","token":7,"since_ms":1,"member":"x"})"},
+        {"owner.10", R"({"instance":"b","token":10,"since_ms":2,"member":"y"})"},
+        {"owner.16", R"({"instance":"c","token":16,"since_ms":3,"member":"z"})"}},
+       10,
+       "y"},
+      {"one of an earlier version",
+       {{"owner", R"({"instance":"b","token":10,"since_ms":2})"},
+        {"owner.7", R"({"instance":"a","token":7,"since_ms":1,"member":"x"})"}},
+       10,
+       ""},
+      {"one that cannot be decoded",
+       {{"owner.12", "\x7frest"},
+        {"owner.7", R"({"instance":"a","token":7,"since_ms":1,"member":"x"})"}},
+       12,
+       ""},
+  }));
+  CAPTURE(c.name);
+  std::map<std::string, Ownership> ownerships;
+  for (const auto& [key, value] : c.records) {
+    const auto ownership = OwnershipIn(StoreRecord({.key = key, .value = value}));
+    if (ownership) ownerships.emplace(key, *ownership);
+  }
+  const auto last = LastBefore(ownerships, kToken);
+  CHECK(last.has_value() == c.token.has_value());
+  if (!last || !c.token) return;
+  CHECK((*last)->token == *c.token);
+  CHECK((*last)->member == c.member);
+}
+
+// Guards against a successor that does not wait for owners that may still act.
+TEST_CASE("earlier owners have ended if the last one has left and had outlived those before it",
+          "[node]") {
+  constexpr Duration kTimeToLive{1'800};
+  constexpr std::int64_t kSinceMs = 1'796'528'600'000;
+  constexpr std::int64_t kLongMs = 6'800;  // Time to live and the error of times of day.
+  struct Case {
+    std::string name;
+    std::string member;
+    std::int64_t age_ms;
+    bool ended;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"has left", "x", kLongMs, true},
+      {"is a member", "a", kLongMs, false},
+      {"not known", "", kLongMs, false},
+      {"had just replaced another one", "x", kLongMs - 1, false},
+      {"by a clock that is ahead", "x", -3'000, false},
+  }));
+  CAPTURE(c.name);
+  std::vector<PartitionOwner> owners;
+  for (const char* member : {"a", "a", "b", "b"}) {
+    owners.emplace_back(
+        PartitionOwnerFields{.partition = static_cast<int>(owners.size()), .member = member});
+  }
+  const Ownership last({.instance = "e", .token = 7, .since_ms = kSinceMs, .member = c.member});
+  CHECK(HaveEnded(last, owners, kTimeToLive, kSinceMs + c.age_ms) == c.ended);
+}
+
 }  // namespace
 }  // namespace dn
--- a/src/node/tests/take_over_resumed_test.cc
+++ b/src/node/tests/take_over_resumed_test.cc
@@ -112,7 +112,7 @@
             .last_confirmed = [] { return Now(); },
             .time_to_live = Duration(1'800),
             .configuration = [] { return std::make_shared<const QueueConfigurationView>(); },
-            .earlier_owner = ""},
+            .member = "n"},
         0, kToken);
     runner.pool().Spawn(owner->Run());
     open = runner.Wait(WaitOpen(owner));
--- a/src/scheduling/internal/policy.h
+++ b/src/scheduling/internal/policy.h
@@ -9,6 +9,10 @@
 
 namespace dn {
 
+// How far the times of day of two machines may differ. They may jump by seconds; the platform's
+// rules allow 5 s for that.
+constexpr Duration kTimeOfDayError{5'000};
+
 struct PolicyFields {
   // Length of a lease. No lease expires during a take-over, which takes the member timeout of 2 s,
   // 0.5 s to read the records, and one renewal.
--- a/src/scheduling/internal/worker_table.cc
+++ b/src/scheduling/internal/worker_table.cc
@@ -9,9 +9,6 @@
 // How long after the beginning of an incarnation a call by the clock of the one before may be
 // carried out: an owner ceases to grant leases kReportTimeout after its last report.
 constexpr Duration kFormerClockLimit = kReportTimeout + kLateCallLimit;
-// How far the times of day of two machines may differ. They may jump by seconds; the platform's
-// rules allow 5 s for that.
-constexpr Duration kTimeOfDayError{5'000};
 
 // Adds `sign` times the demand of one task of `step` to the totals of `worker`.
 void Count(WorkerRow& worker, const StepSpec& step, int sign) {
--- a/tests/ownership_process_test.cc
+++ b/tests/ownership_process_test.cc
@@ -34,6 +34,10 @@
 constexpr Duration kPlanTime{150};
 // Ends between the take-over and the end of the time for which the successor waits.
 constexpr Duration kPause{5'500};
+// Age of the lists of owners that instances keep, and the time in which each worker has received a
+// renewal of a new owner.
+constexpr Duration kListAge{3'500};
+constexpr Duration kRenewalTime{200};
 constexpr Duration kPollInterval{50};
 
 // Submits a job. The tasks of the payload "long" run until the job is cancelled.
@@ -52,12 +56,21 @@
   return true;
 }
 
+// Returns the highest fencing token of all calls to workers.
+std::int64_t HighestCallToken(NodeFleet& fleet) {
+  std::int64_t token = 0;
+  for (int i = 0; i < kWorkers; ++i) {
+    for (const auto& call : fleet.worker(i).Calls()) token = std::max(token, call.token);
+  }
+  return token;
+}
+
 // Separates a former owner and the first workers from the store, from the other workers and from
 // later owners, but not from each other.
 class Partition {
  public:
   Partition(NodeFleet& fleet, int owner) : fleet_(fleet), owner_(owner) {
-    const std::int64_t token = LastTokenOf(fleet.HighestToken());
+    const std::int64_t token = LastTokenOf(HighestCallToken(fleet));
     fleet.store().SetEndpointFault(owner, {.silent = true});
     for (int i = 0; i < kWorkers; ++i) {
       standins::TaskWorkerFault cut;
@@ -82,6 +95,16 @@
   const int owner_;
 };
 
+// Returns the number of live runs on the workers that are not cut off.
+std::ptrdiff_t RunsOfOthers(NodeFleet& fleet) {
+  std::ptrdiff_t runs = 0;
+  for (int i = kCutOffWorkers; i < kWorkers; ++i) {
+    const auto all = fleet.worker(i).Runs();
+    runs += std::count_if(all.begin(), all.end(), [](const auto& run) { return !run.ended; });
+  }
+  return runs;
+}
+
 struct OwnerScenario {
   std::string name;
   // The owner is paused once it has sent the record of starts, and goes on after its replacement.
@@ -99,15 +122,7 @@
   NodeFleet fleet(runner, DN_BIN, kNodes, kWorkers);
   REQUIRE(runner.Wait(SubmitJob(fleet, kFirstJob, kFirstTasks, "long")));
   REQUIRE(WaitUntil(kStartLimit, [&] { return fleet.CountLiveRuns(kFirstJob) == kFirstTasks; }));
-  const auto runs_of_others = [&] {
-    std::ptrdiff_t runs = 0;
-    for (int i = kCutOffWorkers; i < kWorkers; ++i) {
-      const auto all = fleet.worker(i).Runs();
-      runs += std::count_if(all.begin(), all.end(), [](const auto& run) { return !run.ended; });
-    }
-    return runs;
-  };
-  REQUIRE(runs_of_others() < kFirstTasks);
+  REQUIRE(RunsOfOthers(fleet) < kFirstTasks);
   const int owner = fleet.Owner();
   REQUIRE(owner >= 0);
   Time paused_at{};
@@ -131,7 +146,7 @@
       fleet.Signal(owner, SIGCONT);
     }
     // The successor starts the tasks of the workers that it does not reach on the others.
-    CHECK(WaitUntil(kCutLimit, [&] { return runs_of_others() == tasks; }));
+    CHECK(WaitUntil(kCutLimit, [&] { return RunsOfOthers(fleet) == tasks; }));
     CHECK(fleet.Owner() != owner);
   }
   std::this_thread::sleep_for(kSettleTime);
@@ -141,5 +156,34 @@
   CHECK(runner.Wait(fleet.WaitState(kSecondJob, state, kStartLimit)));
 }
 
+// Guards against a successor that takes the owner before the last one for its predecessor, finds
+// that it is gone, and does not count the leases that the last one still grants.
+TEST_CASE("no task runs twice when owners change twice and the second one is cut off with workers",
+          "[node][processes]") {
+  Runner runner;
+  NodeFleet fleet(runner, DN_BIN, kNodes + 1, kWorkers);
+  REQUIRE(runner.Wait(SubmitJob(fleet, kFirstJob, kFirstTasks, "long")));
+  REQUIRE(WaitUntil(kStartLimit, [&] { return fleet.CountLiveRuns(kFirstJob) == kFirstTasks; }));
+  std::this_thread::sleep_for(kListAge);
+  const int first = fleet.Owner();
+  REQUIRE(first >= 0);
+  const std::int64_t first_token = LastTokenOf(HighestCallToken(fleet));
+  fleet.Signal(first, SIGKILL);
+  const auto second_owner_renews = [&] { return HighestCallToken(fleet) > first_token; };
+  REQUIRE(WaitUntil(kStartLimit, second_owner_renews));
+  std::this_thread::sleep_for(kRenewalTime);
+  const int second = fleet.Owner();
+  REQUIRE(second != first);
+  {
+    const Partition partition(fleet, second);
+    fleet.store().ReassignPartitions();
+    CHECK(WaitUntil(kCutLimit, [&] { return RunsOfOthers(fleet) == kFirstTasks; }));
+    CHECK(fleet.Owner() != second);
+  }
+  std::this_thread::sleep_for(kSettleTime);
+  for (const std::string& twice : fleet.RunsTwice()) FAIL_CHECK(twice);
+  CHECK(fleet.CountLiveRuns(kFirstJob) == kFirstTasks);
+}
+
 }  // namespace
 }  // namespace dn::testing
