Placement: tasks that end get their share of the cores beside tasks that last

Cause: latency-critical steps come before all others and keep their cores for as long as their jobs last.

Change: where both wait in a service, steps that end come first while their tasks reserve less than those that last (max-min fairness, room_share.h), if their queue is at least as urgent. They need the cores for seconds.

--- a/bench/load_model/load_model.cc
+++ b/bench/load_model/load_model.cc
@@ -690,6 +690,10 @@
       LoadPattern(
           {.name = "high load", .urgent_jobs_per_second = 6, .best_effort_jobs_per_second = 9}),
       LoadPattern({.name = "many long-running jobs", .latency_critical_jobs = 52}),
+      LoadPattern({.name = "long-running jobs take over from each other",
+                   .latency_critical_jobs = 52,
+                   .latency_critical_jobs_per_second = 1,
+                   .latency_critical_stay = Duration(50'000)}),
       LoadPattern({.name = "jobs that always fail", .always_failing_share = 0.3}),
       LoadPattern({.name = "cancellation wave", .cancelled_share = 0.5}),
       LoadPattern({.name = "half the workers lost", .lost_worker_share = 0.5}),
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -19,6 +19,7 @@
 #include "scheduling/internal/overload_state.h"
 #include "scheduling/internal/pace_control.h"
 #include "scheduling/internal/placement_policy.h"
+#include "scheduling/internal/room_share.h"
 #include "scheduling/internal/run_end.h"
 #include "scheduling/internal/run_evidence.h"
 #include "scheduling/internal/run_gaps.h"
@@ -305,6 +306,8 @@
   // Rebuilds `open_jobs_` and finds the jobs past their retention period.
   void CollectOpenJobs(Time now);
   std::vector<Waiting> CollectWaiting(Time now, std::int64_t wall_ms);
+  // Puts steps that end before the latency-critical ones as far as RoomShare says.
+  void ShareRoom(std::vector<Waiting>& waiting) const;
   // Counts the backlogs of the shared services and chooses the jobs that become late, at most every
   // kSelectionPeriod.
   void UpdateOverload(Time now, std::int64_t wall_ms);
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -195,9 +195,36 @@
            unreported.count(waiting.job->accepted->queue->service) > 0;
   });
   std::sort(out.begin(), out.end());
+  ShareRoom(out);
   return out;
 }
 
+void Shard::ShareRoom(std::vector<Waiting>& waiting) const {
+  std::map<std::string, RoomShare> shares;  // Of the services with waiting latency-critical steps.
+  for (const Waiting& step : waiting) {
+    if (!step.urgency.latency_critical) continue;
+    const Queue& queue = step.job->accepted->queue;
+    shares[queue->service].AddWaiting(queue->priority);
+  }
+  if (shares.empty()) return;
+  for (const auto& [id, worker] : workers_.workers()) {
+    const auto share = shares.find(worker.entry->service);
+    if (share != shares.end()) share->second.Add(worker);
+  }
+  for (Waiting& step : waiting) {
+    const Queue& queue = step.job->accepted->queue;
+    const StepSpec& spec = step.job->accepted->spec->steps[step.step];
+    const auto share = shares.find(queue->service);
+    if (share == shares.end() || step.urgency.latency_critical || step.urgency.no_value ||
+        spec->best_effort) {
+      continue;
+    }
+    step.urgency.shares_room =
+        share->second.TakePrecedence(queue->priority, spec->count * spec->demand.millicores);
+  }
+  std::stable_sort(waiting.begin(), waiting.end());
+}
+
 std::set<std::string> Shard::UnreportedServices(Time now) {
   std::set<std::string> services;
   first_plan_ = std::min(first_plan_, now);
--- a/src/scheduling/internal/urgency.h
+++ b/src/scheduling/internal/urgency.h
@@ -15,7 +15,10 @@
 
 // Sort key of a waiting step; the lower key is placed first.
 struct Urgency {
-  bool latency_critical = false;  // Inverted in the order: latency-critical steps come first.
+  // Whether the step comes before the latency-critical ones (see RoomShare). Inverted in the order,
+  // as is the next one.
+  bool shares_room = false;
+  bool latency_critical = false;  // Latency-critical steps come before the others.
   bool no_value = false;          // Whether the job is too late to have any value.
   int priority = 0;
   ExpectedValue expected_value = ExpectedValue::kFull;
@@ -23,6 +26,7 @@
   std::int64_t tie_break_ms = 0;  // A rank if the jobs are ranked under overload.
 
   friend std::strong_ordering operator<=>(const Urgency& a, const Urgency& b) {
+    if (a.shares_room != b.shares_room) return b.shares_room <=> a.shares_room;
     if (a.latency_critical != b.latency_critical) return b.latency_critical <=> a.latency_critical;
     return std::tie(a.no_value, a.priority, a.expected_value, a.tie_break_ms) <=>
            std::tie(b.no_value, b.priority, b.expected_value, b.tie_break_ms);
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -20,6 +20,7 @@
 #include "scheduling/internal/placement_policy.h"
 #include "scheduling/internal/policy.h"
 #include "scheduling/internal/record_codec.h"
+#include "scheduling/internal/room_share.h"
 #include "scheduling/internal/run_gaps.h"
 #include "scheduling/internal/run_history.h"
 #include "scheduling/internal/shard.h"
--- a/tests/load_patterns_test.cc
+++ b/tests/load_patterns_test.cc
@@ -51,6 +51,19 @@
   }
 }
 
+// Guards against urgent jobs that starve while latency-critical jobs of the same priority need more
+// cores than there are: as one of those ended, others that waited took all of its cores.
+TEST_CASE("no kind of job starves beside more long-running jobs than there are cores for",
+          "[scheduling][load]") {
+  for (const std::uint64_t seed : {1, 2, 3, 4}) {
+    const auto result = bench::SimulateLoad(
+        PatternNamed("long-running jobs take over from each other"), Policy(), seed);
+    CAPTURE(seed);
+    CHECK(result->urgent_score >= result->latency_critical_score / 2);
+    CHECK(result->best_effort_score >= result->latency_critical_score / 2);
+  }
+}
+
 // Guards against a choice of late jobs that lowers the value of the jobs served, or that harms
 // latency-critical tasks: here the batch jobs are best-effort and use idle cores.
 TEST_CASE("overload control serves a burst of best-effort jobs better",
