Take-over: earlier owners count until they are found to have ended

With a read of the progress that takes longer than a moment, the last owner may still be a member at the fence, grant leases until its time to live is over, and be gone when the list is read.

Change: earlier owners that have ended count until the list was read, for their time to live after the fence at most (EndOfEarlierOwners).

--- a/src/node/internal/ownership.cc
+++ b/src/node/internal/ownership.cc
@@ -1,6 +1,7 @@
 // The rules of ownership.h.
 #include "node/internal/ownership.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include "node/internal/group_list.h"
@@ -32,10 +33,22 @@
   return last;
 }
 
-bool HaveEnded(const Ownership& last, const std::vector<PartitionOwner>& owners,
-               Duration time_to_live, std::int64_t now_ms) {
-  if (last->member.empty() || !HasLeft(owners, last->member)) return false;
-  return now_ms - last->since_ms >= (time_to_live + kTimeOfDayError).count();
+bool HaveEnded(const std::map<std::string, Ownership>& ownerships, FencingToken token,
+               const std::vector<PartitionOwner>& owners, Duration time_to_live,
+               std::int64_t now_ms) {
+  const std::optional<Ownership> last = LastBefore(ownerships, token);
+  if (!last) return false;
+  for (const auto& [key, earlier] : ownerships) {
+    if (earlier->token >= token) continue;
+    if (earlier->member.empty() || !HasLeft(owners, earlier->member)) return false;
+  }
+  // Both times of day may be wrong, in opposite directions.
+  return now_ms - (*last)->since_ms >= (time_to_live + 2 * kTimeOfDayError).count();
+}
+
+Time EndOfEarlierOwners(Time fenced_at, Duration time_to_live, bool have_ended, Time now) {
+  const Time latest = fenced_at + time_to_live;
+  return have_ended ? std::min(now, latest) : latest;
 }
 
 }  // namespace dn
--- a/src/node/internal/ownership.h
+++ b/src/node/internal/ownership.h
@@ -43,11 +43,17 @@
 std::optional<Ownership> LastBefore(const std::map<std::string, Ownership>& ownerships,
                                     FencingToken token);
 
-// Returns whether no earlier owner can act any more, after the last one of them has been fenced and
-// `owners` has been read at the time of day `now_ms`. The last one must have left the group, and
-// the time to live of those before it must have passed, since they may not know that they were
-// replaced.
-bool HaveEnded(const Ownership& last, const std::vector<PartitionOwner>& owners,
-               Duration time_to_live, std::int64_t now_ms);
+// Returns whether no earlier owner can act any more, after the owner with `token` has fenced them
+// and read `owners` at the time of day `now_ms`. All whose records are left must have left the
+// group, and the time to live of those before the last one must have passed, since they may not
+// know that they were replaced.
+bool HaveEnded(const std::map<std::string, Ownership>& ownerships, FencingToken token,
+               const std::vector<PartitionOwner>& owners, Duration time_to_live,
+               std::int64_t now_ms);
+
+// Returns until when earlier owners may act that were fenced at `fenced_at`. `have_ended`: they
+// were found to have ended at `now`. They may have acted until then, but not for longer than their
+// time to live after the fence.
+Time EndOfEarlierOwners(Time fenced_at, Duration time_to_live, bool have_ended, Time now);
 
 }  // namespace dn
--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -96,8 +96,8 @@
 Task<> ShardOwner::ExpectEarlierOwners(RecordedProgress progress, Time fenced_at) {
   const std::optional<Ownership> last = LastBefore(progress->ownerships, token_);
   auto owners = co_await context_.store.Owners(kOwnerGroup, kJobsTopic);
-  const bool have_ended =
-      last && owners && HaveEnded(*last, owners.value(), context_.time_to_live, WallMs());
+  const bool have_ended = owners && HaveEnded(progress->ownerships, token_, owners.value(),
+                                              context_.time_to_live, WallMs());
   context_.log.Write("earlier-owner", std::to_string(shard_),
                      "token=" + std::to_string(token_) +
                          (last ? " instance=" + (*last)->instance + " member=" + (*last)->member +
@@ -105,8 +105,9 @@
                                      " age_ms=" + std::to_string(WallMs() - (*last)->since_ms)
                                : " member=") +
                          " gone=" + (have_ended ? "yes" : "no"));
-  const Time ends = fenced_at + (have_ended ? Duration(0) : context_.time_to_live);
-  const std::int64_t ends_ms = WallMs() + (ends - Now()).count();
+  const Time now = Now();
+  const Time ends = EndOfEarlierOwners(fenced_at, context_.time_to_live, have_ended, now);
+  const std::int64_t ends_ms = WallMs() + (ends - now).count();
   table_.With([&](Table& table) { table.shard.ExpectEarlierOrders(ends, ends_ms); });
 }
 
--- a/src/node/tests/ownership_test.cc
+++ b/src/node/tests/ownership_test.cc
@@ -6,6 +6,8 @@
 namespace dn {
 namespace {
 
+constexpr Duration kTimeToLive{1'800};
+
 // During an update of the program, an instance of the previous version takes over from one of this
 // version. Guards against an ownership record that it restores as the progress of a job.
 TEST_CASE("an ownership record is not taken for a record of a job", "[node]") {
@@ -74,23 +76,25 @@
 }
 
 // Guards against a successor that does not wait for owners that may still act.
-TEST_CASE("earlier owners have ended if the last one has left and had outlived those before it",
+TEST_CASE("earlier owners have ended if all have left and the last had outlived those before it",
           "[node]") {
-  constexpr Duration kTimeToLive{1'800};
   constexpr std::int64_t kSinceMs = 1'796'528'600'000;
-  constexpr std::int64_t kLongMs = 6'800;  // Time to live and the error of times of day.
+  constexpr std::int64_t kLongMs = 11'800;  // Time to live and the errors of two times of day.
   struct Case {
     std::string name;
-    std::string member;
+    std::vector<std::string> members;  // Of the earlier owners, the last one at the end.
     std::int64_t age_ms;
     bool ended;
   };
   const auto c = GENERATE(values<Case>({
-      {"has left", "x", kLongMs, true},
-      {"is a member", "a", kLongMs, false},
-      {"not known", "", kLongMs, false},
-      {"had just replaced another one", "x", kLongMs - 1, false},
-      {"by a clock that is ahead", "x", -3'000, false},
+      {"has left", {"x"}, kLongMs, true},
+      {"is a member", {"a"}, kLongMs, false},
+      {"not known", {""}, kLongMs, false},
+      {"no record", {}, kLongMs, false},
+      {"had just replaced another one", {"x"}, kLongMs - 1, false},
+      {"by a clock that is ahead", {"x"}, -3'000, false},
+      {"both have left", {"y", "x"}, kLongMs, true},
+      {"the one before it is a member", {"a", "x"}, kLongMs, false},
   }));
   CAPTURE(c.name);
   std::vector<PartitionOwner> owners;
@@ -98,8 +102,36 @@
     owners.emplace_back(
         PartitionOwnerFields{.partition = static_cast<int>(owners.size()), .member = member});
   }
-  const Ownership last({.instance = "e", .token = 7, .since_ms = kSinceMs, .member = c.member});
-  CHECK(HaveEnded(last, owners, kTimeToLive, kSinceMs + c.age_ms) == c.ended);
+  std::map<std::string, Ownership> ownerships;
+  FencingToken token = 7;
+  for (const std::string& member : c.members) {
+    ownerships.emplace(
+        OwnershipKeyOf(token),
+        Ownership({.instance = "e", .token = token, .since_ms = kSinceMs, .member = member}));
+    ++token;
+  }
+  CHECK(HaveEnded(ownerships, token, owners, kTimeToLive, kSinceMs + c.age_ms) == c.ended);
+}
+
+// Guards against a successor that finds that earlier owners have ended after a long read, and
+// counts their leases from its fence on although they went on during the read.
+TEST_CASE("earlier owners count until they are found to have ended", "[node]") {
+  constexpr Time kFenced{Duration(10'000)};
+  struct Case {
+    std::string name;
+    bool have_ended;
+    Duration after;  // From the fence until the list of owners was read.
+    Duration until;  // From the fence.
+  };
+  const auto c = GENERATE(values<Case>({
+      {"not known to have ended", false, Duration(50), kTimeToLive},
+      {"ended, short read", true, Duration(50), Duration(50)},
+      {"ended, long read", true, Duration(1'700), Duration(1'700)},
+      {"ended, longer read", true, Duration(6'000), kTimeToLive},
+  }));
+  CAPTURE(c.name);
+  CHECK(EndOfEarlierOwners(kFenced, kTimeToLive, c.have_ended, kFenced + c.after) ==
+        kFenced + c.until);
 }
 
 }  // namespace
