Room share: count the waiting tasks of a step only, and keep the order of queues

Cause, found by review of: a step asked for the cores of all its tasks, also of those that run or are done, so that wide steps got precedence last. And a step that was refused did not stop a smaller one of a less urgent queue, which then came before it.

Change: only tasks that are ready count, and after a refusal no step of a less urgent queue gets precedence.

--- a/src/scheduling/internal/room_share.cc
+++ b/src/scheduling/internal/room_share.cc
@@ -16,7 +16,11 @@
 
 bool RoomShare::TakePrecedence(int priority, std::int64_t millicores) {
   if (!most_urgent_ || priority > *most_urgent_) return false;
-  if (ending_millicores_ + millicores > lasting_millicores_) return false;
+  if (refused_ && priority > *refused_) return false;
+  if (ending_millicores_ + millicores > lasting_millicores_) {
+    refused_ = refused_.value_or(priority);
+    return false;
+  }
   ending_millicores_ += millicores;
   return true;
 }
--- a/src/scheduling/internal/room_share.h
+++ b/src/scheduling/internal/room_share.h
@@ -20,13 +20,15 @@
   // Notes that a latency-critical step of a queue of `priority` waits.
   void AddWaiting(int priority);
   // Returns whether a waiting step that ends comes before the latency-critical ones, and counts the
-  // cores that it asks for if so. A step of a less urgent queue does not.
+  // cores that it asks for if so. Neither a step of a less urgent queue than those does, nor one of
+  // a less urgent queue than a step that was refused for want of a share.
   bool TakePrecedence(int priority, std::int64_t millicores);
 
  private:
   std::int64_t lasting_millicores_ = 0;
   std::int64_t ending_millicores_ = 0;  // Includes those of the steps that have got precedence.
   std::optional<int> most_urgent_;      // Priority among the waiting latency-critical steps.
+  std::optional<int> refused_;          // Priority of the first step that was refused.
 };
 
 }  // namespace dn
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -307,7 +307,7 @@
   void CollectOpenJobs(Time now);
   std::vector<Waiting> CollectWaiting(Time now, std::int64_t wall_ms);
   // Puts steps that end before the latency-critical ones as far as RoomShare says.
-  void ShareRoom(std::vector<Waiting>& waiting) const;
+  void ShareRoom(std::vector<Waiting>& waiting, Time now) const;
   // Counts the backlogs of the shared services and chooses the jobs that become late, at most every
   // kSelectionPeriod.
   void UpdateOverload(Time now, std::int64_t wall_ms);
--- a/src/scheduling/internal/shard_plan.cc
+++ b/src/scheduling/internal/shard_plan.cc
@@ -195,11 +195,11 @@
            unreported.count(waiting.job->accepted->queue->service) > 0;
   });
   std::sort(out.begin(), out.end());
-  ShareRoom(out);
+  ShareRoom(out, now);
   return out;
 }
 
-void Shard::ShareRoom(std::vector<Waiting>& waiting) const {
+void Shard::ShareRoom(std::vector<Waiting>& waiting, Time now) const {
   std::map<std::string, RoomShare> shares;  // Of the services with waiting latency-critical steps.
   for (const Waiting& step : waiting) {
     if (!step.urgency.latency_critical) continue;
@@ -219,8 +219,14 @@
         spec->best_effort) {
       continue;
     }
+    const auto [first, last] = step.job->RangeOf(step.occurrence, step.step);
+    const auto ready = std::count_if(
+        step.job->tasks.begin() + static_cast<std::ptrdiff_t>(first),
+        step.job->tasks.begin() + static_cast<std::ptrdiff_t>(last), [now](const TaskRow& task) {
+          return task.phase == TaskPhase::kWaiting && task.not_before <= now;
+        });
     step.urgency.shares_room =
-        share->second.TakePrecedence(queue->priority, spec->count * spec->demand.millicores);
+        share->second.TakePrecedence(queue->priority, ready * spec->demand.millicores);
   }
   std::stable_sort(waiting.begin(), waiting.end());
 }
--- a/src/scheduling/tests/room_share_test.cc
+++ b/src/scheduling/tests/room_share_test.cc
@@ -15,18 +15,38 @@
     std::int64_t lasting = 0;
     std::int64_t ending = 0;
     bool lasting_waits = true;
-    int priority = kPriority;
-    std::vector<std::int64_t> demands;  // Of the waiting steps that end, in order.
+    std::vector<std::pair<int, std::int64_t>> steps;  // Priority and demand, in order.
     std::vector<bool> first;
   };
   const auto c = GENERATE(values<Case>({
-      {"all of them fit", 10'000, 1'000, true, kPriority, {4'000, 5'000}, {true, true}},
-      {"up to the same share", 10'000, 4'000, true, kPriority, {4'000, 4'000}, {true, false}},
-      {"a smaller one after that", 10'000, 0, true, kPriority, {11'000, 9'000}, {false, true}},
-      {"they reserve more", 4'000, 6'000, true, kPriority, {1'000}, {false}},
-      {"of a more urgent queue", 10'000, 0, true, kPriority - 1, {4'000}, {true}},
-      {"of a less urgent queue", 10'000, 0, true, kPriority + 1, {4'000}, {false}},
-      {"no latency-critical step waits", 10'000, 0, false, kPriority, {4'000}, {false}},
+      {"all of them fit",
+       10'000,
+       1'000,
+       true,
+       {{kPriority, 4'000}, {kPriority, 5'000}},
+       {true, true}},
+      {"up to the same share",
+       10'000,
+       4'000,
+       true,
+       {{kPriority, 4'000}, {kPriority, 4'000}},
+       {true, false}},
+      {"a smaller one after that",
+       10'000,
+       0,
+       true,
+       {{kPriority, 11'000}, {kPriority, 9'000}},
+       {false, true}},
+      {"they reserve more", 4'000, 6'000, true, {{kPriority, 1'000}}, {false}},
+      {"of a more urgent queue", 10'000, 0, true, {{kPriority - 1, 4'000}}, {true}},
+      {"of a less urgent queue", 10'000, 0, true, {{kPriority + 1, 4'000}}, {false}},
+      {"a smaller one of a less urgent queue",
+       10'000,
+       0,
+       true,
+       {{kPriority - 1, 11'000}, {kPriority, 1'000}},
+       {false, false}},
+      {"no latency-critical step waits", 10'000, 0, false, {{kPriority, 4'000}}, {false}},
   }));
   CAPTURE(c.name);
   RoomShare share;
@@ -39,8 +59,8 @@
     share.AddWaiting(kPriority);
   }
   std::vector<bool> first;
-  for (const std::int64_t demand : c.demands) {
-    first.push_back(share.TakePrecedence(c.priority, demand));
+  for (const auto& [priority, demand] : c.steps) {
+    first.push_back(share.TakePrecedence(priority, demand));
   }
   CHECK(first == c.first);
 }
