Log: open copies of lost runs, and confirmations that do not show their life

The hypotheses on two runs by two owners differ in whether a copy of the start of the run that was given up could still be carried out, and in which life of its worker confirmed the run. No line told either. task-lost states copy_open_ms, and start-in-doubt tells that the clock in a response may be that of a later life. Decisions do not change. The evidence test passes, with the new field in its three lines of lost runs.

--- a/src/scheduling/internal/run_evidence.cc
+++ b/src/scheduling/internal/run_evidence.cc
@@ -1,6 +1,8 @@
 // Collects and formats the evidence on runs.
 #include "scheduling/internal/run_evidence.h"
 
+#include "scheduling/internal/run_end.h"
+
 namespace dn {
 namespace {
 
@@ -15,6 +17,12 @@
   return age ? std::to_string(age->count()) : "none";
 }
 
+std::optional<Duration> OpenFor(const TaskRow& task, Time now) {
+  const std::optional<Time> open_until = OpenUntil(task);
+  if (!open_until || now >= *open_until) return std::nullopt;
+  return *open_until - now;
+}
+
 std::string GrantText(const LastGrant& grant, int unanswered_calls) {
   return "granted_ms_ago=" + (grant ? std::to_string(grant->first.count()) : "none") +
          " granted_in=" + std::to_string(grant ? grant->second : 0) +
@@ -34,6 +42,7 @@
                   .report_age = report_age,
                   .last_grant = LastGrantOf(worker, now),
                   .unanswered_calls = worker.unanswered_calls,
+                  .open_for = OpenFor(task, now),
                   .inherited = task.inherited,
                   .token = token});
 }
@@ -57,7 +66,8 @@
          " registered=" + std::to_string(run->registered_incarnation) +
          " report_age_ms=" + AgeText(run->report_age) + " " +
          GrantText(run->last_grant, run->unanswered_calls) +
-         " inherited=" + (run->inherited ? "1" : "0") + " token=" + std::to_string(run->token);
+         " copy_open_ms=" + AgeText(run->open_for) + " inherited=" + (run->inherited ? "1" : "0") +
+         " token=" + std::to_string(run->token);
 }
 
 std::string OwnRunText(const TaskRow* task) {
--- a/src/scheduling/internal/run_evidence.h
+++ b/src/scheduling/internal/run_evidence.h
@@ -26,8 +26,10 @@
   // call used; nothing if this owner has granted none.
   std::optional<std::pair<Duration, std::int64_t>> last_grant;
   int unanswered_calls = 0;  // Calls to the worker without a response since its last report.
-  bool inherited = false;    // An earlier owner placed the run, and no report has shown it.
-  FencingToken token = 0;    // Of this owner.
+  // How much longer a copy of the start may be carried out; nothing if none is open.
+  std::optional<Duration> open_for;
+  bool inherited = false;  // An earlier owner placed the run, and no report has shown it.
+  FencingToken token = 0;  // Of this owner.
 
   friend auto operator<=>(const LostRunFields&, const LostRunFields&) = default;
 };
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -162,6 +162,7 @@
   }
   if (response->refusal != OrderRefusal::kNone) return;
   const RunReport& report = response->report;
+  WorkerTable::ClockRead(*worker, report, sent, now);
   if (worker->start_time_ms != report->start_time_ms) {
     if (worker->start_time_ms != 0) {
       Decide("worker-reborn", id.value, "born=" + std::to_string(report->start_time_ms));
@@ -182,7 +183,6 @@
   if (worker->silent_since || !worker->confirmed) HeardAgain(*worker);
   worker->silent_since.reset();
   worker->connection_broke = false;
-  worker->clock = {report->clock, now};
   worker->confirmed = true;
   worker->last_report = now;
   worker->unanswered_calls = 0;
@@ -574,6 +574,12 @@
     worker->avoid_until = std::max(worker->avoid_until, now + policy_->avoid_after_refusal);
     return;
   }
+  if (worker != nullptr && (*response)->clock &&
+      !workers_.IsOfLastIncarnation(*worker, *(*response)->clock, now)) {
+    Decide("start-in-doubt", FormatTaskKey(order->task),
+           "run=" + std::to_string(order->run) + " clock=" + std::to_string(*(*response)->clock) +
+               " " + ContactText(*worker, now));
+  }
   if (worker != nullptr) worker->unanswered_starts = 0;
   // An obsolete run cannot start any more. Either a duplicate of this start arrived earlier and the
   // run has ended, possibly successfully, which the worker's report shows; or a stop came first.
--- a/src/scheduling/internal/worker_table.cc
+++ b/src/scheduling/internal/worker_table.cc
@@ -130,6 +130,23 @@
   return reading + policy_->expiry_margin.count() < known + static_cast<ClockReading>(least);
 }
 
+bool WorkerTable::IsOfLastIncarnation(const WorkerRow& worker, ClockReading reading,
+                                      Time now) const {
+  return !worker.clock ||
+         Duration(reading) > now - worker.clock_read_after + policy_->expiry_margin;
+}
+
+void WorkerTable::ClockRead(WorkerRow& worker, const RunReport& report, Time sent, Time now) {
+  Time read_after = sent;
+  if (worker.clock && worker.start_time_ms == report->start_time_ms) {
+    // Clocks may be slow, not fast.
+    const Duration passed(report->clock - worker.clock->first);
+    read_after = std::max(read_after, std::min(now, worker.clock_read_after + passed));
+  }
+  worker.clock_read_after = read_after;
+  worker.clock = {report->clock, now};
+}
+
 bool WorkerTable::AcceptsStarts(const WorkerRow& worker, Time now) {
   return !worker.silent_since && now - worker.last_report < kReportTimeout &&
          worker.calls.knows_incarnation() && !HasRestarted(worker);
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -59,6 +59,7 @@
   std::int64_t drained_start_time_ms = 0;  // Last incarnation that was draining; 0: none.
   // Last reading of the worker's clock, and the owner's time of that reading.
   std::optional<std::pair<ClockReading, Time>> clock;
+  Time clock_read_after{};  // The worker took that reading no earlier.
   WorkerCalls calls;
   // All leases of the incarnation that reported last have expired by this time.
   Time leases_expire_at{};
@@ -129,6 +130,12 @@
   // Returns whether `reading`, in the response to a call that was sent at `sent`, is too low for
   // the incarnation that reported last: the clock of each incarnation starts anew.
   bool IsOfOtherIncarnation(const WorkerRow& worker, ClockReading reading, Time sent) const;
+  // Returns whether `reading`, in a response that arrives at `now`, shows the incarnation that
+  // reported last. The clock of one that began after that report shows less than the time since.
+  bool IsOfLastIncarnation(const WorkerRow& worker, ClockReading reading, Time now) const;
+  // Records the reading in a report of the worker that was requested at `sent`. Call it before the
+  // report's incarnation is noted.
+  static void ClockRead(WorkerRow& worker, const RunReport& report, Time sent, Time now);
   // Returns whether starts may be sent to the worker. They may not while it does not respond, or
   // before its present incarnation has reported and refuses the calls to earlier ones.
   static bool AcceptsStarts(const WorkerRow& worker, Time now);
