Tests: runs of a life of a worker that its owner has not heard of

Two tests on the untouched decisions: - ownership_test.cc, four new rows: the earlier owner's start is carried out by the next life of its worker, of which the successor reads no registration.

--- a/src/scheduling/tests/ownership_test.cc
+++ b/src/scheduling/tests/ownership_test.cc
@@ -208,6 +208,9 @@
   kStays,
   kLapses,  // Shortly after the take-over.
   kLapsed,  // Before the take-over: the new owner never reads it.
+  // That of the former incarnation stays, and lapses shortly after the take-over: the new owner
+  // never hears of the incarnation that reported to the earlier one.
+  kFormerLapses,
 };
 
 // The longest time for which a lease of the policy (5 s), and the platform's longest (6 and 10 s),
@@ -324,14 +327,20 @@
                  Registration registration) {
   Shard shard(worker.policy, 8);
   shard.ExpectEarlierOrders(worker.taken_over, WallOf(worker.taken_over));
-  if (registration != Registration::kLapsed) shard.WorkerListed(worker.entry, worker.taken_over);
+  if (registration == Registration::kFormerLapses) {
+    shard.WorkerListed(EntryOf(kWorker), worker.taken_over);
+  } else if (registration != Registration::kLapsed) {
+    shard.WorkerListed(worker.entry, worker.taken_over);
+  }
   shard.WorkerListed(EntryOf(kOtherWorker), worker.taken_over);
   shard.Accept(JobWithTasks(1), worker.taken_over);
   shard.Restore(progress, worker.taken_over);
   const Time limit = worker.taken_over + Duration(60'000);
   for (Time now = worker.taken_over; now < limit; now += kStep) {
     if (registration == Registration::kStays) shard.WorkerListed(worker.entry, now);
-    if (registration == Registration::kLapses && now > worker.taken_over + Duration(1'000)) {
+    const bool lapses =
+        registration == Registration::kLapses || registration == Registration::kFormerLapses;
+    if (lapses && now > worker.taken_over + Duration(1'000)) {
       shard.WorkerUnlisted(kWorker, now);
     }
     ReportIdle(shard, kOtherWorker, now);
@@ -367,6 +376,14 @@
      Registration::kStays, kLongestWait, Duration(-5'000)},
     {"start in the dark, stays", StartInTheDark, Duration(600), Duration(200), kSixSeconds,
      Registration::kStays, kLateCall + kLongWait},
+    {"start in the dark, lapsed", StartInTheDark, Duration(600), Duration(200), kSixSeconds,
+     Registration::kLapsed, kLongWait},
+    {"start in the dark, former one lapses", StartInTheDark, Duration(600), Duration(200),
+     kSixSeconds, Registration::kFormerLapses, kLongWait},
+    {"start in the dark, lapsed, 10 s", StartInTheDark, Duration(600), Duration(200), kTenSeconds,
+     Registration::kLapsed, kLongestWait},
+    {"start in the dark, former one lapses, 10 s", StartInTheDark, Duration(600), Duration(200),
+     kTenSeconds, Registration::kFormerLapses, kLongestWait},
     {"start in the dark, lapses, 10 s", StartInTheDark, Duration(600), Duration(200), kTenSeconds,
      Registration::kLapses, kLateCall + kLongestWait},
     {"long before, stays", StartAfterReport, Duration(30'000), Duration(29'800), kSixSeconds,
--- /dev/null
+++ b/src/scheduling/tests/worker_lives_test.cc
@@ -0,0 +1,126 @@
+// What an owner concludes from responses of a worker that may have restarted since its last report.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "scheduling/scheduling.h"
+
+namespace dn {
+namespace {
+
+constexpr JobId kJob = 0x10;
+const WorkerId kWorker{"w1"};
+const WorkerId kOtherWorker{"w2"};
+constexpr std::int64_t kFirstLife = 1;
+constexpr std::int64_t kNextLife = 2;
+constexpr Time kReported{Duration(1'000'000)};  // When the first life reports for the last time.
+constexpr Duration kFirstReport{450};           // Before that.
+constexpr Duration kWay{10};                    // Of a call or its response.
+constexpr Duration kStartSent{150};             // After that report.
+constexpr Duration kStep{50};
+// The longest time for which a lease of the policy (5 s) and the platform's longest (6 s) may go
+// on, and the period of the search for tasks whose run has ended.
+constexpr Duration kLeaseWait{5'302 + 150};
+constexpr Duration kLongWait{6'322 + 150};
+
+// What becomes of the worker's registration after the response.
+enum class Registration { kNextLife, kLapses };
+
+// A start that is answered by the life that reported last, or by the next one.
+struct AnsweredStart {
+  std::string name;
+  Duration age;                   // Of the first life at its last report.
+  std::optional<Duration> began;  // Of the next life, after that report; nothing: there is none.
+  Duration carried_out;           // After that report.
+  Registration registration;
+  Duration wait;  // From the response to the second run, at most.
+};
+
+WorkerEntry EntryOf(const WorkerId& id, std::int64_t start_time_ms) {
+  return WorkerEntry({.id = id,
+                      .service = "s",
+                      .address = {"127.0.0.1", 1},
+                      .start_time_ms = start_time_ms,
+                      .capacity = {.millicores = 16'000, .memory_mb = 64'000}});
+}
+
+AcceptedJob OneTask() {
+  const StepFields step{
+      .count = 1, .demand = {.millicores = 1'000, .memory_mb = 1'000}, .estimate_ms = 1'000};
+  return AcceptedJob({.id = kJob,
+                      .queue = Queue({.name = "q", .service = "s", .max_attempts = 3}),
+                      .spec = JobSpec({.payload = "p", .steps = {StepSpec(step)}})});
+}
+
+void Report(Shard& shard, const WorkerId& id, std::int64_t life, ClockReading clock, Time now) {
+  const RunReport report({.clock = clock, .start_time_ms = life});
+  shard.NextRenewal(id, now - 2 * kWay);
+  shard.Reported(id, OrderResponse({.clock = clock, .report = report}), now - 2 * kWay, now);
+}
+
+std::vector<StartOrder> PlanAndRecord(Shard& shard, Time now) {
+  shard.Plan(now, 0);
+  shard.Recorded(shard.TakeBatch(), now);
+  return shard.TakeOrders(now).starts;
+}
+
+const std::vector<AnsweredStart> kAnsweredStarts = {
+    {"next life of a young one, registered", Duration(500), Duration(640), Duration(1'100),
+     Registration::kNextLife, Duration(12'000) + kLongWait},
+    {"next life of a young one, lapses", Duration(500), Duration(640), Duration(1'100),
+     Registration::kLapses, kLongWait},
+    {"next life that is as old as the former one", Duration(500), Duration(300), Duration(1'000),
+     Registration::kLapses, kLongWait},
+    {"next life of an old one, lapses", Duration(60'000), Duration(500), Duration(1'100),
+     Registration::kLapses, Duration(12'000) + kLongWait},
+    {"same life", Duration(60'000), std::nullopt, Duration(1'100), Registration::kLapses,
+     kLeaseWait},
+    {"same life, young", Duration(1'200), std::nullopt, Duration(1'100), Registration::kLapses,
+     kLeaseWait},
+};
+
+// Guards against a second run while the first one lives: the response to its start came from the
+// next life of the worker, whose clock had passed the reading that was expected of the former one
+// when the start was sent. The run was taken for one of the former life, and its lease for over by
+// that one's clock. And against waiting longer where the same life has answered.
+TEST_CASE("a response of the next life of a worker confirms no run of the former one",
+          "[scheduling][lives]") {
+  const AnsweredStart start = GENERATE(from_range(kAnsweredStarts));
+  CAPTURE(start.name);
+  const Policy policy;
+  Shard shard(policy, 7);
+  shard.WorkerListed(EntryOf(kWorker, kFirstLife), kReported - kFirstReport - 2 * kWay);
+  for (const Duration before : {kFirstReport, Duration(0)}) {
+    Report(shard, kWorker, kFirstLife, (start.age - before).count(), kReported - before);
+  }
+  shard.Accept(OneTask(), kReported);
+  const std::vector<StartOrder> sent = PlanAndRecord(shard, kReported + kStartSent);
+  REQUIRE(sent.size() == 1);
+
+  const Duration clock =
+      start.began ? start.carried_out - *start.began : start.age + start.carried_out + kWay;
+  const Duration granted =
+      std::min(Duration(sent[0]->lease_until) - clock, Duration(policy->max_lease));
+  const Time lapsed = kReported + start.carried_out +
+                      Duration(static_cast<std::int64_t>(static_cast<double>(granted.count()) /
+                                                         (1.0 - policy->clock_drift)));
+  const Time answered = kReported + start.carried_out + kWay;
+  shard.StartAnswered(sent[0], OrderResponse({.clock = clock.count()}), answered);
+  shard.WorkerListed(EntryOf(kOtherWorker, kFirstLife), answered);
+  if (start.registration == Registration::kLapses) {
+    shard.WorkerUnlisted(kWorker, answered);
+  } else {
+    shard.WorkerListed(EntryOf(kWorker, kNextLife), answered);
+  }
+  std::optional<Time> second;
+  for (Time now = answered; !second && now < answered + Duration(60'000); now += kStep) {
+    Report(shard, kOtherWorker, kFirstLife, now.time_since_epoch().count(), now);
+    if (!PlanAndRecord(shard, now).empty()) second = now;
+  }
+  REQUIRE(second);
+  CHECK((*second - answered).count() >= (lapsed - answered).count());
+  CHECK((*second - answered).count() <= start.wait.count());
+}
+
+}  // namespace
+}  // namespace dn
