Responses: only a clock that the former life shows confirms a run

Callers may see a task with two runs at once. An owner told the lives of a worker apart by the clock in a response, which had to reach what it expected of the former life when the start was sent. The next life of a young worker passes that while the response is under way. The run then counted as confirmed in the life that is gone: no copy of its start was open, and its lease was over by the wrong clock.

A clock that began after the last report shows less than the time since then. A response whose clock shows no more than that, and the margin for clocks, now leaves the start open, and the next report decides.

--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -576,9 +576,12 @@
   }
   if (worker != nullptr && (*response)->clock &&
       !workers_.IsOfLastIncarnation(*worker, *(*response)->clock, now)) {
+    // The new incarnation of a young worker may have answered. A report will tell.
     Decide("start-in-doubt", FormatTaskKey(order->task),
            "run=" + std::to_string(order->run) + " clock=" + std::to_string(*(*response)->clock) +
                " " + ContactText(*worker, now));
+    worker->calls.Unanswered(SeriesOf(order->token));
+    return;
   }
   if (worker != nullptr) worker->unanswered_starts = 0;
   // An obsolete run cannot start any more. Either a duplicate of this start arrived earlier and the
