Lost runs: count leases of lives that no owner has heard of

Callers may see a task with two runs at once, by two owners. A worker restarts, its new life carries out a start that was sent by the clock of the former one, and takes the platform's longest lease for it (6.1 s). The owner is replaced before it hears of that life; the worker is cut off and not registered. The successor counted a lease of the policy (5.3 s) and started the task elsewhere while the first run went on for up to 1 s, or 5 s where the longest lease is 10 s. One owner did the same with a start that got no response.

A run on a worker that is not registered now ends by the longest lease while a copy of its start may be carried out in time. Waiting longer for every run after a take-over would bring tasks that last back too late, so an owner states in its ownership record up to which offset the recorded starts are settled: none is open, or all are old. Its successor waits longer for the other runs only. The record is renewed once a second at most, with other records where there are any. A start is not repeated later than 2.25 s after its first copy, which bounds when it is old.

--- a/src/node/internal/ownership.h
+++ b/src/node/internal/ownership.h
@@ -11,21 +11,24 @@
 
 namespace dn {
 
-// The first record of an owner in the progress of its shard. Each owner writes its own, so that the
-// next one learns who came before it. It is text that versions without it cannot take for the
-// progress of a job.
+// The first record of an owner in the progress of its shard, which it renews later. Each owner
+// writes its own, so that the next one learns who came before it. It is text that versions without
+// it cannot take for the progress of a job.
 struct OwnershipFields {
   std::string instance;       // Identifier of the owner's instance.
   std::int64_t token = 0;     // Fencing token, which is the epoch of the owner's records.
   std::int64_t since_ms = 0;  // When the take-over began, in ms since 1970.
   std::string member;         // The owner's name in the group; empty: not known.
+  // The starts in all records of progress below this offset are settled.
+  std::int64_t settled_end = 0;
 
   auto operator<=>(const OwnershipFields&) const = default;
   static constexpr auto Describe() {
     return std::make_tuple(Required("instance", &OwnershipFields::instance),
                            Required("token", &OwnershipFields::token),
                            Required("since_ms", &OwnershipFields::since_ms),
-                           Optional("member", &OwnershipFields::member));
+                           Optional("member", &OwnershipFields::member),
+                           Optional("settled_end", &OwnershipFields::settled_end));
   }
 };
 using Ownership = Immutable<OwnershipFields>;
--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -51,6 +51,8 @@
       shard_(shard),
       token_(token),
       table_(Table{.shard = Shard(context_.policy, token), .links = {}}),
+      settled_(context_.policy),
+      since_ms_(WallMs()),
       progress_(std::make_shared<RecordWriter>(context_.store, ProgressOf(shard), "owner", token,
                                                context_.log)),
       job_cleaner_(std::make_shared<RecordWriter>(
@@ -93,7 +95,16 @@
   co_await PlanLoop();
 }
 
-Task<> ShardOwner::ExpectEarlierOwners(RecordedProgress progress, Time fenced_at) {
+StoreRecord ShardOwner::OwnershipRecord(std::int64_t settled_end) const {
+  const Ownership ownership({.instance = context_.instance,
+                             .token = token_,
+                             .since_ms = since_ms_,
+                             .member = context_.member,
+                             .settled_end = settled_end});
+  return StoreRecord({.key = OwnershipKeyOf(token_), .value = EncodeText(ownership)});
+}
+
+Task<Time> ShardOwner::ExpectEarlierOwners(RecordedProgress progress, Time fenced_at) {
   const std::optional<Ownership> last = LastBefore(progress->ownerships, token_);
   auto owners = co_await context_.store.Owners(kOwnerGroup, kJobsTopic);
   const bool have_ended = owners && HaveEnded(progress->ownerships, token_, owners.value(),
@@ -109,6 +120,7 @@
   const Time ends = EndOfEarlierOwners(fenced_at, context_.time_to_live, have_ended, now);
   const std::int64_t ends_ms = WallMs() + (ends - now).count();
   table_.With([&](Table& table) { table.shard.ExpectEarlierOrders(ends, ends_ms); });
+  co_return ends;
 }
 
 Task<NewestCursor> ShardOwner::ReadProgress(std::int64_t fence_end) {
@@ -130,11 +142,7 @@
 Task<bool> ShardOwner::TakeOver() {
   // Fencing comes first: afterwards no earlier owner can change the progress that is
   // read next.
-  const Ownership ownership({.instance = context_.instance,
-                             .token = token_,
-                             .since_ms = WallMs(),
-                             .member = context_.member});
-  const StoreRecord fence({.key = OwnershipKeyOf(token_), .value = EncodeText(ownership)});
+  const StoreRecord fence = OwnershipRecord(0);
   std::int64_t fence_end = 0;
   while (active_) {
     auto fenced = co_await progress_->Fence(fence);
@@ -158,7 +166,9 @@
   const NewestCursor read = co_await ReadProgress(fence_end);
   if (!active_) co_return false;
   const RecordedProgress progress = DecodeProgress(read.records());
-  co_await ExpectEarlierOwners(progress, fenced_at);
+  const Time earlier_end = co_await ExpectEarlierOwners(progress, fenced_at);
+  settled_.SettledBefore(progress->settled_end);
+  settled_.Stored(fence_end, earlier_end);
   for (const auto& [key, earlier] : progress->ownerships) {
     if (earlier->token < token_) earlier_ownerships_.push_back(key);
   }
@@ -194,7 +204,8 @@
   }
   // One call a job: with many jobs, the table would be locked for too long.
   for (const JobProgress& job : progress->jobs) {
-    table_.With([&](Table& table) { table.shard.Restore(job, now); });
+    const bool settled = progress->settled.count(job->id) > 0;
+    table_.With([&](Table& table) { table.shard.Restore(job, now, settled); });
   }
   for (const JobCrashes& job : progress->crashes) {
     table_.With([&](Table& table) { table.shard.RestoreCrashes(job, now); });
@@ -493,7 +504,12 @@
   while (active_) {
     const std::uint64_t ticket = recorded_.Ticket();
     const RecordBatch batch = table_.With([](Table& table) { return table.shard.TakeBatch(); });
-    if (batch.empty()) {
+    std::optional<std::int64_t> settled_end;
+    if (const Time now = Now(); settled_.IsDue(now)) {
+      settled_end = settled_.Settle(
+          now, table_.With([&](Table& table) { return table.shard.OpenStartsSince(now); }));
+    }
+    if (batch.empty() && !settled_end) {
       co_await recorded_.Wait(ticket, Now() + kMaxPlanInterval);
       continue;
     }
@@ -513,6 +529,7 @@
       records.emplace_back(
           StoreRecordFields{.key = kInterferenceKey, .value = EncodeInterference(learned)});
     }
+    if (settled_end) records.push_back(OwnershipRecord(*settled_end));
     for (std::string& key : std::exchange(earlier_ownerships_, {})) {
       records.emplace_back(StoreRecordFields{.key = std::move(key), .value = std::nullopt});
     }
@@ -529,6 +546,7 @@
         records.emplace_back(StoreRecordFields{.key = CrashesKey(id), .value = std::nullopt});
       }
     }
+    std::int64_t end = -1;
     if (!records.empty()) {
       const Time started = Now();
       auto stored = co_await progress_->Append(std::move(records), NoLimits());
@@ -539,6 +557,7 @@
         co_return;
       }
       context_.metrics.RecordLatency(Latency::kRecord, Now() - started);
+      end = stored.value()->end;
       LogStored(stored.value(), batch);
     }
     const Time now = Now();
@@ -547,6 +566,7 @@
       return table.shard.TakeOrders(now);
     });
     SendOrders(orders);
+    settled_.Stored(end, Now());
     recorded_.NotifyAll();
   }
 }
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -78,7 +78,8 @@
 
   // Tells the shard until when earlier owners may act, which were fenced at `fenced_at`: they may
   // be unaware of their replacement for their time to live, unless they are known to have ended.
-  Task<> ExpectEarlierOwners(RecordedProgress progress, Time fenced_at);
+  // Returns that time.
+  Task<Time> ExpectEarlierOwners(RecordedProgress progress, Time fenced_at);
   // Fences earlier owners and restores the shard from the store. Returns false if
   // the shard was dropped meanwhile.
   Task<bool> TakeOver();
@@ -115,6 +116,8 @@
   Task<> PlanLoop();
   // Records the progress of jobs and deletes expired jobs.
   Task<> RecordLoop();
+  // Returns this owner's record.
+  StoreRecord OwnershipRecord(std::int64_t settled_end) const;
   // Logs the runs and ends of `batch`, which is durable, and where the store placed it.
   void LogStored(const StoredAppend& stored, const RecordBatch& batch);
   Task<> RunLink(std::shared_ptr<WorkerLink> link, WorkerId worker);
@@ -153,6 +156,8 @@
   // Keys of the records of earlier owners, to be deleted. Set by TakeOver, then used only by
   // RecordLoop.
   std::vector<std::string> earlier_ownerships_;
+  SettledRecords settled_;       // The same.
+  const std::int64_t since_ms_;  // When this owner was created, in ms since 1970.
   const std::shared_ptr<RecordWriter> progress_;
   const std::shared_ptr<RecordWriter> job_cleaner_;  // Deletes expired jobs.
   KeyedFollower jobs_;                               // Submitted jobs.
--- a/src/node/internal/take_over_read.cc
+++ b/src/node/internal/take_over_read.cc
@@ -1,10 +1,16 @@
 // Decodes and counts what a take-over reads.
 #include "node/internal/take_over_read.h"
 
+#include <algorithm>
+
 namespace dn {
 
 RecordedProgress DecodeProgress(const std::vector<StoreRecord>& records) {
   RecordedProgressFields out;
+  for (const StoreRecord& record : records) {
+    const auto ownership = OwnershipIn(record);
+    if (ownership) out.settled_end = std::max(out.settled_end, (*ownership)->settled_end);
+  }
   for (const StoreRecord& record : records) {
     if (!record->value) continue;
     if (auto ownership = OwnershipIn(record)) {
@@ -23,6 +29,8 @@
     if (auto crashes = DecodeJobCrashes(*record->value)) {
       out.crashes.push_back(std::move(crashes).value());
     } else if (auto progress = DecodeJobProgress(*record->value)) {
+      const bool settled = record->offset >= 0 && record->offset < out.settled_end;
+      if (settled) out.settled.insert(progress.value()->id);
       out.jobs.push_back(std::move(progress).value());
     } else {
       out.unreadable.push_back(record->key);
--- a/src/node/internal/take_over_read.h
+++ b/src/node/internal/take_over_read.h
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,8 @@
   std::optional<std::vector<InterferenceEstimate>> interference;
   std::map<std::string, Ownership> ownerships;  // By key, of all owners whose records are left.
   std::vector<std::string> unreadable;          // Keys of the records that cannot be decoded.
+  std::int64_t settled_end = 0;                 // The highest one in `ownerships`.
+  std::set<JobId> settled;                      // Those of `jobs` recorded below `settled_end`.
 
   friend auto operator<=>(const RecordedProgressFields&, const RecordedProgressFields&) = default;
 };
--- a/src/scheduling/internal/run_end.cc
+++ b/src/scheduling/internal/run_end.cc
@@ -4,6 +4,23 @@
 #include <algorithm>
 
 namespace dn {
+namespace {
+
+// How long the first and the last copy of a start may each wait for a sender.
+constexpr Duration kSenderWait{1'000};
+
+}  // namespace
+
+Duration LongerUnheardLease(const Policy& policy) {
+  return std::max(Duration(0),
+                  LongestLease(policy, policy->max_lease) - LongestLease(policy, policy->lease));
+}
+
+Duration StartSettles(const Policy& policy) {
+  // The last copy is sent while the worker reports, and leases are granted for kReportTimeout after
+  // the last report.
+  return kSenderWait + kRepeatLimit + kSenderWait + kReportTimeout + LongerUnheardLease(policy);
+}
 
 std::optional<Time> OpenUntil(const TaskRow& task) {
   if (task.stage != StartStage::kSent || task.starts_sent == 0) return task.late_until;
@@ -31,7 +48,8 @@
   if (!open_until || now >= *open_until + LongestLease(policy, policy->max_lease)) return true;
   const std::int64_t registered = worker.entry->start_time_ms;
   if (registered != 0 && registered != task.worker_start_time_ms) return false;
-  return !worker.listed || worker.listed_at >= worker.leases_expire_at;
+  if (worker.listed) return worker.listed_at >= worker.leases_expire_at;
+  return task.settled || now >= worker.unheard_leases_expire_at;
 }
 
 }  // namespace dn
--- a/src/scheduling/internal/run_end.h
+++ b/src/scheduling/internal/run_end.h
@@ -14,7 +14,8 @@
 // - no copy is open; or
 // - the worker's registration has been renewed since for the same incarnation: by its clock, an
 //   open copy is too late; or
-// - the worker is not registered any more; or
+// - the worker is not registered any more, and its start is settled, or all leases are over that a
+//   later incarnation may have got by carrying a copy out in time; or
 // - the time for late calls is over, and the longest lease that the last one may have got.
 //
 // Not covered: an open copy that the next incarnation carries out before an owner reaches that,
@@ -29,6 +30,18 @@
 
 namespace dn {
 
+// How long after its first copy the last copy of a start is sent, unless that waits for a sender:
+// two copies without a response.
+constexpr Duration kRepeatLimit{2'250};
+
+// Returns by how much a lease of an incarnation that the owner has not heard of may outlast those
+// that the owner counts for the worker: calls by another clock grant it the platform's longest.
+Duration LongerUnheardLease(const Policy& policy);
+
+// Returns how long after its first copy was sent a start is settled, whatever became of it: see
+// settled_records.h.
+Duration StartSettles(const Policy& policy);
+
 // Returns until when an open copy of the start of the task's run may be carried out; nothing if no
 // copy is open.
 std::optional<Time> OpenUntil(const TaskRow& task);
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -81,7 +81,7 @@
              " ends=" + std::to_string(ends.size()) + " token=" + std::to_string(token_));
 }
 
-void Shard::Restore(const JobProgress& progress, Time now) {
+void Shard::Restore(const JobProgress& progress, Time now, bool settled) {
   JobRow* job = jobs_.Find(progress->id);
   if (job == nullptr) {
     held_jobs_.Keep(progress);
@@ -99,6 +99,7 @@
     workers_.ExpectInheritedGrants(worker, task.worker_start_time_ms);
     WorkerTable::Reserve(worker, *job, i);
     task.late_until = workers_.EarlierOwnersUntil(now) + kLateCallLimit;
+    task.settled = settled;
     if (job->phase != JobPhase::kOpen) Stop(*job, i);
   }
 }
@@ -158,6 +159,7 @@
   // have its leases.
   if (response->refusal == OrderRefusal::kOtherIncarnation && !worker->listed) {
     worker->leases_expire_at = now;
+    worker->unheard_leases_expire_at = now;
     worker->replaced = true;
   }
   if (response->refusal != OrderRefusal::kNone) return;
@@ -391,6 +393,7 @@
   task.worker = {};
   task.stopping = false;
   task.inherited = false;
+  task.settled = false;
   task.revoked_at.reset();
   task.over_target_since.reset();
   task.missed_reports = 0;
@@ -538,7 +541,10 @@
   const std::size_t position = job.PositionOf(order->task);
   WorkerRow* const worker = workers_.Find(order->worker);
   if (!response) {
-    if (worker != nullptr) AvoidUnresponsive(*worker, now);
+    if (worker != nullptr) {
+      AvoidUnresponsive(*worker, now);
+      workers_.StartGivenUp(*worker, now);
+    }
     // A run that a report shows was begun by the copy, unless there is another one.
     if (task->stage != StartStage::kConfirmed || task->starts_sent > 1) {
       task->late_until = now + kLateCallLimit;
@@ -547,7 +553,7 @@
     // Each copy of a start may take effect late, also after a restart of the worker. If workers
     // have crashed under the task, or this one has restarted, no further copy is sent.
     const bool repeat = job.tasks[job.CountedPosition(position)].history->crashes == 0 &&
-                        worker != nullptr &&
+                        worker != nullptr && now - task->first_start_at <= kRepeatLimit &&
                         worker->entry->start_time_ms == task->worker_start_time_ms;
     if (++task->start_attempts < kMaxStartAttempts && repeat) {
       if (auto retry = StartOf(job, position, now)) {
@@ -596,7 +602,8 @@
   }
   const bool superseded = worker != nullptr && order->token < CallToken(*worker) &&
                           (refusal == OrderRefusal::kFenced || refusal == OrderRefusal::kWithdrawn);
-  if (superseded && task->stage == StartStage::kSent && !task->stopping) {
+  if (superseded && task->stage == StartStage::kSent && !task->stopping &&
+      now - task->first_start_at <= kRepeatLimit) {
     // Only another call without a response is the reason.
     if (auto again = StartOf(job, position, now)) {
       starts_.push_back(*std::move(again));
@@ -771,6 +778,7 @@
   if (!until) return std::nullopt;
   workers_.LeaseGranted(*worker, now);
   ShowDoubtfulLease(*worker, "start", now);
+  if (task.starts_sent == 0) task.first_start_at = now;
   task.start_sent_at = now;
   task.start_series = worker->calls.series();
   ++task.starts_sent;
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -100,7 +100,8 @@
   // progress. Progress whose job is not there yet is kept and applied when Accept() adds the job;
   // until then, the ends of its runs are not acknowledged and its runs are not stopped.
   void Accept(const AcceptedJob& job, Time now);
-  void Restore(const JobProgress& progress, Time now);
+  // `settled`: an earlier owner has stated that the record is settled; see settled_records.h.
+  void Restore(const JobProgress& progress, Time now, bool settled = false);
   void RestoreCrashes(const JobCrashes& crashes, Time now);
   // Holds a job back whose recorded progress cannot be decoded: it is not started, and runs of it
   // are left to the workers. Call it before Restore().
@@ -176,6 +177,9 @@
   RecordBatch TakeBatch();
   // Handles the completion of a write: `batch` is durable, and its starts may be sent.
   void Recorded(const RecordBatch& batch, Time now);
+  // Returns when the first copy of the oldest start was sent that may still be carried out; Time()
+  // if it is an earlier owner's, Time::max() if there is none.
+  Time OpenStartsSince(Time now) const;
   // Returns the orders that are due. A start is returned once; a stop is returned repeatedly until
   // a report shows its effect, and a change of speed until the worker has acknowledged it. For each
   // order, the caller passes the response to StartAnswered(), StopAnswered() or ThrottleAnswered(),
--- a/src/scheduling/internal/shard_liveness.cc
+++ b/src/scheduling/internal/shard_liveness.cc
@@ -1,7 +1,30 @@
 // Ends the time that a task stays placed without a run, where neither a response nor a report does.
+#include <algorithm>
+
 #include "scheduling/internal/shard.h"
 
 namespace dn {
+namespace {
+
+// Returns whether a start that this owner has sent may still be carried out.
+bool HasOpenStart(const TaskRow& task, Time now) {
+  const std::optional<Time> open_until = OpenUntil(task);
+  return task.starts_sent > 0 && open_until && now < *open_until;
+}
+
+}  // namespace
+
+Time Shard::OpenStartsSince(Time now) const {
+  Time since = Time::max();
+  for (const auto& [id, worker] : workers_.workers()) {
+    for (const auto& [ref, job] : worker.tasks) {
+      const TaskRow& task = job->tasks[ref.position];
+      if (task.inherited) return Time();
+      if (HasOpenStart(task, now)) since = std::min(since, task.first_start_at);
+    }
+  }
+  return since;
+}
 
 void Shard::ReleaseSilentWorkers(Time now) {
   for (auto& [id, worker] : workers_.workers()) {
--- a/src/scheduling/internal/worker_table.cc
+++ b/src/scheduling/internal/worker_table.cc
@@ -155,9 +155,16 @@
 void WorkerTable::LeaseGranted(WorkerRow& worker, Time now) const {
   worker.leases_expire_at =
       std::max(worker.leases_expire_at, now + LongestLease(policy_, policy_->lease));
+  worker.unheard_leases_expire_at =
+      std::max(worker.unheard_leases_expire_at, now + LongestLease(policy_, policy_->max_lease));
   if (worker.clock) worker.last_grant = {now, worker.start_time_ms};
 }
 
+void WorkerTable::StartGivenUp(WorkerRow& worker, Time now) const {
+  worker.unheard_leases_expire_at =
+      std::max(worker.unheard_leases_expire_at, now + LongestLease(policy_, policy_->max_lease));
+}
+
 Time WorkerTable::EarlierOwnersUntil(Time now) {
   if (!earlier_owners_until_) earlier_owners_until_ = now;
   return *earlier_owners_until_;
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -63,6 +63,9 @@
   WorkerCalls calls;
   // All leases of the incarnation that reported last have expired by this time.
   Time leases_expire_at{};
+  // The same for a later incarnation that has carried calls out in time: by its clock, they may
+  // grant it the platform's longest lease.
+  Time unheard_leases_expire_at{};
   // When the last call that may have granted a lease was due, and the incarnation whose clock it
   // used; nothing if this owner has granted none.
   std::optional<std::pair<Time, std::int64_t>> last_grant;
@@ -141,6 +144,8 @@
   static bool AcceptsStarts(const WorkerRow& worker, Time now);
   // Records that a lease of the policy's full length may have been granted at `now`.
   void LeaseGranted(WorkerRow& worker, Time now) const;
+  // Records that a start is given up at `now`, until when it may have been carried out.
+  void StartGivenUp(WorkerRow& worker, Time now) const;
   // Returns whether the worker is not listed and all its leases have expired.
   bool IsLost(const WorkerRow& worker, Time now) const;
   // Returns whether a listed worker does not report and all its leases have expired.
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -23,6 +23,7 @@
 #include "scheduling/internal/room_share.h"
 #include "scheduling/internal/run_gaps.h"
 #include "scheduling/internal/run_history.h"
+#include "scheduling/internal/settled_records.h"
 #include "scheduling/internal/shard.h"
 #include "scheduling/internal/start_counts.h"
 #include "scheduling/internal/urgency.h"
--- a/src/scheduling/tests/crash_fleet.h
+++ b/src/scheduling/tests/crash_fleet.h
@@ -176,6 +176,10 @@
   std::map<JobId, std::vector<Fate>> fates_;
   std::map<JobId, std::size_t> fates_used_;
   std::map<JobId, std::string> records_;
+  std::map<JobId, std::int64_t> offsets_;  // Of the records.
+  std::int64_t end_ = 0;
+  std::int64_t settled_end_ = 0;  // As an owner has stated it durably.
+  std::optional<SettledRecords> settled_;
   std::map<JobId, std::string> crash_records_;
   std::vector<PendingStart> pending_;
   std::vector<Decision> decisions_;
