Lost runs: mends of the review

A reviewer who had not seen the work found, by reading: - The bound for lives that no owner has heard of counted from the decision on a start. It now also counts from the response in doubt and from the lack of a response, also where the task is no longer placed: the lease holds for all runs on the worker. With a start that waits 0.95 s, run 2 could start 0.65 s early; the new row of worker_lives_test.cc holds this. - An owner at rest renewed its record without end, as each renewal counted as records to settle. Only records of jobs count now. - Refusals in doubt waited for a report although they begin nothing. They are handled as before. - A run that a report has shown to the new owner is settled, so that it is not waited for longer if its worker is lost next. - Records cannot close before their starts were sent, nor while calls by an earlier clock may still grant leases. - task-lost and take-over-read tell what was settled; names and comments; the limits of an order have one definition.

What remains by that review: a renewal that such a life carries out over 0.2 s late (run_end.h), and jobs of many tasks, which are settled as a whole.

Measured: worker_lives_test.cc has 4 rows more, at the bound and after a long poll.

--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -566,7 +566,7 @@
       return table.shard.TakeOrders(now);
     });
     SendOrders(orders);
-    settled_.Stored(end, Now());
+    if (!batch.records.empty()) settled_.Stored(end, Now());
     recorded_.NotifyAll();
   }
 }
--- a/src/node/internal/shard_owner.h
+++ b/src/node/internal/shard_owner.h
@@ -156,7 +156,7 @@
   // Keys of the records of earlier owners, to be deleted. Set by TakeOver, then used only by
   // RecordLoop.
   std::vector<std::string> earlier_ownerships_;
-  SettledRecords settled_;       // The same.
+  SettledRecords settled_;       // Set by TakeOver, then used only by RecordLoop.
   const std::int64_t since_ms_;  // When this owner was created, in ms since 1970.
   const std::shared_ptr<RecordWriter> progress_;
   const std::shared_ptr<RecordWriter> job_cleaner_;  // Deletes expired jobs.
--- a/src/node/internal/take_over_read.cc
+++ b/src/node/internal/take_over_read.cc
@@ -42,6 +42,7 @@
 TakeOverRead CountProgress(TakeOverReadFields read, const RecordedProgress& progress) {
   read.unreadable = progress->unreadable.size();
   read.jobs_recorded = progress->jobs.size();
+  read.settled = progress->settled.size();
   for (const JobProgress& job : progress->jobs) {
     for (const TaskProgress& task : job->tasks) {
       if (task->phase == TaskPhase::kPlaced) ++read.placed;
@@ -59,7 +60,7 @@
          " unreadable=" + std::to_string(read->unreadable) +
          " jobs_recorded=" + std::to_string(read->jobs_recorded) +
          " placed=" + std::to_string(read->placed) + " done=" + std::to_string(read->done) +
-         " waiting=" + std::to_string(read->waiting) +
+         " waiting=" + std::to_string(read->waiting) + " settled=" + std::to_string(read->settled) +
          " jobs_end=" + std::to_string(read->jobs_end) + " jobs=" + std::to_string(read->jobs) +
          " workers=" + std::to_string(read->workers);
 }
--- a/src/node/internal/take_over_read.h
+++ b/src/node/internal/take_over_read.h
@@ -42,6 +42,7 @@
   std::size_t placed = 0;
   std::size_t done = 0;
   std::size_t waiting = 0;
+  std::size_t settled = 0;    // Those of the jobs whose records are settled.
   std::int64_t jobs_end = 0;  // Of the submitted jobs.
   std::size_t jobs = 0;       // Submitted jobs.
   std::size_t workers = 0;    // Registered workers.
--- a/src/node/tests/take_over_read_test.cc
+++ b/src/node/tests/take_over_read_test.cc
@@ -31,22 +31,24 @@
     std::string counts;
   };
   const auto c = GENERATE(values<Case>({
-      {"nothing", {}, "progress_records=0 unreadable=0 jobs_recorded=0 placed=0 done=0 waiting=0"},
+      {"nothing",
+       {},
+       "progress_records=0 unreadable=0 jobs_recorded=0 placed=0 done=0 waiting=0 settled=0"},
       {"two jobs",
        {Progress(kJob, {kPlaced, kDone, kDone}), Progress(kOtherJob, {kWaiting, kPlaced})},
-       "progress_records=2 unreadable=0 jobs_recorded=2 placed=2 done=2 waiting=1"},
+       "progress_records=2 unreadable=0 jobs_recorded=2 placed=2 done=2 waiting=1 settled=0"},
       {"the record of the owner itself",
        {Record("owner.7", R"({"instance":"edge-1","token":7,"since_ms":1,"member":"m"})"),
         Record("owner", R"({"instance":"edge-2","token":6,"since_ms":1})")},
-       "progress_records=2 unreadable=0 jobs_recorded=0 placed=0 done=0 waiting=0"},
+       "progress_records=2 unreadable=0 jobs_recorded=0 placed=0 done=0 waiting=0 settled=0"},
       {"crashes, interference and a deletion",
        {Record(CrashesKey(kJob), EncodeJobCrashes(JobCrashes({.id = kJob}))),
         Record(kInterferenceKey, EncodeInterference({})), Record("10", std::nullopt)},
-       "progress_records=3 unreadable=0 jobs_recorded=0 placed=0 done=0 waiting=0"},
+       "progress_records=3 unreadable=0 jobs_recorded=0 placed=0 done=0 waiting=0 settled=0"},
       {"records of a later format",
        {Progress(kJob, {kDone}), Record(FormatJobId(kOtherJob), "\x7frest"),
         Record(kInterferenceKey, "\x7frest")},
-       "progress_records=3 unreadable=2 jobs_recorded=1 placed=0 done=1 waiting=0"},
+       "progress_records=3 unreadable=2 jobs_recorded=1 placed=0 done=1 waiting=0 settled=0"},
   }));
   CAPTURE(c.name);
   const RecordedProgress progress = DecodeProgress(c.records);
--- a/src/scheduling/internal/job_table.h
+++ b/src/scheduling/internal/job_table.h
@@ -59,7 +59,7 @@
   bool settled = false;    // The record that an earlier owner placed it is settled.
   Time start_sent_at{};    // When this owner last sent a start of the task; Time() if never.
   Time confirmed_at{};     // When the last response to a start of the task confirmed a run.
-  Time first_start_at{};   // The same of the first copy of the start of this run.
+  Time first_start_at{};   // When this owner first decided to send the start of this run.
   int start_attempts = 0;  // Starts of this run without a response.
   int starts_sent = 0;     // Copies of the start of this run that this owner has sent.
   CallSeries start_series = 0;  // Of the last start.
--- a/src/scheduling/internal/run_end.cc
+++ b/src/scheduling/internal/run_end.cc
@@ -4,22 +4,15 @@
 #include <algorithm>
 
 namespace dn {
-namespace {
-
-// How long the first and the last copy of a start may each wait for a sender.
-constexpr Duration kSenderWait{1'000};
-
-}  // namespace
-
 Duration LongerUnheardLease(const Policy& policy) {
   return std::max(Duration(0),
                   LongestLease(policy, policy->max_lease) - LongestLease(policy, policy->lease));
 }
 
-Duration StartSettles(const Policy& policy) {
-  // The last copy is sent while the worker reports, and leases are granted for kReportTimeout after
-  // the last report.
-  return kSenderWait + kRepeatLimit + kSenderWait + kReportTimeout + LongerUnheardLease(policy);
+Duration SettlingTime(const Policy& policy) {
+  // The worker reports until the last copy is sent, if not longer, and leases are granted for
+  // kReportTimeout after its last report. The last call may take its time limit to arrive.
+  return kRepeatLimit + kMaxStartAge + kReportTimeout + kOrderTimeout + LongerUnheardLease(policy);
 }
 
 std::optional<Time> OpenUntil(const TaskRow& task) {
--- a/src/scheduling/internal/run_end.h
+++ b/src/scheduling/internal/run_end.h
@@ -18,10 +18,12 @@
 //   later incarnation may have got by carrying a copy out in time; or
 // - the time for late calls is over, and the longest lease that the last one may have got.
 //
-// Not covered: an open copy that the next incarnation carries out before an owner reaches that,
-// within kLateCallLimit of its sending, after the former one refused it, ended the run or was
-// registered no more. A refusal ends with its incarnation, and the copy may be a former owner's.
-// Waiting for that time after each start without a response would delay every such task by 12 s.
+// Not covered: a renewal that an incarnation of which the owner has not heard carries out over 0.2
+// s after it was sent, and that prolongs a run which a copy began there. Nor an open copy that the
+// next incarnation carries out before an owner reaches that, within kLateCallLimit of its sending,
+// after the former one refused it, ended the run or was registered no more. A refusal ends with its
+// incarnation, and the copy may be a former owner's. Waiting for that time after each start without
+// a response would delay every such task by 12 s.
 #pragma once
 
 #include <optional>
@@ -30,8 +32,8 @@
 
 namespace dn {
 
-// How long after its first copy the last copy of a start is sent, unless that waits for a sender:
-// two copies without a response.
+// How long after its first copy another copy of a start may be decided on: two copies without a
+// response, and what a busy owner adds.
 constexpr Duration kRepeatLimit{2'250};
 
 // Returns by how much a lease of an incarnation that the owner has not heard of may outlast those
@@ -40,7 +42,7 @@
 
 // Returns how long after its first copy was sent a start is settled, whatever became of it: see
 // settled_records.h.
-Duration StartSettles(const Policy& policy);
+Duration SettlingTime(const Policy& policy);
 
 // Returns until when an open copy of the start of the task's run may be carried out; nothing if no
 // copy is open.
--- a/src/scheduling/internal/run_evidence.cc
+++ b/src/scheduling/internal/run_evidence.cc
@@ -43,6 +43,7 @@
                   .last_grant = LastGrantOf(worker, now),
                   .unanswered_calls = worker.unanswered_calls,
                   .open_for = OpenFor(task, now),
+                  .settled = task.settled,
                   .inherited = task.inherited,
                   .token = token});
 }
@@ -66,8 +67,8 @@
          " registered=" + std::to_string(run->registered_incarnation) +
          " report_age_ms=" + AgeText(run->report_age) + " " +
          GrantText(run->last_grant, run->unanswered_calls) +
-         " copy_open_ms=" + AgeText(run->open_for) + " inherited=" + (run->inherited ? "1" : "0") +
-         " token=" + std::to_string(run->token);
+         " copy_open_ms=" + AgeText(run->open_for) + " settled=" + (run->settled ? "1" : "0") +
+         " inherited=" + (run->inherited ? "1" : "0") + " token=" + std::to_string(run->token);
 }
 
 std::string OwnRunText(const TaskRow* task) {
--- a/src/scheduling/internal/run_evidence.h
+++ b/src/scheduling/internal/run_evidence.h
@@ -28,6 +28,7 @@
   int unanswered_calls = 0;  // Calls to the worker without a response since its last report.
   // How much longer a copy of the start may be carried out; nothing if none is open.
   std::optional<Duration> open_for;
+  bool settled = false;    // See TaskRow.
   bool inherited = false;  // An earlier owner placed the run, and no report has shown it.
   FencingToken token = 0;  // Of this owner.
 
--- a/src/scheduling/internal/settled_records.cc
+++ b/src/scheduling/internal/settled_records.cc
@@ -18,7 +18,7 @@
 std::optional<std::int64_t> SettledRecords::Settle(Time now, Time open_since) {
   looked_at_ = now;
   for (Mark& mark : marks_) {
-    if (!mark.closed && mark.sent < open_since) mark.closed = now;
+    if (!mark.closed && mark.sent < open_since) mark.closed = std::max(now, mark.sent);
   }
   while (!marks_.empty() && IsSettled(marks_.front(), now)) {
     SettledBefore(marks_.front().end);
@@ -32,7 +32,7 @@
 bool SettledRecords::IsSettled(const Mark& mark, Time now) const {
   // Before the owner heard of an incarnation, renewals may have granted it a longer lease.
   if (mark.closed && now - *mark.closed >= LongerUnheardLease(policy_)) return true;
-  return now - mark.sent >= StartSettles(policy_);
+  return now - mark.sent >= SettlingTime(policy_);
 }
 
 }  // namespace dn
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -430,6 +430,10 @@
   const StepSpec& step = job.StepOf(position);
   // The only copy of its start has been carried out.
   if (task->starts_sent == 1) task->late_until.reset();
+  // No call of an earlier owner is on its way any more.
+  if (worker.clock_read_after >= workers_.EarlierOwnersUntil(now) + kOrderTimeout) {
+    task->settled = true;
+  }
   task->stage = StartStage::kConfirmed;
   task->reported_at = now;
   if (task->shown_at == Time()) task->shown_at = now;
@@ -530,7 +534,12 @@
 
 void Shard::StartAnswered(const StartOrder& order, const std::optional<OrderResponse>& response,
                           Time now) {
-  if (!response) NoteUnanswered(order->worker, "start", order->token, now);
+  WorkerRow* const worker = workers_.Find(order->worker);
+  if (!response) {
+    NoteUnanswered(order->worker, "start", order->token, now);
+    // The lease that it granted holds for all runs on the worker.
+    if (worker != nullptr) workers_.StartUnheard(*worker, now);
+  }
   TaskRow* task = jobs_.Find(order->task);
   if (task == nullptr) return;
   JobRow& job = *jobs_.Find(order->task.job);
@@ -539,12 +548,8 @@
   if (task->phase != TaskPhase::kPlaced || task->run != order->run) return;
   if (task->worker != order->worker) return;
   const std::size_t position = job.PositionOf(order->task);
-  WorkerRow* const worker = workers_.Find(order->worker);
   if (!response) {
-    if (worker != nullptr) {
-      AvoidUnresponsive(*worker, now);
-      workers_.StartGivenUp(*worker, now);
-    }
+    if (worker != nullptr) AvoidUnresponsive(*worker, now);
     // A run that a report shows was begun by the copy, unless there is another one.
     if (task->stage != StartStage::kConfirmed || task->starts_sent > 1) {
       task->late_until = now + kLateCallLimit;
@@ -580,20 +585,22 @@
     worker->avoid_until = std::max(worker->avoid_until, now + policy_->avoid_after_refusal);
     return;
   }
-  if (worker != nullptr && (*response)->clock &&
+  const OrderRefusal refusal = (*response)->refusal;
+  const bool may_run = refusal == OrderRefusal::kNone || refusal == OrderRefusal::kObsolete;
+  if (worker != nullptr && may_run && (*response)->clock &&
       !workers_.IsOfLastIncarnation(*worker, *(*response)->clock, now)) {
     // The new incarnation of a young worker may have answered. A report will tell.
     Decide("start-in-doubt", FormatTaskKey(order->task),
            "run=" + std::to_string(order->run) + " clock=" + std::to_string(*(*response)->clock) +
                " " + ContactText(*worker, now));
     worker->calls.Unanswered(SeriesOf(order->token));
+    workers_.StartUnheard(*worker, now);
     return;
   }
   if (worker != nullptr) worker->unanswered_starts = 0;
   // An obsolete run cannot start any more. Either a duplicate of this start arrived earlier and the
   // run has ended, possibly successfully, which the worker's report shows; or a stop came first.
-  const OrderRefusal refusal = (*response)->refusal;
-  if (refusal == OrderRefusal::kNone || refusal == OrderRefusal::kObsolete) {
+  if (may_run) {
     if (refusal == OrderRefusal::kNone && task->shown_at == Time()) task->shown_at = now;
     task->stage = StartStage::kConfirmed;
     task->confirmed_at = now;
--- a/src/scheduling/internal/shard_liveness.cc
+++ b/src/scheduling/internal/shard_liveness.cc
@@ -19,7 +19,8 @@
   for (const auto& [id, worker] : workers_.workers()) {
     for (const auto& [ref, job] : worker.tasks) {
       const TaskRow& task = job->tasks[ref.position];
-      if (task.inherited) return Time();
+      // Calls that were meant for an earlier incarnation may still grant leases.
+      if (task.inherited || !worker.calls.knows_incarnation()) return Time();
       if (HasOpenStart(task, now)) since = std::min(since, task.first_start_at);
     }
   }
--- a/src/scheduling/internal/worker_calls.h
+++ b/src/scheduling/internal/worker_calls.h
@@ -16,6 +16,11 @@
 // the time in the network, where a partition holds calls up for as long as it lasts; there, the
 // reset of the connection (ResetWhenClosed) ends a call that is given up.
 constexpr Duration kLateCallLimit{12'000};
+// Time limit of an order, which a worker answers within one round trip.
+constexpr Duration kOrderTimeout{1'000};
+// Age from which a start is not sent any more: the owner may have been paused, or the worker does
+// not respond, and the task is better placed anew. A fifth of the lease that the start carries.
+constexpr Duration kMaxStartAge{1'000};
 
 class WorkerCalls {
  public:
--- a/src/scheduling/internal/worker_table.cc
+++ b/src/scheduling/internal/worker_table.cc
@@ -160,7 +160,7 @@
   if (worker.clock) worker.last_grant = {now, worker.start_time_ms};
 }
 
-void WorkerTable::StartGivenUp(WorkerRow& worker, Time now) const {
+void WorkerTable::StartUnheard(WorkerRow& worker, Time now) const {
   worker.unheard_leases_expire_at =
       std::max(worker.unheard_leases_expire_at, now + LongestLease(policy_, policy_->max_lease));
 }
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -144,8 +144,9 @@
   static bool AcceptsStarts(const WorkerRow& worker, Time now);
   // Records that a lease of the policy's full length may have been granted at `now`.
   void LeaseGranted(WorkerRow& worker, Time now) const;
-  // Records that a start is given up at `now`, until when it may have been carried out.
-  void StartGivenUp(WorkerRow& worker, Time now) const;
+  // Records that an incarnation of which this owner has not heard may have carried out a start
+  // until `now`, and taken a lease for it.
+  void StartUnheard(WorkerRow& worker, Time now) const;
   // Returns whether the worker is not listed and all its leases have expired.
   bool IsLost(const WorkerRow& worker, Time now) const;
   // Returns whether a listed worker does not report and all its leases have expired.
--- a/src/scheduling/tests/ownership_test.cc
+++ b/src/scheduling/tests/ownership_test.cc
@@ -335,7 +335,7 @@
   shard.WorkerListed(EntryOf(kOtherWorker), worker.taken_over);
   shard.Accept(JobWithTasks(1), worker.taken_over);
   // The record of the start was durable before the call was carried out.
-  const bool settled = worker.taken_over - worker.granted >= StartSettles(worker.policy);
+  const bool settled = worker.taken_over - worker.granted >= SettlingTime(worker.policy);
   shard.Restore(progress, worker.taken_over, settled);
   const Time limit = worker.taken_over + Duration(60'000);
   for (Time now = worker.taken_over; now < limit; now += kStep) {
--- a/src/scheduling/tests/run_evidence_test.cc
+++ b/src/scheduling/tests/run_evidence_test.cc
@@ -66,11 +66,13 @@
        kJob,
        "run=2 worker=w1 cause=never-started incarnation=5 placed_incarnation=4 registered=5 "
        "report_age_ms=30 granted_ms_ago=none granted_in=0 unanswered=0 copy_open_ms=11970 "
+       "settled=0 "
        "inherited=1 token=7"},
       {"silent", kPlacedByOther, [](TakenOver& owner) { owner.PassTime(Duration(19'000)); },
        "task-lost", kJob,
        "run=2 worker=w1 cause=silent incarnation=0 placed_incarnation=4 registered=5 "
        "report_age_ms=none granted_ms_ago=none granted_in=0 unanswered=0 copy_open_ms=none "
+       "settled=0 "
        "inherited=1 token=7"},
       {"lease over", kPlacedByOther,
        [](TakenOver& owner) {
@@ -81,6 +83,7 @@
        "task-lost", kJob,
        "run=2 worker=w1 cause=lease-over incarnation=5 placed_incarnation=5 registered=5 "
        "report_age_ms=9000 granted_ms_ago=none granted_in=0 unanswered=0 copy_open_ms=2970 "
+       "settled=0 "
        "inherited=0 token=7"},
       {"end of an earlier run", kPlacedByOther,
        [](TakenOver& owner) {
--- a/src/scheduling/tests/worker_lives_test.cc
+++ b/src/scheduling/tests/worker_lives_test.cc
@@ -14,7 +14,6 @@
 constexpr std::int64_t kFirstLife = 1;
 constexpr std::int64_t kNextLife = 2;
 constexpr Time kReported{Duration(1'000'000)};  // When the first life reports for the last time.
-constexpr Duration kFirstReport{450};           // Before that.
 constexpr Duration kWay{10};                    // Of a call or its response.
 constexpr Duration kStartSent{150};             // After that report.
 constexpr Duration kStep{50};
@@ -33,7 +32,10 @@
   std::optional<Duration> began;  // Of the next life, after that report; nothing: there is none.
   Duration carried_out;           // After that report.
   Registration registration;
-  Duration wait;  // From the response to the second run, at most.
+  bool in_doubt;
+  Duration wait;             // From the response to the second run, at most.
+  Duration poll = 2 * kWay;  // How long the last report was under way.
+  Duration between{450};     // Between the two reports of the first life.
 };
 
 WorkerEntry EntryOf(const WorkerId& id, std::int64_t start_time_ms) {
@@ -52,10 +54,11 @@
                       .spec = JobSpec({.payload = "p", .steps = {StepSpec(step)}})});
 }
 
-void Report(Shard& shard, const WorkerId& id, std::int64_t life, ClockReading clock, Time now) {
+void Report(Shard& shard, const WorkerId& id, std::int64_t life, ClockReading clock, Time now,
+            Duration poll = 2 * kWay) {
   const RunReport report({.clock = clock, .start_time_ms = life});
-  shard.NextRenewal(id, now - 2 * kWay);
-  shard.Reported(id, OrderResponse({.clock = clock, .report = report}), now - 2 * kWay, now);
+  shard.NextRenewal(id, now - poll);
+  shard.Reported(id, OrderResponse({.clock = clock, .report = report}), now - poll, now);
 }
 
 std::vector<StartOrder> PlanAndRecord(Shard& shard, Time now) {
@@ -66,17 +69,26 @@
 
 const std::vector<AnsweredStart> kAnsweredStarts = {
     {"next life of a young one, registered", Duration(500), Duration(640), Duration(1'100),
-     Registration::kNextLife, Duration(12'000) + kLongWait},
+     Registration::kNextLife, true, Duration(12'000) + kLongWait},
     {"next life of a young one, lapses", Duration(500), Duration(640), Duration(1'100),
-     Registration::kLapses, kLongWait},
+     Registration::kLapses, true, kLongWait},
     {"next life that is as old as the former one", Duration(500), Duration(300), Duration(1'000),
-     Registration::kLapses, kLongWait},
+     Registration::kLapses, true, kLongWait},
     {"next life of an old one, lapses", Duration(60'000), Duration(500), Duration(1'100),
-     Registration::kLapses, Duration(12'000) + kLongWait},
-    {"same life", Duration(60'000), std::nullopt, Duration(1'100), Registration::kLapses,
+     Registration::kLapses, true, Duration(12'000) + kLongWait},
+    {"same life", Duration(60'000), std::nullopt, Duration(1'100), Registration::kLapses, false,
      kLeaseWait},
+    {"next life of a young one, start that waited", Duration(500), Duration(1'400), Duration(2'050),
+     Registration::kLapses, true, kLongWait},
     {"same life, young", Duration(1'200), std::nullopt, Duration(1'100), Registration::kLapses,
-     kLeaseWait},
+     false, kLeaseWait},
+    // A clock that began just after the report was made shows 0.22 s less, with the margin.
+    {"same life, older by the bound", Duration(221), std::nullopt, Duration(1'100),
+     Registration::kLapses, false, kLeaseWait, 2 * kWay, Duration(200)},
+    {"same life, younger than the bound", Duration(220), std::nullopt, Duration(1'100),
+     Registration::kLapses, true, kLongWait, 2 * kWay, Duration(200)},
+    {"same life, after a long poll", Duration(2'100), std::nullopt, Duration(1'100),
+     Registration::kLapses, false, kLeaseWait, Duration(2'000), Duration(2'020)},
 };
 
 // Guards against a second run while the first one lives: the response to its start came from the
@@ -89,10 +101,10 @@
   CAPTURE(start.name);
   const Policy policy;
   Shard shard(policy, 7);
-  shard.WorkerListed(EntryOf(kWorker, kFirstLife), kReported - kFirstReport - 2 * kWay);
-  for (const Duration before : {kFirstReport, Duration(0)}) {
-    Report(shard, kWorker, kFirstLife, (start.age - before).count(), kReported - before);
-  }
+  shard.WorkerListed(EntryOf(kWorker, kFirstLife), kReported - start.between - 2 * kWay);
+  Report(shard, kWorker, kFirstLife, (start.age - start.between).count(),
+         kReported - start.between);
+  Report(shard, kWorker, kFirstLife, start.age.count(), kReported, start.poll);
   shard.Accept(OneTask(), kReported);
   const std::vector<StartOrder> sent = PlanAndRecord(shard, kReported + kStartSent);
   REQUIRE(sent.size() == 1);
@@ -112,6 +124,11 @@
   } else {
     shard.WorkerListed(EntryOf(kWorker, kNextLife), answered);
   }
+  const std::vector<Decision> decisions = shard.TakeDecisions();
+  CHECK(std::any_of(decisions.begin(), decisions.end(), [](const Decision& decision) {
+          return decision->kind == "start-in-doubt" ||
+                 decision->kind == "start-in-other-incarnation";
+        }) == start.in_doubt);
   std::optional<Time> second;
   for (Time now = answered; !second && now < answered + Duration(60'000); now += kStep) {
     Report(shard, kOtherWorker, kFirstLife, now.time_since_epoch().count(), now);
--- a/src/task_worker/internal/worker_link.cc
+++ b/src/task_worker/internal/worker_link.cc
@@ -7,14 +7,8 @@
 // Connections for orders: a round trip between regions takes 40 ms, so a single
 // connection would carry only 25 orders per second.
 constexpr int kMaxSenders = 4;
-// Timeout of a call, on top of the wait time of a long poll. A worker responds
-// within one round trip.
-constexpr Duration kOrderTimeout{1'000};
 // Pause after a renewal that failed or was rejected.
 constexpr Duration kRetryPause{200};
-// Age from which a start is not sent any more: the owner may have been paused, or the worker does
-// not respond, and the task is better placed anew. A quarter of the lease that the start carries.
-constexpr Duration kMaxStartAge{1'000};
 // Approximate size of the heads of a request and its response.
 constexpr std::size_t kHeadBytes = 350;
 
