Merge the leases of lives that no owner has heard of

Responses in doubt no longer confirm runs, and lost runs count the longest lease where a life of their worker may have gone unheard.

--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -81,7 +81,7 @@
              " ends=" + std::to_string(ends.size()) + " token=" + std::to_string(token_));
 }
 
-void Shard::Restore(const JobProgress& progress, Time now) {
+void Shard::Restore(const JobProgress& progress, Time now, bool settled) {
   JobRow* job = jobs_.Find(progress->id);
   if (job == nullptr) {
     held_jobs_.Keep(progress);
@@ -99,6 +99,7 @@
     workers_.ExpectInheritedGrants(worker, task.worker_start_time_ms);
     WorkerTable::Reserve(worker, *job, i);
     task.late_until = workers_.EarlierOwnersUntil(now) + kLateCallLimit;
+    task.settled = settled;
     if (job->phase != JobPhase::kOpen) Stop(*job, i);
   }
 }
@@ -158,10 +159,12 @@
   // have its leases.
   if (response->refusal == OrderRefusal::kOtherIncarnation && !worker->listed) {
     worker->leases_expire_at = now;
+    worker->unheard_leases_expire_at = now;
     worker->replaced = true;
   }
   if (response->refusal != OrderRefusal::kNone) return;
   const RunReport& report = response->report;
+  WorkerTable::ClockRead(*worker, report, sent, now);
   if (worker->start_time_ms != report->start_time_ms) {
     if (worker->start_time_ms != 0) {
       Decide("worker-reborn", id.value, "born=" + std::to_string(report->start_time_ms));
@@ -182,7 +185,6 @@
   if (worker->silent_since || !worker->confirmed) HeardAgain(*worker);
   worker->silent_since.reset();
   worker->connection_broke = false;
-  worker->clock = {report->clock, now};
   worker->confirmed = true;
   worker->last_report = now;
   worker->unanswered_calls = 0;
@@ -391,6 +393,7 @@
   task.worker = {};
   task.stopping = false;
   task.inherited = false;
+  task.settled = false;
   task.revoked_at.reset();
   task.over_target_since.reset();
   task.missed_reports = 0;
@@ -427,6 +430,10 @@
   const StepSpec& step = job.StepOf(position);
   // The only copy of its start has been carried out.
   if (task->starts_sent == 1) task->late_until.reset();
+  // No call of an earlier owner is on its way any more.
+  if (worker.clock_read_after >= workers_.EarlierOwnersUntil(now) + kOrderTimeout) {
+    task->settled = true;
+  }
   task->stage = StartStage::kConfirmed;
   task->reported_at = now;
   if (task->shown_at == Time()) task->shown_at = now;
@@ -527,7 +534,12 @@
 
 void Shard::StartAnswered(const StartOrder& order, const std::optional<OrderResponse>& response,
                           Time now) {
-  if (!response) NoteUnanswered(order->worker, "start", order->token, now);
+  WorkerRow* const worker = workers_.Find(order->worker);
+  if (!response) {
+    NoteUnanswered(order->worker, "start", order->token, now);
+    // The lease that it granted holds for all runs on the worker.
+    if (worker != nullptr) workers_.StartUnheard(*worker, now);
+  }
   TaskRow* task = jobs_.Find(order->task);
   if (task == nullptr) return;
   JobRow& job = *jobs_.Find(order->task.job);
@@ -536,7 +548,6 @@
   if (task->phase != TaskPhase::kPlaced || task->run != order->run) return;
   if (task->worker != order->worker) return;
   const std::size_t position = job.PositionOf(order->task);
-  WorkerRow* const worker = workers_.Find(order->worker);
   if (!response) {
     if (worker != nullptr) AvoidUnresponsive(*worker, now);
     // A run that a report shows was begun by the copy, unless there is another one.
@@ -547,7 +558,7 @@
     // Each copy of a start may take effect late, also after a restart of the worker. If workers
     // have crashed under the task, or this one has restarted, no further copy is sent.
     const bool repeat = job.tasks[job.CountedPosition(position)].history->crashes == 0 &&
-                        worker != nullptr &&
+                        worker != nullptr && now - task->first_start_at <= kRepeatLimit &&
                         worker->entry->start_time_ms == task->worker_start_time_ms;
     if (++task->start_attempts < kMaxStartAttempts && repeat) {
       if (auto retry = StartOf(job, position, now)) {
@@ -574,11 +585,22 @@
     worker->avoid_until = std::max(worker->avoid_until, now + policy_->avoid_after_refusal);
     return;
   }
+  const OrderRefusal refusal = (*response)->refusal;
+  const bool may_run = refusal == OrderRefusal::kNone || refusal == OrderRefusal::kObsolete;
+  if (worker != nullptr && may_run && (*response)->clock &&
+      !workers_.IsOfLastIncarnation(*worker, *(*response)->clock, now)) {
+    // The new incarnation of a young worker may have answered. A report will tell.
+    Decide("start-in-doubt", FormatTaskKey(order->task),
+           "run=" + std::to_string(order->run) + " clock=" + std::to_string(*(*response)->clock) +
+               " " + ContactText(*worker, now));
+    worker->calls.Unanswered(SeriesOf(order->token));
+    workers_.StartUnheard(*worker, now);
+    return;
+  }
   if (worker != nullptr) worker->unanswered_starts = 0;
   // An obsolete run cannot start any more. Either a duplicate of this start arrived earlier and the
   // run has ended, possibly successfully, which the worker's report shows; or a stop came first.
-  const OrderRefusal refusal = (*response)->refusal;
-  if (refusal == OrderRefusal::kNone || refusal == OrderRefusal::kObsolete) {
+  if (may_run) {
     if (refusal == OrderRefusal::kNone && task->shown_at == Time()) task->shown_at = now;
     task->stage = StartStage::kConfirmed;
     task->confirmed_at = now;
@@ -587,7 +609,8 @@
   }
   const bool superseded = worker != nullptr && order->token < CallToken(*worker) &&
                           (refusal == OrderRefusal::kFenced || refusal == OrderRefusal::kWithdrawn);
-  if (superseded && task->stage == StartStage::kSent && !task->stopping) {
+  if (superseded && task->stage == StartStage::kSent && !task->stopping &&
+      now - task->first_start_at <= kRepeatLimit) {
     // Only another call without a response is the reason.
     if (auto again = StartOf(job, position, now)) {
       starts_.push_back(*std::move(again));
@@ -762,6 +785,7 @@
   if (!until) return std::nullopt;
   workers_.LeaseGranted(*worker, now);
   ShowDoubtfulLease(*worker, "start", now);
+  if (task.starts_sent == 0) task.first_start_at = now;
   task.start_sent_at = now;
   task.start_series = worker->calls.series();
   ++task.starts_sent;
