--- a/src/scheduling/internal/settled_records.h
+++ b/src/scheduling/internal/settled_records.h
@@ -16,7 +16,7 @@
 
 class SettledRecords {
  public:
-  explicit SettledRecords(Policy policy) : policy_(std::move(policy)) {}
+  explicit SettledRecords(const Policy& policy) : policy_(policy) {}
 
   // All records below `end` are durable, and their starts were sent by `now`. `end`: -1 if unknown.
   void Stored(std::int64_t end, Time now);
@@ -39,7 +39,7 @@
 
   bool IsSettled(const Mark& mark, Time now) const;
 
-  Policy policy_;
+  const Policy policy_;
   std::deque<Mark> marks_;  // In the order of their ends.
   std::int64_t settled_ = 0;
   std::int64_t stated_ = 0;
