Tests: real processes whose owner is replaced before it hears of a restart

Cause of the fault: a worker restarts while its old registration stays, its next life carries out starts by the clock of the former one and takes the platform's longest lease, and the owner is replaced before it hears of that life. The successor counted the lease of the policy (5.3 s).

The stand-in of a worker has a configurable longest lease for that, and the lines that a test adds to the settings of a fleet precede its bounds, as the first of duplicate names counts.

--- a/standins/internal/task_worker_standin.cc
+++ b/standins/internal/task_worker_standin.cc
@@ -10,7 +10,6 @@
 
 constexpr Duration kHeartbeatInterval{500};
 constexpr Duration kPollInterval{20};
-constexpr Duration kMaxLease{6'000};
 // The first incarnation has been up for a while, so that its clock is ahead of that of later ones.
 constexpr Duration kEarlierUptime{60'000};
 // Duration of a task with the payload "slow": longer than all leases.
@@ -76,6 +75,10 @@
   return boost::outcome_v2::success();
 }
 
+void TaskWorkerStandin::SetMaxLease(Duration max_lease) {
+  state_.With([&](State& state) { state.max_lease = max_lease; });
+}
+
 void TaskWorkerStandin::SetFault(const TaskWorkerFault& fault) {
   state_.With([&](State& state) {
     AdvanceToNow(state);
@@ -283,7 +286,7 @@
   if (token < state.token) return refuse("fence");
   state.token = token;
   const std::int64_t lease_expiry_ms =
-      std::min(NumberField(body, "UntilMs"), LocalClockMs(state) + kMaxLease.count());
+      std::min(NumberField(body, "UntilMs"), LocalClockMs(state) + state.max_lease.count());
   if (lease_expiry_ms <= LocalClockMs(state)) return refuse("late");
   state.lease_expiry_ms = std::max(state.lease_expiry_ms, lease_expiry_ms);
   const auto running = state.running.find(task);
@@ -345,7 +348,7 @@
     incarnation = state.incarnation;
     // A longer lease is shortened to the maximum from the arrival of the call.
     lease_expiry_ms =
-        std::min(NumberField(body, "UntilMs"), LocalClockMs(state) + kMaxLease.count());
+        std::min(NumberField(body, "UntilMs"), LocalClockMs(state) + state.max_lease.count());
   });
   while (true) {
     bool restarted = false;
--- a/standins/internal/task_worker_standin.h
+++ b/standins/internal/task_worker_standin.h
@@ -94,6 +94,8 @@
   // Like Start(), but registers the address of a relay before it, which adds `one_way_delay` in
   // each direction.
   Result<> StartBehindRelay(Duration one_way_delay);
+  // Sets the longest lease that calls grant from now on, in all incarnations; it is 6 s before.
+  void SetMaxLease(Duration max_lease);
   // Replaces the fault of the worker.
   void SetFault(const TaskWorkerFault& fault);
   // Ends the incarnation and all its runs. Another one with the same identifier and address follows
@@ -131,6 +133,7 @@
     std::int64_t next_end_number = 1;
     std::int64_t token = 0;            // Highest fencing token received.
     std::int64_t lease_expiry_ms = 0;  // Of the lease of all runs, by LocalClockMs().
+    Duration max_lease{6'000};         // A longer lease is shortened to this.
     std::int64_t sequence = 0;         // Of the last heartbeat.
     std::uint64_t order_count = 0;
     std::uint64_t call_count = 0;
--- a/tests/support/node_fleet.cc
+++ b/tests/support/node_fleet.cc
@@ -56,9 +56,8 @@
                                  << "\nListen.Ready=" << node.ready.ToString()
                                  << "\nPortRange=" << node.instances.port << ","
                                  << node.instances.port
-                                 << "\nplatform.Address=" << store_address.ToString()
-                                 << "\nBounds.GraceS=6\nBounds.HoldMaxMs=6000\n"
-                                 << more_settings;
+                                 << "\nplatform.Address=" << store_address.ToString() << "\n"
+                                 << more_settings << "Bounds.GraceS=6\nBounds.HoldMaxMs=6000\n";
     nodes_.push_back(std::move(node));
   }
   for (int i = 0; i < nodes; ++i) Start(i);
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -21,7 +21,7 @@
  public:
   // Starts `nodes` nodes and `workers` workers. The stand-ins run on `runner`.
   // `bin` is the folder that contains the programs. `more_settings`: lines that are added to the
-  // settings file of each node.
+  // settings file of each node. They take precedence over the bounds that the fleet sets.
   NodeFleet(Runner& runner, std::string bin, int nodes, int workers,
             const std::string& more_settings = {});
   ~NodeFleet();
