Starts: check the permission again when the connection is open

Cause: an owner checked a start before its call took a connection. That takes up to the call's time limit, and the process may stand still in between. The bytes were written although the ownership had run out and a successor had released the task.

Change: a call of HttpClient may carry a condition, which is asked immediately before each attempt is written. If it does not hold, nothing is written, the connection stays usable and the call ends with kWithdrawn. If an earlier attempt was written, it ends with kBroken as before. WorkerLink passes the check of the start and of its age, and reports the start as withdrawn.

Renewals have no condition: a worker that has seen the successor's token refuses them, they begin no run, and the delegate would need another result for a renewal that was not sent.

What remains: a stop of the process between the check and the system call, and the rest of a start that is longer than the socket's buffer.

Tests: "a start is not sent if its permission runs out while its call begins" fails on the code before (received 1 of 0, both rows) and passes now. "a call is written only while its condition holds" and "the condition of a call is asked when its connection is open" (a peer whose backlog is full) need the new parameter: with the condition asked at the beginning of the call, as the owner did, both fail (the second attempt is written; the call to the late peer goes on until it is ended). Both pass now.

--- a/src/core/internal/error.cc
+++ b/src/core/internal/error.cc
@@ -6,10 +6,10 @@
 namespace dn {
 namespace {
 
-constexpr std::array<const char*, 14> kTexts = {
+constexpr std::array<const char*, 15> kTexts = {
     "success",   "timed out",   "unreachable", "connection broken", "malformed message",
     "too large", "unavailable", "conflict",    "refused",           "not found",
-    "invalid",   "expired",     "outdated",    "draining"};
+    "invalid",   "expired",     "outdated",    "draining",          "withdrawn"};
 
 class Category final : public std::error_category {
  public:
--- a/src/core/internal/error.h
+++ b/src/core/internal/error.h
@@ -22,6 +22,7 @@
   kExpired,      // Retention has removed the records, or a lease has expired.
   kOutdated,     // What the peer holds may be too old to be told.
   kDraining,     // This process is shutting down.
+  kWithdrawn,    // The caller's condition for the call did not hold any more; nothing was sent.
 };
 
 const std::error_category& ErrorCategory();
--- a/src/runtime/internal/http_client.cc
+++ b/src/runtime/internal/http_client.cc
@@ -69,6 +69,14 @@
   Time total;
 };
 
+// What holds for all attempts of a call.
+struct CallTerms {
+  CallDeadlines deadlines;
+  TrafficKind kind;
+  CallTrace* trace;  // May be null.
+  WriteCondition may_write;
+};
+
 // Lets the operations on `stream` fail after `deadline`. A call that has run out gets 1 ms, so that
 // what has arrived already is read.
 void ExpireAt(beast::tcp_stream& stream, Time deadline) {
@@ -163,26 +171,31 @@
     co_return received;
   }
 
-  // Sends `request` on an open connection and reads the complete response. Sets
-  // `*keep_alive` to whether the connection may be reused.
+  // Sends `request` on an open connection, if its terms permit that now, and reads the complete
+  // response. Sets `*keep_alive` to whether the connection may be reused.
   Task<Result<HttpReply>> Exchange(Connection& connection,
                                    http::request<http::string_body>& request,
-                                   CallDeadlines deadlines, TrafficKind kind, bool* keep_alive,
-                                   CallTrace* trace) const {
+                                   const CallTerms& terms, bool* keep_alive) const {
+    const CallDeadlines& deadlines = terms.deadlines;
+    if (terms.may_write && !terms.may_write()) {
+      *keep_alive = true;
+      co_return Errc::kWithdrawn;
+    }
+    CallTrace unused;
+    CallTrace& trace = terms.trace != nullptr ? *terms.trace : unused;
+    trace = {.written = true, .connection_age = Now() - connection.opened_at};
     boost::system::error_code error;
     connection.call_under_way = true;
     ExpireAt(connection.stream, std::min(deadlines.first_byte, deadlines.total));
     const std::size_t sent = co_await http::async_write(
         connection.stream, request, asio::redirect_error(asio::use_awaitable, error));
-    if (metrics != nullptr) metrics->CountBytes(kind, sent);
+    if (metrics != nullptr) metrics->CountBytes(terms.kind, sent);
     if (error) co_return ErrorOf(error);
     http::response_parser<http::string_body> parser;
     parser.body_limit(1ULL << 30U);  // 1 GiB.
     parser.eager(true);
-    CallTrace unused;
-    const std::size_t received = co_await ReadResponse(connection, parser, deadlines,
-                                                       trace != nullptr ? *trace : unused, error);
-    if (metrics != nullptr) metrics->CountBytes(kind, received);
+    const std::size_t received = co_await ReadResponse(connection, parser, deadlines, trace, error);
+    if (metrics != nullptr) metrics->CountBytes(terms.kind, received);
     if (error) co_return ErrorOf(error);
     connection.call_under_way = false;
     *keep_alive = parser.get().keep_alive();
@@ -199,15 +212,15 @@
 HttpClient::~HttpClient() = default;
 
 Task<Result<HttpReply>> HttpClient::Call(Endpoint to, HttpCall call, CallLimits limits,
-                                         TrafficKind kind, CallTrace* trace) {
+                                         TrafficKind kind, CallTrace* trace,
+                                         WriteCondition may_write) {
   const Time started = Now();
-  const CallDeadlines deadlines{.first_byte = started + limits->first_byte,
-                                .between_bytes = limits->between_bytes,
-                                .total = started + limits->total};
-  const auto note_attempt = [trace](const Connection& used) {
-    if (trace == nullptr) return;
-    *trace = {.written = true, .connection_age = Now() - used.opened_at};
-  };
+  const CallTerms terms{.deadlines = {.first_byte = started + limits->first_byte,
+                                      .between_bytes = limits->between_bytes,
+                                      .total = started + limits->total},
+                        .kind = kind,
+                        .trace = trace,
+                        .may_write = std::move(may_write)};
   const bool retry_on_broken_connection = call.retry_on_broken_connection;
   http::request<http::string_body> request;
   try {
@@ -218,23 +231,21 @@
   ConnectionPtr connection = impl_->TakeIdle(to);
   bool keep_alive = false;
   if (connection) {
-    note_attempt(*connection);
-    auto reply =
-        co_await impl_->Exchange(*connection, request, deadlines, kind, &keep_alive, trace);
-    if (reply && keep_alive) impl_->PutIdle(to, std::move(connection));
-    if (!reply) impl_->DropIdle(to);
+    auto reply = co_await impl_->Exchange(*connection, request, terms, &keep_alive);
+    if (keep_alive) impl_->PutIdle(to, std::move(connection));
+    if (!reply && reply.error() != Errc::kWithdrawn) impl_->DropIdle(to);
     // The peer may close an idle connection at any time. If the connection was broken
     // and the request permits a retry, it is sent again on a new connection.
     if (reply || reply.error() != Errc::kBroken || !retry_on_broken_connection) co_return reply;
   }
   // The first attempt may have been processed, whatever becomes of the second.
   const bool sent_before = connection != nullptr;
-  auto fresh = co_await Impl::Connect(to, deadlines.first_byte - Now());
+  auto fresh = co_await Impl::Connect(to, terms.deadlines.first_byte - Now());
   if (!fresh) co_return sent_before ? Errc::kBroken : fresh.error();
   connection = std::move(fresh).value();
-  note_attempt(*connection);
-  auto reply = co_await impl_->Exchange(*connection, request, deadlines, kind, &keep_alive, trace);
-  if (reply && keep_alive) impl_->PutIdle(to, std::move(connection));
+  auto reply = co_await impl_->Exchange(*connection, request, terms, &keep_alive);
+  if (keep_alive) impl_->PutIdle(to, std::move(connection));
+  if (sent_before && !reply && reply.error() == Errc::kWithdrawn) co_return Errc::kBroken;
   co_return reply;
 }
 
--- a/src/runtime/internal/http_client.h
+++ b/src/runtime/internal/http_client.h
@@ -21,15 +21,20 @@
   // that the response belongs to.
   // Once a call is given up, by its timeout or because its coroutine is destroyed or the process
   // ends, what has not arrived at the peer by then does not arrive any more.
-  // `trace`, if given, receives what is known of the last attempt. It must outlive the call.
+  // `trace`, if given, receives what is known of the last attempt that was written. It must outlive
+  // the call.
+  // `may_write`, if given, is asked immediately before the first byte of each attempt is written,
+  // when its connection is open. kWithdrawn: it did not permit that, and nothing was sent, by any
+  // attempt.
   Task<Result<HttpReply>> Call(Endpoint to, HttpCall call, Duration timeout, TrafficKind kind,
-                               CallTrace* trace = nullptr) {
-    return Call(std::move(to), std::move(call), TotalLimit(timeout), kind, trace);
+                               CallTrace* trace = nullptr, WriteCondition may_write = {}) {
+    return Call(std::move(to), std::move(call), TotalLimit(timeout), kind, trace,
+                std::move(may_write));
   }
   // The same with separate limits. A response that makes progress is not given up before
   // `limits->total`.
   Task<Result<HttpReply>> Call(Endpoint to, HttpCall call, CallLimits limits, TrafficKind kind,
-                               CallTrace* trace = nullptr);
+                               CallTrace* trace = nullptr, WriteCondition may_write = {});
 
  private:
   struct Impl;
--- a/src/runtime/internal/http_types.h
+++ b/src/runtime/internal/http_types.h
@@ -1,6 +1,7 @@
 // HTTP requests and responses of control messages, independent of the HTTP library.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -54,6 +55,9 @@
   return CallLimits({.first_byte = total, .between_bytes = total, .total = total});
 }
 
+// Returns whether an outgoing call may be written now. Empty: it may.
+using WriteCondition = std::function<bool()>;
+
 // What is known of an outgoing call, whatever became of it.
 struct CallTrace {
   // A connection was open and the call was sent on it, so that the peer may have received bytes of
--- a/src/runtime/tests/http_client_test.cc
+++ b/src/runtime/tests/http_client_test.cc
@@ -53,6 +53,8 @@
     call.retry_on_broken_connection = retry;
     return runner.Begin(OutcomeOf(std::move(call)));
   }
+  // `may_write` of the calls that begin from now on.
+  void Permit(std::function<bool()> may_write) { may_write_ = std::move(may_write); }
 
   testing::Runner runner;
   HttpClient client;
@@ -64,7 +66,7 @@
  private:
   Task<std::pair<int, std::error_code>> OutcomeOf(HttpCall call) {
     const auto reply = co_await client.Call(relay->address(), std::move(call), Duration(2'000),
-                                            TrafficKind::kStore, trace);
+                                            TrafficKind::kStore, trace, may_write_);
     if (!reply) co_return std::pair(0, reply.error());
     co_return std::pair(reply.value().status, std::error_code());
   }
@@ -74,6 +76,7 @@
     co_return HttpReply{};
   }
 
+  WriteCondition may_write_;
   std::unique_ptr<HttpServer> server_;
 };
 
@@ -125,6 +128,43 @@
   CHECK((trace.connection_age >= kAge) == c.connected_before);
 }
 
+// Guards against calls that are written although their condition does not hold any more, also by a
+// second attempt; and against "nothing was sent" for a call whose first attempt was written.
+TEST_CASE("a call is written only while its condition holds", "[runtime][http]") {
+  struct Case {
+    std::string name;
+    bool connected_before;
+    bool breaks;  // The connection, before the response to the call.
+    bool holds;   // When the call begins.
+    bool holds_after_break;
+    std::error_code error;
+    int processed;  // With the second call after it, which has no condition.
+  };
+  const auto c = GENERATE(values<Case>({
+      {"new connection, holds", false, false, true, true, {}, 2},
+      {"open connection, holds", true, false, true, true, {}, 2},
+      {"new connection, does not hold", false, false, false, false, Errc::kWithdrawn, 1},
+      {"open connection, does not hold", true, false, false, false, Errc::kWithdrawn, 1},
+      {"second attempt, holds", true, true, true, true, {}, 3},
+      {"second attempt, does not hold", true, true, true, false, Errc::kBroken, 2},
+  }));
+  CAPTURE(c.name);
+  RelayedServer server;
+  if (c.connected_before) REQUIRE(server.Call(true).first == 200);
+  const int before = server.processed;
+  std::atomic<bool> holds{c.holds};
+  if (c.breaks) server.relay->BreakAtNextResponse([&] { holds = c.holds_after_break; });
+  server.Permit([&] { return holds.load(); });
+  CallTrace trace;
+  server.trace = &trace;
+  CHECK(server.Call(true).second == c.error);
+  CHECK(trace.written == (c.error != Errc::kWithdrawn));
+  server.trace = nullptr;
+  server.Permit({});
+  CHECK(server.Call(true).first == 200);
+  CHECK(server.processed - before == c.processed);
+}
+
 // Guards against one failed call for each idle connection to a peer that has closed all of them.
 TEST_CASE("idle connections are not used after one of them was broken", "[runtime][http]") {
   constexpr int kIdle = 4;
@@ -267,6 +307,41 @@
   }
 }
 
+Task<std::error_code> ErrorWhile(HttpClient& client, Endpoint to, const std::atomic<bool>& holds) {
+  HttpCall call{.method = HttpMethod::kPost, .path = "/late", .query = {}, .body = {}};
+  const auto reply =
+      co_await client.Call(std::move(to), std::move(call), kLongTimeout, TrafficKind::kWorker,
+                           nullptr, [&holds] { return holds.load(); });
+  co_return reply ? std::error_code() : reply.error();
+}
+
+// Guards against calls that are written by a condition that held before their connection opened,
+// which may take as long as the call.
+TEST_CASE("the condition of a call is asked when its connection is open", "[runtime][http]") {
+  const bool holds_later = GENERATE(true, false);
+  CAPTURE(holds_later);
+  testing::TestServer server;
+  server.OpenOneAtATime();
+  asio::io_context context;
+  asio::ip::tcp::socket first(context);
+  first.connect({asio::ip::make_address(server.address().host), server.address().port});
+  testing::Runner runner;
+  auto client = std::make_unique<HttpClient>();
+  std::atomic<bool> holds{true};
+  auto error = runner.Begin(ErrorWhile(*client, server.address(), holds));
+  REQUIRE(error.wait_for(Duration(300)) == std::future_status::timeout);
+  holds = holds_later;
+  server.Accept();
+  const auto connection = server.Accept();
+  if (holds_later) {
+    CHECK_THAT(connection->ReadUntil(kEndOfHead), Catch::StartsWith("POST /late "));
+    connection->Send(kResponse);
+  }
+  CHECK(error.get() == (holds_later ? std::error_code() : Errc::kWithdrawn));
+  client.reset();
+  if (!holds_later) CHECK(connection->ReadUntil("") == testing::kClosed);
+}
+
 // What a server sends, and when.
 struct Piece {
   Duration pause;  // Before it.
--- a/src/task_worker/internal/worker_link.cc
+++ b/src/task_worker/internal/worker_link.cc
@@ -32,22 +32,24 @@
       log_(log) {}
 
 Task<std::optional<OrderResponse>> WorkerLink::SendOrder(std::string_view name, HttpCall call,
-                                                         FencingToken token) {
+                                                         FencingToken token,
+                                                         WriteCondition may_write) {
   const std::size_t bytes = call.body.size() + kHeadBytes;
   budget_.With([&](ExchangeBudget& budget) { budget.Charge(Now(), bytes); });
-  co_return co_await Call(name, std::move(call), token, kOrderTimeout);
+  co_return co_await Call(name, std::move(call), token, kOrderTimeout, nullptr,
+                          std::move(may_write));
 }
 
 Task<std::optional<OrderResponse>> WorkerLink::Call(std::string_view name, HttpCall call,
                                                     FencingToken token, Duration timeout,
-                                                    std::size_t* bytes) {
+                                                    std::size_t* bytes, WriteCondition may_write) {
   const auto entry = delegate_->EntryOf(worker_);
   if (!entry) co_return std::nullopt;
   const std::size_t size = call.body.size();
   const Time sent = Now();
   CallTrace trace;
   auto reply = co_await http_.Call((*entry)->address, std::move(call), timeout,
-                                   TrafficKind::kWorker, &trace);
+                                   TrafficKind::kWorker, &trace, std::move(may_write));
   if (!reply) {
     log_.Write("worker-call-failed", worker_.value,
                "call=" + std::string(name) + " token=" + std::to_string(token) +
@@ -55,7 +57,8 @@
                    " connection_age_ms=" + std::to_string(trace.connection_age.count()) +
                    " waited_ms=" + std::to_string((Now() - sent).count()) +
                    " error=" + reply.error().message());
-    co_return std::nullopt;
+    if (reply.error() != Errc::kWithdrawn) co_return std::nullopt;
+    co_return OrderResponse({.refusal = OrderRefusal::kWithdrawn});
   }
   if (bytes != nullptr) *bytes += size + reply.value().body.size() + kHeadBytes;
   auto response = protocol_.decode_response(reply.value());
@@ -130,12 +133,17 @@
 Task<> WorkerLink::SendOne(QueuedOrder queued) {
   const Order& order = queued.order;
   if (const auto* start = std::get_if<StartOrder>(&order)) {
-    if (Now() - queued.queued_at >= kMaxStartAge || !delegate_->MayStart(*start)) {
+    const auto may_write = [this, start, queued_at = queued.queued_at] {
+      return Now() - queued_at < kMaxStartAge && delegate_->MayStart(*start);
+    };
+    if (!may_write()) {
       delegate_->OnStartResponse(*start, OrderResponse({.refusal = OrderRefusal::kWithdrawn}));
       co_return;
     }
+    // Asked again before the bytes are written: the connection takes time to open, and the process
+    // may stand still meanwhile.
     HttpCall call = protocol_.encode_start(*start);
-    auto response = co_await SendOrder("start", std::move(call), (*start)->token);
+    auto response = co_await SendOrder("start", std::move(call), (*start)->token, may_write);
     delegate_->OnStartResponse(*start, response);
   } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
     HttpCall call = protocol_.encode_stop(*stop);
--- a/src/task_worker/internal/worker_link.h
+++ b/src/task_worker/internal/worker_link.h
@@ -50,7 +50,8 @@
   Task<> Run();
   // Queues an order. It is sent at once unless the maximum number of orders is in
   // flight; stops go before other orders. A start that has waited for kMaxStartAge, or that the
-  // delegate does not permit any more, is not sent: the delegate learns that it is withdrawn.
+  // delegate does not permit any more, is not sent: the delegate learns that it is withdrawn. Both
+  // are checked again when its connection is open.
   void Send(Order order);
 
  private:
@@ -69,11 +70,13 @@
   Task<> SendOne(QueuedOrder queued);
   // Sends an order, which is charged to the budget.
   Task<std::optional<OrderResponse>> SendOrder(std::string_view name, HttpCall call,
-                                               FencingToken token);
-  // Returns nullopt if there was no response or it cannot be decoded. Adds the size of the
-  // exchange to `*bytes`, if given. `name`: of the kind of call, for the log.
+                                               FencingToken token, WriteCondition may_write = {});
+  // Returns nullopt if there was no response or it cannot be decoded, and kWithdrawn if `may_write`
+  // did not permit the call. Adds the size of the exchange to `*bytes`, if given. `name`: of the
+  // kind of call, for the log.
   Task<std::optional<OrderResponse>> Call(std::string_view name, HttpCall call, FencingToken token,
-                                          Duration timeout, std::size_t* bytes = nullptr);
+                                          Duration timeout, std::size_t* bytes = nullptr,
+                                          WriteCondition may_write = {});
 
   const WorkerId worker_;
   const std::shared_ptr<WorkerLinkDelegate> delegate_;
--- a/src/task_worker/tests/worker_link_test.cc
+++ b/src/task_worker/tests/worker_link_test.cc
@@ -24,6 +24,7 @@
 
   std::optional<WorkerEntry> EntryOf(const WorkerId& worker) override {
     if (ended) return std::nullopt;
+    if (drains_before_call) draining = true;
     return WorkerEntry({.id = worker, .service = "s", .address = address_, .draining = draining});
   }
   bool MayStart(const StartOrder& /*order*/) override { return !draining; }
@@ -59,7 +60,8 @@
   std::atomic<int> answered{0};
   std::atomic<int> stops{0};
   std::atomic<bool> draining{false};
-  std::atomic<bool> ended{false};  // The worker has no registration any more.
+  std::atomic<bool> drains_before_call{false};  // Set `draining` when a call begins.
+  std::atomic<bool> ended{false};               // The worker has no registration any more.
 
  private:
   const Endpoint address_;
@@ -147,6 +149,46 @@
   runner.Stop();
 }
 
+// Guards against starts that are written although the permission for them has run out since they
+// left the queue: a connection takes up to a second to open, and a process may stand still longer.
+TEST_CASE("a start is not sent if its permission runs out while its call begins", "[task_worker]") {
+  const bool connected_before = GENERATE(false, true);
+  CAPTURE(connected_before);
+  testing::Runner runner;
+  std::atomic<int> received{0};
+  auto server = HttpServer::Start(runner.pool(), {.host = "127.0.0.1", .port = 0},
+                                  [&](HttpCall call) -> Task<HttpReply> {
+                                    if (call.path == "/api/run-start") ++received;
+                                    co_return HttpReply{.body = R"({"ClockMs":1})"};
+                                  });
+  REQUIRE(server);
+  HttpClient http;
+  DecisionLog log("n");
+  SharedExchangeBudget budget{ExchangeCapacity()};
+  const auto delegate = std::make_shared<Delegate>(server.value()->address());
+  const auto link = std::make_shared<WorkerLink>(
+      WorkerId{"w"}, delegate, platform::MakeWorkerProtocol(), http, budget, runner.pool(), log);
+  const auto await = [&](const std::atomic<int>& count, int expected) {
+    const Time end = Now() + Duration(5'000);
+    while (count < expected && Now() < end) std::this_thread::sleep_for(Duration(5));
+  };
+  const auto stop = [&] {
+    const int expected = delegate->stops + 1;
+    link->Send(StopOrder({.worker = {"w"}, .task = {.job = 2}, .run = 1}));
+    await(delegate->stops, expected);
+  };
+  if (connected_before) stop();
+  delegate->drains_before_call = true;
+  link->Send(StartOrder({.worker = {"w"}, .task = {.job = 1}, .run = 1}));
+  await(delegate->withdrawn, 1);
+  CHECK(received == 0);
+  CHECK(delegate->withdrawn == 1);
+  CHECK(delegate->unanswered == 0);
+  stop();
+  CHECK(delegate->stops == (connected_before ? 2 : 1));
+  runner.Stop();
+}
+
 // Guards against a worker that is only slow to respond and counts as one whose process has ended:
 // only a connection that breaks or is refused tells when that was.
 TEST_CASE("a renewal that times out is told from one whose connection fails", "[task_worker]") {
--- a/tests/support/test_connection.h
+++ b/tests/support/test_connection.h
@@ -34,6 +34,8 @@
 class TestServer {
  public:
   Endpoint address() const;
+  // From now on, a connection opens only while no other one waits for Accept.
+  void OpenOneAtATime() { acceptor_.listen(0); }
   // Waits for the next connection. If none comes within 5 s, returns one that stays silent.
   std::unique_ptr<TestConnection> Accept();
 
