Registrations: date them by the last complete read before them

Cause: the time when a registration was read counted as the time when it was written, also after a reload of all registrations or a slow read. An open copy of a start then counted as too late by the clock of an incarnation that had ended, and its task was started elsewhere while the copy could still be carried out.

Change: a record that lies after what earlier reads have read was written after the last complete one was sent. The handler passes that time to the shard; for other records no time is known. The time is kept while the registered incarnation stays the same. The harnesses of the tests pass the times at which their workers have written.

Price: the release of a run with an open copy on a worker that lives, stays listed and does not report waits for up to one period of reads longer.

--- a/src/node/internal/shard_owner.cc
+++ b/src/node/internal/shard_owner.cc
@@ -233,13 +233,17 @@
 
 void ShardOwner::HandleWorkers(const std::vector<StoreRecord>& records, bool complete) {
   const Time now = Now();
+  // Of the reads before this one: see KeyedFollower::Handler. Reads of this follower don't overlap.
+  const std::int64_t known_end = workers_.position();
+  const Time last_read = workers_.last_complete();
   std::set<WorkerId> listed;
   for (const StoreRecord& record : records) {
     const WorkerId id{record->key};
     const std::optional<WorkerEntry> entry = registrations_.Read(record);
     table_.With([&](Table& table) {
       if (entry) {
-        table.shard.WorkerListed(*entry, now);
+        const Time written_after = record->offset >= known_end ? last_read : Time();
+        table.shard.WorkerListed(*entry, now, written_after);
       } else {
         table.shard.WorkerUnlisted(id, now);
       }
--- a/src/scheduling/internal/run_end.h
+++ b/src/scheduling/internal/run_end.h
@@ -12,8 +12,8 @@
 // - the time for late calls is over.
 // Without reports, it has ended if all leases of its incarnation are over, and
 // - no copy is open; or
-// - the worker's registration has been renewed since for the same incarnation: by its clock, an
-//   open copy is too late; or
+// - the same incarnation is known to have written a registration since: by its clock, an open copy
+//   is too late; or
 // - the worker is not registered any more, and its start is settled, or all leases are over that a
 //   later incarnation may have got by carrying a copy out in time; or
 // - the time for late calls is over, and the longest lease that the last one may have got.
--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -140,7 +140,9 @@
   // Number of jobs that are chosen to become late.
   std::int64_t delayed_jobs() const { return overload_.delayed; }
 
-  void WorkerListed(const WorkerEntry& entry, Time now);
+  // Handles a registration that is read at `now`. `written_after`: a time after which it is known
+  // to have been written; Time() if none is. A read may show it again after its worker has ended.
+  void WorkerListed(const WorkerEntry& entry, Time now, Time written_after = Time());
   void WorkerUnlisted(const WorkerId& id, Time now);
 
   // Returns the entries of all managed workers: those that are listed or have placed tasks, and
--- a/src/scheduling/internal/shard_capacity.cc
+++ b/src/scheduling/internal/shard_capacity.cc
@@ -30,7 +30,7 @@
 
 }  // namespace
 
-void Shard::WorkerListed(const WorkerEntry& entry, Time now) {
+void Shard::WorkerListed(const WorkerEntry& entry, Time now, Time written_after) {
   const WorkerRow* known = workers_.Find(entry->id);
   if (known != nullptr && known->listed && known->entry->capacity != entry->capacity) {
     Decide("worker-capacity", entry->id.value, ToText(entry->capacity));
@@ -41,7 +41,7 @@
            "born=" + std::to_string(entry->start_time_ms) + " before=" + std::to_string(before) +
                " " + ContactText(*known, now));
   }
-  workers_.Listed(entry, now);
+  workers_.Listed(entry, now, written_after);
   ExplainLosses(entry, now);
   ApplyEvacuations(*workers_.Find(entry->id), now);
   WithdrawStarts(*workers_.Find(entry->id), now);
--- a/src/scheduling/internal/worker_table.cc
+++ b/src/scheduling/internal/worker_table.cc
@@ -47,12 +47,13 @@
   return planned + sent >= *max_cold_starts;
 }
 
-void WorkerTable::Listed(const WorkerEntry& entry, Time now) {
+void WorkerTable::Listed(const WorkerEntry& entry, Time now, Time written_after) {
   WorkerRow& worker = FindOrAdd(entry->id, now);
+  const bool same_incarnation = worker.entry->start_time_ms == entry->start_time_ms;
+  worker.listed_at = same_incarnation ? std::max(worker.listed_at, written_after) : written_after;
   if (worker.entry->capacity != entry->capacity) worker.headroom.reset();
   worker.entry = entry;
   worker.listed = true;
-  worker.listed_at = now;
   worker.max_cold_starts = policy_->max_cold_starts;
   worker.cold_until = entry->cold_for_ms > 0 ? now + Duration(entry->cold_for_ms) : Time();
   worker.replaced = false;
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -44,7 +44,8 @@
   // While cold: when this owner decided to send starts, as far as within kColdWindow.
   std::vector<Time> cold_starts;
   std::optional<std::int64_t> max_cold_starts;  // See PolicyFields.
-  Time listed_at{};                             // When a registration was last read.
+  // When the registered incarnation wrote a registration, at the earliest; Time(): not known.
+  Time listed_at{};
   Time unlisted_at{};
   Resources reserved;                // By all placed tasks; best-effort tasks reserve no cores.
   std::map<TaskRef, JobRow*> tasks;  // Exactly the tasks that are placed on this worker.
@@ -108,8 +109,8 @@
     earlier_owners_until_ = until;
     earlier_owners_until_ms_ = until_ms;
   }
-  // Adds or updates the entry of a registered worker.
-  void Listed(const WorkerEntry& entry, Time now);
+  // Adds or updates the entry of a registered worker. `written_after`: see Shard::WorkerListed().
+  void Listed(const WorkerEntry& entry, Time now, Time written_after = Time());
   // Handles the end of a worker's registration.
   // Returns whether the worker was listed.
   bool Unlisted(const WorkerId& id, Time now);
--- a/src/scheduling/tests/crash_fleet.cc
+++ b/src/scheduling/tests/crash_fleet.cc
@@ -293,7 +293,7 @@
                    .draining = worker.draining,
                    .remaining_ms = 3'000,
                    .capacity = {.millicores = 16'000, .memory_mb = kMemoryMb}}),
-      now);
+      now, worker.up ? now : Time());
 }
 
 void CrashFleet::Renew(Worker& worker) {
--- a/src/scheduling/tests/ownership_test.cc
+++ b/src/scheduling/tests/ownership_test.cc
@@ -339,7 +339,7 @@
   shard.Restore(progress, worker.taken_over, settled);
   const Time limit = worker.taken_over + Duration(60'000);
   for (Time now = worker.taken_over; now < limit; now += kStep) {
-    if (registration == Registration::kStays) shard.WorkerListed(worker.entry, now);
+    if (registration == Registration::kStays) shard.WorkerListed(worker.entry, now, now);
     const bool lapses =
         registration == Registration::kLapses || registration == Registration::kFormerLapses;
     if (lapses && now > worker.taken_over + Duration(1'000)) {
--- a/src/scheduling/tests/shard_interleavings_test.cc
+++ b/src/scheduling/tests/shard_interleavings_test.cc
@@ -413,7 +413,7 @@
                                              .address = {"127.0.0.1", 1},
                                              .start_time_ms = *incarnation,
                                              .capacity = ListedCapacity(i, now_ - kListingDelay)}),
-                                now_);
+                                now_, RegistrationWritten(i, *incarnation));
     }
     OwnedShard(*owner).Plan(now_, now_.time_since_epoch().count());
     owner->shard.TakeDecisions();
@@ -814,6 +814,13 @@
     return worker.up ? std::optional(worker.incarnation) : std::nullopt;
   }
 
+  // Returns a time after which the worker's registration was written. Only an incarnation that is
+  // still up has renewed it.
+  Time RegistrationWritten(int index, std::int64_t incarnation) const {
+    const SimWorker& worker = workers_[index];
+    return worker.up && worker.incarnation == incarnation ? now_ - kListingDelay : Time();
+  }
+
   void InjectWorkerFaults(SimWorker& worker) {
     for (const WorkerFaultChance& entry : kWorkerFaultChances) {
       const int chance = faults_.*entry.chance;
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -1233,7 +1233,7 @@
                        .address = {"127.0.0.1", 1},
                        .start_time_ms = *incarnation,
                        .capacity = {.millicores = 4'000, .memory_mb = 64'000}}),
-          harness.now);
+          harness.now, harness.now);
     }
     if (renewals.refusal) {
       harness.shard.Reported(kWorker, OrderResponse({.refusal = *renewals.refusal}), harness.now,
--- a/src/scheduling/tests/worker_lives_test.cc
+++ b/src/scheduling/tests/worker_lives_test.cc
@@ -122,5 +122,75 @@
   CHECK((*second - answered).count() <= start.wait.count());
 }
 
+// A registration that is read while the worker does not report. Times are counted from the last
+// report.
+struct ReadRegistration {
+  std::string name;
+  std::int64_t life;
+  Duration written;  // At the earliest, as the owner knows.
+  Duration read;
+  Duration second_from;  // When the task may run elsewhere, and when it must.
+  Duration second_until;
+};
+
+// The last copy of the start is sent between these times, and carries the lease of the policy.
+constexpr Duration kLastCopyFrom = kStartSent;
+constexpr Duration kLastCopyUntil{2'500};
+constexpr Duration kLateFrom = kLastCopyFrom + Duration(12'000 + 6'000);
+constexpr Duration kLateUntil = kLastCopyUntil + Duration(12'000) + kLongWait;
+constexpr Duration kReadAfterLeases{9'000};
+static_assert(kLastCopyUntil + kLeaseWait < kReadAfterLeases);
+
+const std::vector<ReadRegistration> kReadRegistrations = {
+    {"renewed after the leases", kFirstLife, Duration(8'500), kReadAfterLeases, kReadAfterLeases,
+     kReadAfterLeases + Duration(200)},
+    {"old one, read again", kFirstLife, Duration(-500), kReadAfterLeases, kLateFrom, kLateUntil},
+    {"renewed before the leases are over, read late", kFirstLife, Duration(4'000), kReadAfterLeases,
+     kLateFrom, kLateUntil},
+    {"next life", kNextLife, Duration(8'500), kReadAfterLeases, kLateFrom, kLateUntil},
+};
+
+// Guards against a second run while the first one lives: a copy of its start was still open, and
+// the registration of a life that had ended was read again after the leases. It counted as written
+// when it was read, so that the copy was taken for too late by the clock of that life. And against
+// waiting longer where the life has renewed its registration.
+TEST_CASE("only a registration that was written since shows that a copy is too late",
+          "[scheduling][lives]") {
+  const ReadRegistration registration = GENERATE(from_range(kReadRegistrations));
+  CAPTURE(registration.name);
+  Shard shard(Policy(), 7);
+  shard.WorkerListed(EntryOf(kWorker, kFirstLife), kReported - kFirstReport - 2 * kWay);
+  for (const Duration before : {kFirstReport, Duration(0)}) {
+    Report(shard, kWorker, kFirstLife, (Duration(60'000) - before).count(), kReported - before);
+  }
+  shard.Accept(OneTask(), kReported);
+  shard.WorkerListed(EntryOf(kOtherWorker, kFirstLife), kReported + kStartSent + kStep);
+  std::optional<Duration> second;
+  Duration last_copy{};
+  for (Duration after = kStartSent; !second && after < Duration(60'000); after += kStep) {
+    const Time now = kReported + after;
+    if (after > kStartSent + kStep) {
+      Report(shard, kOtherWorker, kFirstLife, now.time_since_epoch().count(), now);
+    }
+    if (after == registration.read) {
+      shard.WorkerListed(EntryOf(kWorker, registration.life), now,
+                         kReported + registration.written);
+    }
+    for (const StartOrder& start : PlanAndRecord(shard, now)) {
+      if (start->worker == kOtherWorker) {
+        second = after;
+        continue;
+      }
+      shard.StartAnswered(start, std::nullopt, now + kWay);
+      last_copy = after;
+    }
+  }
+  REQUIRE(second);
+  CHECK(last_copy >= kLastCopyFrom);
+  CHECK(last_copy <= kLastCopyUntil);
+  CHECK(second->count() >= registration.second_from.count());
+  CHECK(second->count() <= registration.second_until.count());
+}
+
 }  // namespace
 }  // namespace dn
--- a/src/store/internal/keyed_follower.h
+++ b/src/store/internal/keyed_follower.h
@@ -16,7 +16,9 @@
     Duration wait{1'000};  // Wait time of one long poll; a new record ends the wait.
     Duration pause{0};     // Pause between two reads; batches frequent records.
   };
-  // Called with records in order. `complete`: `records` contains every existing key.
+  // Called with records in order. `complete`: `records` contains every existing key. Meanwhile,
+  // position() and last_complete() are those of the reads before. Unless reads overlap, a record
+  // from that position on was written after that time; another one may be of any age.
   using Handler = std::function<void(const std::vector<StoreRecord>& records, bool complete)>;
 
   KeyedFollower(StoreClient& store, Partition partition, Options options, DecisionLog& log,
--- a/src/store/tests/read_age_test.cc
+++ b/src/store/tests/read_age_test.cc
@@ -129,6 +129,59 @@
   if (!c.counts) CHECK(handled == 1);
 }
 
+// Guards against old records that count as new since they are read again: a registration that a
+// reload handed over counted as written when it was read.
+TEST_CASE("a handler can tell records that were written since the last complete read",
+          "[store][view]") {
+  struct Case {
+    std::string name;
+    bool dropped;  // The history, so that all records are read again.
+    std::vector<std::string> written_before;
+  };
+  const auto c = GENERATE(values<Case>({
+      {"changes", false, {}},
+      {"reload", true, {"a", "b"}},
+  }));
+  CAPTURE(c.name);
+  testing::Runner runner;
+  standins::StoreStandin standin(runner.pool());
+  REQUIRE(standin.Start());
+  for (const char* key : {"a", "b", "c"}) standin.Put(kPartition->topic, key, "v");
+  HttpClient http;
+  StoreClient store(standin.address(), platform::MakeStoreProtocol(), http);
+  DecisionLog log("node");
+  const KeyedFollower* reader = nullptr;
+  std::vector<std::string> before;
+  std::vector<std::string> since;
+  Time last_read;
+  KeyedFollower follower(store, kPartition, {}, log, [&](const auto& records, bool) {
+    before.clear();
+    since.clear();
+    last_read = reader->last_complete();
+    for (const StoreRecord& record : records) {
+      (record->offset >= reader->position() ? since : before).push_back(record->key);
+    }
+  });
+  reader = &follower;
+  const auto poll = [&] {
+    runner.Wait([](KeyedFollower& polled) -> Task<bool> {
+      co_await polled.Poll(Duration(0));
+      co_return true;
+    }(follower));
+  };
+  poll();
+  CHECK(last_read == Time());
+  const Time complete = follower.last_complete();
+  std::this_thread::sleep_for(Duration(5));
+  standin.Put(kPartition->topic, "c", "w");
+  if (c.dropped) standin.DropHistory();
+  poll();
+  CHECK(before == c.written_before);
+  CHECK(since == std::vector<std::string>{"c"});
+  CHECK(last_read == complete);
+  CHECK(follower.last_complete() > complete);
+}
+
 // Guards against a Load after a compaction that never gets the time it needs: the response for an
 // expired offset, which arrives at once, reset the limits that earlier failures had extended.
 TEST_CASE("the response for an expired offset does not reset the limits of pages", "[store]") {
