Plays: incarnations that never register, and owners replaced at the restart

The plays of restarts and cuts found two runs at once by one owner only: each incarnation within reach wrote its registration, and owners were replaced 1.8 s after a kill at the earliest. New fields of Faults, without effect on existing rows: the cut begins before the new incarnation has registered, the owner ends or is replaced within a second of the restart, and the worker has restarted shortly before. A finding names the owner of each run. Owners carry the end of the settled records over a take-over; this draws no random numbers.

--- a/src/scheduling/tests/shard_interleavings_test.cc
+++ b/src/scheduling/tests/shard_interleavings_test.cc
@@ -31,7 +31,8 @@
 constexpr Duration kWorkerFault{5'000};
 // Period of the joins by which the store confirms an owner.
 constexpr Duration kJoinPeriod{600};
-constexpr Duration kJoinTime{20};  // Until the response arrives.
+constexpr Duration kJoinTime{20};     // Until the response arrives.
+constexpr Duration kSettledTime{20};  // Until the store has the end of the settled records.
 // Without a join for this long, the shard passes to another owner.
 constexpr Duration kTimeToLive{1'800};
 // Longer than the time to live of an ownership; the store still accepts the owner's records.
@@ -73,6 +74,15 @@
 constexpr std::pair<int, int> kRecutCut{9'000, 14'000};
 // How long after the beginning of a restart and cut its owner is killed.
 constexpr std::pair<int, int> kRecutKill{1'000, 3'000};
+// How long after that its owner is replaced at once.
+constexpr std::pair<int, int> kRecutReplaced{0, 1'000};
+// How long the next incarnation is within reach if it never writes its registration, and when the
+// registration of the former one lapses, from the restart: it was last written one heartbeat
+// interval before the restart at the earliest.
+constexpr std::pair<int, int> kUnregisteredWithinReach{10, 90};
+constexpr std::pair<int, int> kUnregisteredLapse{3'000, 4'500};
+// How long a worker has been up at the restart that a cut follows, if it has just restarted before.
+constexpr std::pair<int, int> kYoungAge{150, 400};
 // From the moment when a worker can write its registration until the store has it.
 constexpr Duration kRegistrationTime{100};
 // Without a write for this long, a registration lapses: three heartbeat intervals.
@@ -129,8 +139,14 @@
   // Per 100 ms; restarts under the same identifier and is cut off from all owners soon after.
   int worker_recuts = 0;
   int recut_owner_kills = 0;  // Of the restarts and cuts; the owner is killed kRecutKill later.
-  int lost_reports = 0;       // Per renewal; its response is lost.
-  int capacity_changes = 0;   // Per 100 ms and worker; the capacity shrinks or grows.
+  // Of the restarts and cuts; the owner is replaced kRecutReplaced later, at once: it ends, or it
+  // lives on and is not notified.
+  int recut_ended_owners = 0;
+  int recut_replaced_owners = 0;
+  int recut_unregistered = 0;  // Of the restarts and cuts; the incarnation never registers.
+  int recut_young = 0;         // Of the restarts and cuts; the worker restarts kYoungAge before.
+  int lost_reports = 0;        // Per renewal; its response is lost.
+  int capacity_changes = 0;    // Per 100 ms and worker; the capacity shrinks or grows.
   int crashing_jobs = 0;  // Of the jobs; their first task crashes its worker soon after a start.
   // Most ends in a report, no probability; 0: no limit.
   std::size_t listed_ends = 0;
@@ -166,6 +182,7 @@
   int worker = 0;
   TaskKey task;
   int run = 0;
+  FencingToken token = 0;  // Of the start.
   Time started{};
   std::optional<Time> ended;
   std::string end_kind;
@@ -195,8 +212,10 @@
 };
 
 struct Owner {
-  Owner(FencingToken token, PolicyFields policy) : shard(Policy(policy), token) {}
+  Owner(FencingToken token, PolicyFields policy)
+      : shard(Policy(policy), token), settled(Policy(policy)) {}
   Shard shard;
+  SettledRecords settled;
   bool alive = true;
   bool open = false;
   bool appending = false;
@@ -376,11 +395,13 @@
     const Time earlier_owners_end = EndOfEarlierOwners();
     owner->shard.ExpectEarlierOrders(earlier_owners_end,
                                      WallMs() + (earlier_owners_end - now_).count());
+    owner->settled.SettledBefore(settled_end_);
+    owner->settled.Stored(end_, earlier_owners_end);
     for (const AcceptedJob& job : accepted_) owner->shard.Accept(job, now_);
     for (const auto& [id, progress] : progress_) {
       const auto decoded = DecodeJobProgress(progress);
       REQUIRE(decoded);
-      owner->shard.Restore(decoded.value(), now_);
+      owner->shard.Restore(decoded.value(), now_, offsets_.at(id) < settled_end_);
       const auto& tasks = decoded.value()->tasks;
       if (std::any_of(tasks.begin(), tasks.end(), [](const TaskProgress& task) {
             return task->phase == TaskPhase::kDone || task->failures > 0 ||
@@ -422,7 +443,18 @@
     RunInOwner(owner, now_ + Duration(20), [this, owner] { Plan(owner); });
   }
 
+  // Lets the store have the end of the settled records, once a period.
+  void StateSettled(const std::shared_ptr<Owner>& owner) {
+    if (!owner->settled.IsDue(now_)) return;
+    const auto end = owner->settled.Settle(now_, owner->shard.OpenStartsSince(now_));
+    if (!end) return;
+    After(kSettledTime, [this, owner, end] {
+      if (!IsCutOff(owner) && owner->shard.token() >= fence_) settled_end_ = *end;
+    });
+  }
+
   void Append(const std::shared_ptr<Owner>& owner) {
+    StateSettled(owner);
     const auto batch = std::make_shared<RecordBatch>(owner->shard.TakeBatch());
     if (batch->empty()) return;
     owner->appending = true;
@@ -445,14 +477,16 @@
       }
       for (const JobProgress& record : batch->records) {
         progress_[record->id] = EncodeJobProgress(record);
+        offsets_[record->id] = end_++;
       }
       for (const JobCrashes& record : batch->crashes) {
         crashes_[record->id] = EncodeJobCrashes(record);
       }
-      RunInOwner(owner, now_ + Duration(2), [this, owner, batch] {
+      RunInOwner(owner, now_ + Duration(2), [this, owner, batch, end = end_] {
         owner->appending = false;
         OwnedShard(*owner).Recorded(*batch, now_);
         Send(owner);
+        owner->settled.Stored(end, now_);
       });
     });
   }
@@ -630,7 +664,11 @@
                               ? Pick(kLastingRun.first, kLastingRun.second)
                               : Pick(200, 900) * (IsLong(order->task.job) ? kLongFactor : 1));
     worker.running[order->task] = {log_.size(), now_ + length};
-    log_.push_back({.worker = index, .task = order->task, .run = order->run, .started = now_});
+    log_.push_back({.worker = index,
+                    .task = order->task,
+                    .run = order->run,
+                    .token = order->token,
+                    .started = now_});
     if (!late_order_) CheckCapacity(index, order);
     if (CrashesWorkers(order->task)) ScheduleCrash(index, log_.size() - 1);
     return Refuse(worker, OrderRefusal::kNone);
@@ -755,7 +793,14 @@
     for (int i = 0; i < kWorkers; ++i) {
       if (faults_.worker_recuts > 0 && workers_[i].up && registrations_[i].empty() &&
           Chance(faults_.worker_recuts)) {
-        RestartAndCut(i);
+        if (faults_.recut_young == 0 || !Chance(faults_.recut_young)) {
+          RestartAndCut(i);
+          continue;
+        }
+        Restart(workers_[i]);
+        After(PickDuration(kYoungAge), [this, i] {
+          if (workers_[i].up && registrations_[i].empty()) RestartAndCut(i);
+        });
       }
     }
   }
@@ -776,7 +821,9 @@
     worker.up = false;
     worker.recut = Recut::kDown;
     const Duration back = PickDuration(kRecutDown);
-    const Duration cut = back + PickDuration(kRecutWithinReach);
+    const bool unregistered = faults_.recut_unregistered > 0 && Chance(faults_.recut_unregistered);
+    const Duration cut =
+        back + PickDuration(unregistered ? kUnregisteredWithinReach : kRecutWithinReach);
     const Duration end = cut + PickDuration(kRecutCut);
     After(back, [this, index, &worker] {
       worker.up = true;
@@ -789,12 +836,23 @@
     };
     After(back + kRegistrationTime, write_registration);
     After(cut, [&worker] { worker.recut = Recut::kCut; });
-    if (Chance(kRecutLapses)) {
+    if (unregistered) {
+      After(PickDuration(kUnregisteredLapse), [this, &registrations] { registrations[now_] = {}; });
+    } else if (Chance(kRecutLapses)) {
       After(cut + kRegistrationLapse, [this, &registrations] { registrations[now_] = {}; });
     }
     if (faults_.recut_owner_kills > 0 && Chance(faults_.recut_owner_kills)) {
       After(PickDuration(kRecutKill), [this] { KillOwner(); });
     }
+    if (faults_.recut_ended_owners > 0 && Chance(faults_.recut_ended_owners)) {
+      After(PickDuration(kRecutReplaced), [this] {
+        owner_->alive = false;
+        TakeOver();
+      });
+    }
+    if (faults_.recut_replaced_owners > 0 && Chance(faults_.recut_replaced_owners)) {
+      After(PickDuration(kRecutReplaced), [this] { TakeOver(); });
+    }
     After(end, [&worker] { worker.recut = Recut::kNone; });
     After(end + kRegistrationTime, write_registration);
     After(end + kRegistrationTime + kListingDelay, [&registrations] { registrations.clear(); });
@@ -997,6 +1055,9 @@
   std::vector<RunLog> log_;
   std::vector<AcceptedJob> accepted_;
   std::map<JobId, std::string> progress_;  // Durable records in the store.
+  std::map<JobId, std::int64_t> offsets_;  // Of the records in `progress_`.
+  std::int64_t end_ = 0;                   // Of all records.
+  std::int64_t settled_end_ = 0;           // As an owner has stated it durably.
   std::map<JobId, std::string> crashes_;
   FencingToken fence_ = 0;
   FencingToken last_token_ = 0;
@@ -1018,8 +1079,8 @@
   const auto name = [](const RunLog& run) {
     return FormatJobId(run.task.job) + "." + std::to_string(run.task.step) + "." +
            std::to_string(run.task.index) + " run " + std::to_string(run.run) + " on w" +
-           std::to_string(run.worker) + " at " +
-           std::to_string(run.started.time_since_epoch().count());
+           std::to_string(run.worker) + " by owner " + std::to_string(run.token / TokenOf(1, 0)) +
+           " at " + std::to_string(run.started.time_since_epoch().count());
   };
   std::map<TaskKey, std::vector<const RunLog*>> by_task;
   for (const RunLog& run : log_) by_task[run.task].push_back(&run);
@@ -1330,6 +1391,50 @@
      .lost_reports = 100},
 };
 
+const std::vector<Faults> kReplacedOwnerFaults = {
+    {.name = "unregistered, owner ended",
+     .worker_recuts = 10,
+     .recut_ended_owners = 1'000,
+     .recut_unregistered = 1'000},
+    {.name = "unregistered, owner ended, long leases",
+     .worker_recuts = 10,
+     .recut_ended_owners = 1'000,
+     .recut_unregistered = 1'000,
+     .longest_lease = Duration(10'000)},
+    {.name = "unregistered, owner replaced",
+     .worker_recuts = 10,
+     .recut_replaced_owners = 1'000,
+     .recut_unregistered = 1'000},
+    {.name = "unregistered, owner replaced, long leases",
+     .worker_recuts = 10,
+     .recut_replaced_owners = 1'000,
+     .recut_unregistered = 1'000,
+     .longest_lease = Duration(10'000)},
+    {.name = "unregistered, one owner",
+     .worker_recuts = 10,
+     .recut_unregistered = 1'000,
+     .longest_lease = Duration(10'000)},
+    {.name = "young, one owner", .worker_recuts = 10, .recut_young = 1'000},
+    {.name = "young, owner ended",
+     .worker_recuts = 10,
+     .recut_ended_owners = 500,
+     .recut_unregistered = 500,
+     .recut_young = 1'000},
+    {.name = "young, owner replaced",
+     .worker_recuts = 10,
+     .recut_replaced_owners = 500,
+     .recut_unregistered = 500,
+     .recut_young = 1'000},
+    {.name = "young, owners ended or replaced, lost responses, long leases",
+     .lost_responses = 60,
+     .worker_recuts = 10,
+     .recut_ended_owners = 300,
+     .recut_replaced_owners = 300,
+     .recut_unregistered = 500,
+     .recut_young = 500,
+     .longest_lease = Duration(10'000)},
+};
+
 // Late jobs come once the last cut is over and kRecoveryBound has passed. The last of them have
 // time for two steps of long tasks (10.8 s each).
 constexpr Play kRecutPlay{.call_faults_end = kFaultsEnd,
@@ -1353,6 +1458,21 @@
   }
 }
 
+// Guards against runs that are given up while they go on in an incarnation of which no owner reads
+// a registration, or that the clock in a response attributes to the incarnation before.
+TEST_CASE("no task runs twice when owners are replaced while workers restart and are cut off",
+          "[scheduling][interleavings][recut]") {
+  const auto faults = GENERATE(from_range(kReplacedOwnerFaults));
+  for (const std::uint64_t seed : testing::Seeds(12)) {
+    CAPTURE(faults.name, seed);
+    World world(faults, seed, kRecutPlay);
+    world.Run();
+    const std::vector<std::string> findings = world.Check();
+    CAPTURE(findings);
+    CHECK(findings.empty());
+  }
+}
+
 // Guards against tasks that wait for runs of incarnations that have ended, or for a worker that is
 // cut off, long after it is within reach again.
 TEST_CASE("each task that can run has a run some time after workers restarted and were cut off",
