Ends: wait for the responses to starts before acknowledging

A done task may run again. A start and the next renewal both wait while their worker restarts. The next incarnation carries the start out, its run ends, and the renewal acknowledges ends by the numbers of the former incarnation. The worker forgets an end that no owner has seen.

While a start to a worker has no response, its ends are not acknowledged for 100 ms from the first renewal that could have done so; the worker answers these renewals at once, since it has ends to report.

--- a/src/scheduling/internal/shard.h
+++ b/src/scheduling/internal/shard.h
@@ -357,8 +357,9 @@
   void Place(JobRow& job, std::size_t position, WorkerRow& worker, Time now);
   void ReleaseLostWorkers(Time now);
   void ReleaseSilentWorkers(Time now);
-  // Returns the number up to which the worker may forget the ends of its runs.
-  std::int64_t EndsToAcknowledge(const WorkerRow& worker, Time now) const;
+  // Returns the number up to which the worker may forget the ends of its runs, by a renewal that is
+  // sent now.
+  std::int64_t EndsToAcknowledge(WorkerRow& worker, Time now) const;
   void MoveStalled(Time now);
   void ControlThrottling(Time now);
   std::vector<ThrottleOrder> DueThrottles(Time now);
--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -73,6 +73,9 @@
   bool lists_ends = false;         // The last report listed ends.
   std::int64_t ends_seen = 0;      // Largest number of an end that was applied.
   std::int64_t ends_recorded = 0;  // Largest number of an end whose effect is durable.
+  // Since when the acknowledgement of recorded ends has waited for the responses to starts; nothing
+  // if it does not.
+  std::optional<Time> ends_wait_since;
   Time avoid_until{};
   int unanswered_starts = 0;    // Consecutive starts without a response.
   std::set<JobId> failed_jobs;  // Jobs that failed on this worker since its last success.
--- a/src/scheduling/tests/shard_test.cc
+++ b/src/scheduling/tests/shard_test.cc
@@ -1832,6 +1832,76 @@
   CHECK(harness.shard.NextRenewal(kWorker, harness.now)->ends_seen == 0);
 }
 
+// Guards against a done task that runs again: a start and an acknowledgement waited together for
+// the next incarnation of their worker, which ended the run and forgot the end before any report.
+// And against ends that stay unacknowledged where starts are sent all the time.
+TEST_CASE("ends wait for the response to a start before they are acknowledged",
+          "[scheduling][shard]") {
+  struct Case {
+    std::string name;
+    std::function<void(ShardHarness& harness, const StartOrder& second, const ReportedEnd& end)>
+        happens;  // Once the second start has been sent.
+    std::int64_t ends_seen;
+  };
+  const auto report = [](ShardHarness& harness, const ReportedEnd& end, Duration pause) {
+    harness.Report(kWorker, {}, {end});
+    harness.now += pause;
+  };
+  const auto c = GENERATE_REF(values<Case>({
+      {"no response yet", [](auto&, const auto&, const auto&) {}, 0},
+      {"no response",
+       [](auto& harness, const auto& second, const auto&) {
+         harness.Respond(second, std::nullopt);
+       },
+       0},
+      {"carried out",
+       [](auto& harness, const auto& second, const auto&) {
+         harness.Respond(second, OrderRefusal::kNone);
+       },
+       1},
+      {"refused",
+       [](auto& harness, const auto& second, const auto&) {
+         harness.Respond(second, OrderRefusal::kNoRoom);
+       },
+       1},
+      {"shown by a report",
+       [](auto& harness, const auto& second, const auto& end) {
+         harness.Report(kWorker, {ShardHarness::Running(second)}, {end});
+       },
+       1},
+      {"no response for less than the limit",
+       [&](auto& harness, const auto&, const auto& end) { report(harness, end, Duration(97)); }, 0},
+      {"no response for the limit",
+       [&](auto& harness, const auto&, const auto& end) { report(harness, end, Duration(98)); }, 1},
+      {"no response, after an earlier wait",
+       [&](auto& harness, const auto&, const auto& end) {
+         report(harness, end, Duration(10));
+         harness.Report(kWorker, {}, {});
+         harness.now += Duration(200);
+         report(harness, end, Duration(10));
+       },
+       0},
+      {"no response for the limit, twice",
+       [&](auto& harness, const auto&, const auto& end) {
+         report(harness, end, Duration(98));
+         report(harness, end, Duration(10));
+       },
+       0},
+  }));
+  CAPTURE(c.name);
+  ShardHarness harness;
+  harness.AddWorker(kWorker);
+  harness.Submit(kTask);
+  const StartOrder first = harness.PlanAndRecord().at(0);
+  harness.Respond(first, OrderRefusal::kNone);
+  const ReportedEnd end = ShardHarness::End(first, EndKind::kDone);
+  harness.Report(kWorker, {}, {end});
+  harness.Submit(kTask, kJob + 1);
+  const StartOrder second = harness.PlanAndRecord().at(0);
+  c.happens(harness, second, end);
+  CHECK(harness.shard.NextRenewal(kWorker, harness.now)->ends_seen == c.ends_seen);
+}
+
 constexpr TaskKey kFirstTask{.job = kJob, .occurrence = 0, .step = 0, .index = 0};
 
 // Guards against a second run of a done task: the end of a run that the owner's records lacked was
