Membership: the decision of what a join changes is a type without I/O

ShardAssignment takes each response to a join and its send time, and tells which shards are lost and gained and with which token, and when the ownership was last confirmed. ShardMembership uses it. No change of behaviour: a test of the owner group in virtual time needs the decision without a store.

--- a/src/node/internal/shard_membership.cc
+++ b/src/node/internal/shard_membership.cc
@@ -97,6 +97,7 @@
       events_(std::move(events)),
       read_retries_(kRetryPause, kMaxRetryPause, std::random_device{}()),
       table_(Table{.member = NewMemberName(own_address_, processor_share, std::nullopt),
+                   .assignment = ShardAssignment(time_to_live),
                    .candidacy = Candidacy(processor_share)}) {}
 
 Join ShardMembership::MakeJoin(const Table& table) const {
@@ -104,7 +105,7 @@
                .member = table.member,
                .topic = kJobsTopic,
                .time_to_live = time_to_live_,
-               .generation = table.generation});
+               .generation = table.assignment.generation()});
 }
 
 Task<> ShardMembership::Run() {
@@ -168,47 +169,33 @@
 }
 
 Task<> ShardMembership::StepDown(Join join) {
-  ApplyAssignment(Membership({.generation = join->generation, .partitions = {}}), Time());
+  Report(table_.With([](Table& table) { return table.assignment.Release(); }));
   co_await store_.LeaveGroup(join);
   table_.With([&](Table& table) {
     table.member =
         NewMemberName(own_address_, processor_share_, table.candidacy.store_round_trip());
-    table.generation = 0;
+    table.assignment = ShardAssignment(time_to_live_);
     table.joined = false;
   });
 }
 
 void ShardMembership::ApplyAssignment(const Membership& membership, Time sent) {
-  std::vector<int> gained;
-  std::vector<int> lost;
-  table_.With([&](Table& table) {
-    if (table.leaving) return;
-    const bool has_run_out = table.confirmed != Time() && sent - table.confirmed >= time_to_live_ &&
-                             membership->generation != table.generation;
-    const std::map<int, FencingToken> before = std::exchange(table.owned, {});
-    for (const int shard : membership->partitions) {
-      if (shard >= kShardCount) continue;
-      const auto known = before.find(shard);
-      const bool kept = known != before.end() && !has_run_out;
-      table.owned[shard] = kept ? known->second : membership->generation;
-      if (!kept) gained.push_back(shard);
-    }
-    for (const auto& [shard, token] : before) {
-      if (table.owned.count(shard) == 0 || has_run_out) lost.push_back(shard);
-    }
-    table.generation = membership->generation;
-    table.confirmed = sent;
-  });
-  for (const int shard : lost) events_.lost(shard);
-  for (const int shard : gained) events_.gained(shard, membership->generation);
+  Report(table_.With([&](Table& table) {
+    return table.leaving ? AssignmentChanges() : table.assignment.Apply(membership, sent);
+  }));
+}
+
+void ShardMembership::Report(const AssignmentChanges& changes) {
+  for (const int shard : changes->lost) events_.lost(shard);
+  for (const int shard : changes->gained) events_.gained(shard, changes->token);
 }
 
 Task<> ShardMembership::Leave() {
-  auto [join, owned] = table_.With([&](Table& table) {
+  const auto [join, changes] = table_.With([&](Table& table) {
     table.leaving = true;
-    return std::make_pair(MakeJoin(table), std::exchange(table.owned, {}));
+    return std::make_pair(MakeJoin(table), table.assignment.Release());
   });
-  for (const auto& entry : owned) events_.lost(entry.first);
+  Report(changes);
   co_await store_.LeaveGroup(join);
 }
 
@@ -221,11 +208,7 @@
 }
 
 Time ShardMembership::last_confirmed(int shard, FencingToken token) {
-  return table_.With([&](Table& table) {
-    const auto found = table.owned.find(shard);
-    const bool owned = found != table.owned.end() && found->second == token;
-    return owned ? table.confirmed : Time();
-  });
+  return table_.With([&](Table& table) { return table.assignment.last_confirmed(shard, token); });
 }
 
 Task<Result<Endpoint>> ShardMembership::OwnerOf(int shard) {
@@ -269,9 +252,7 @@
 
 Result<Endpoint> ShardMembership::CachedOwnerOf(int shard) {
   const Time now = Now();
-  const bool owned = table_.With([&](Table& table) {
-    return table.owned.count(shard) > 0 && now - table.confirmed < time_to_live_;
-  });
+  const bool owned = table_.With([&](Table& table) { return table.assignment.Owns(shard, now); });
   if (owned) return own_address_;
   const bool stale =
       table_.With([&](Table& table) { return now - table.owners_read > kMaxOwnersAge; });
--- a/src/node/internal/shard_membership.h
+++ b/src/node/internal/shard_membership.h
@@ -6,7 +6,7 @@
 #include <map>
 #include <set>
 
-#include "node/internal/shards.h"
+#include "node/internal/shard_assignment.h"
 
 namespace dn {
 
@@ -54,11 +54,8 @@
 
  private:
   struct Table {
-    std::string member;           // Member name of this node.
-    std::int64_t generation = 0;  // Last generation received.
-    // Shards assigned to this node, and the tokens with which it gained them.
-    std::map<int, FencingToken> owned;
-    Time confirmed{};                   // Send time of the join that returned `owned`.
+    std::string member;  // Member name of this node.
+    ShardAssignment assignment;
     std::map<int, std::string> owners;  // Member name by partition.
     Time owners_read{};   // Send time of the last read; Time() once `owners` is stale.
     Time members_read{};  // Send time of the last read.
@@ -74,9 +71,9 @@
   // Releases all shards and leaves the group; the next join uses a new member name.
   Task<> StepDown(Join join);
   // Updates the owned shards and reports the differences as events. `sent`: send time of
-  // the join. A shard that was not confirmed for the time to live while the group changed counts as
-  // lost and gained again: another member may have owned it meanwhile.
+  // the join.
   void ApplyAssignment(const Membership& membership, Time sent);
+  void Report(const AssignmentChanges& changes);
   // Reports a changed candidacy.
   void ReportCandidacy();
   // Records the time of a call to the store that was answered, as the distance to it.
