--- a/src/scheduling/internal/worker_table.h
+++ b/src/scheduling/internal/worker_table.h
@@ -44,7 +44,8 @@
   // While cold: when this owner decided to send starts, as far as within kColdWindow.
   std::vector<Time> cold_starts;
   std::optional<std::int64_t> max_cold_starts;  // See PolicyFields.
-  Time listed_at{};                             // When a registration was last read.
+  // When the registered incarnation wrote a registration, at the earliest; Time(): not known.
+  Time listed_at{};
   Time unlisted_at{};
   Resources reserved;                // By all placed tasks; best-effort tasks reserve no cores.
   std::map<TaskRef, JobRow*> tasks;  // Exactly the tasks that are placed on this worker.
@@ -73,6 +74,9 @@
   bool lists_ends = false;         // The last report listed ends.
   std::int64_t ends_seen = 0;      // Largest number of an end that was applied.
   std::int64_t ends_recorded = 0;  // Largest number of an end whose effect is durable.
+  // Since when the acknowledgement of recorded ends has waited for the responses to starts; nothing
+  // if it does not.
+  std::optional<Time> ends_wait_since;
   Time avoid_until{};
   int unanswered_starts = 0;    // Consecutive starts without a response.
   std::set<JobId> failed_jobs;  // Jobs that failed on this worker since its last success.
@@ -108,8 +112,8 @@
     earlier_owners_until_ = until;
     earlier_owners_until_ms_ = until_ms;
   }
-  // Adds or updates the entry of a registered worker.
-  void Listed(const WorkerEntry& entry, Time now);
+  // Adds or updates the entry of a registered worker. `written_after`: see Shard::WorkerListed().
+  void Listed(const WorkerEntry& entry, Time now, Time written_after = Time());
   // Handles the end of a worker's registration.
   // Returns whether the worker was listed.
   bool Unlisted(const WorkerId& id, Time now);
