Lost runs: only runs of earlier owners settle by a report

A run that this owner has placed may have a second copy of its start under way when a report shows it, so it must not count as settled. Found by reading; no run showed it.

--- a/src/scheduling/internal/run_end.cc
+++ b/src/scheduling/internal/run_end.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 namespace dn {
+
 Duration LongerUnheardLease(const Policy& policy) {
   return std::max(Duration(0),
                   LongestLease(policy, policy->max_lease) - LongestLease(policy, policy->lease));
--- a/src/scheduling/internal/shard.cc
+++ b/src/scheduling/internal/shard.cc
@@ -430,8 +430,9 @@
   const StepSpec& step = job.StepOf(position);
   // The only copy of its start has been carried out.
   if (task->starts_sent == 1) task->late_until.reset();
-  // No call of an earlier owner is on its way any more.
-  if (worker.clock_read_after >= workers_.EarlierOwnersUntil(now) + kOrderTimeout) {
+  // No call of the earlier owner that placed the run is on its way any more.
+  if (task->placement == 0 &&
+      worker.clock_read_after >= workers_.EarlierOwnersUntil(now) + kOrderTimeout) {
     task->settled = true;
   }
   task->stage = StartStage::kConfirmed;
